--- /dev/null
+++ b/packages/model/include/crowlink/model/upstream_record.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "crowlink/base/endpoint.hpp"
+#include "crowlink/base/ids.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace crowlink
+{
+
+enum class upstream_state : std::uint8_t
+{
+    // Takes new flows.
+    ready,
+    // Keeps its flows and takes no new one: drained by an operator, or leaving
+    // by its own announcement.
+    draining,
+    // Ended, or its lease ran out.
+    gone,
+};
+
+// What an agent announces of its upstream. Of two records of one upstream, the
+// one with the higher (incarnation, sequence) is the newer, wherever it comes
+// from: the agent alone writes them, so no agreement is needed.
+struct upstream_record
+{
+    upstream_id id;
+    service_id service;
+    incarnation started;
+    std::uint64_t sequence = 0;
+    // Where the agent takes packets.
+    endpoint agent;
+    place_id where;
+    // The upstream's share relative to others of its service, 1 to 1000.
+    std::uint32_t weight = 100;
+    upstream_state state = upstream_state::ready;
+
+    friend auto operator<=>(const upstream_record&,
+                            const upstream_record&) = default;
+};
+
+// Whether the first record is newer than the second one of the same upstream.
+inline bool newer(const upstream_record& first, const upstream_record& second)
+{
+    if (first.started != second.started)
+    {
+        return first.started > second.started;
+    }
+    return first.sequence > second.sequence;
+}
+
+} // namespace crowlink
