--- /dev/null
+++ b/packages/settings/include/crowlink/settings/control_endpoint.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "crowlink/base/endpoint.hpp"
+
+#include <compare>
+#include <string>
+
+namespace crowlink
+{
+
+// Where a node reaches one control host.
+struct control_endpoint
+{
+    endpoint address;
+    // The CURVE public key, Z85; empty where keys are not in use.
+    std::string public_key;
+
+    friend auto operator<=>(const control_endpoint&,
+                            const control_endpoint&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/settings/include/crowlink/settings/control_settings.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "crowlink/base/endpoint.hpp"
+#include "crowlink/settings/control_peer.hpp"
+#include "crowlink/settings/tls_settings.hpp"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crowlink
+{
+
+// The control role: a host with a disk that holds the replicated document.
+struct control_settings
+{
+    // Everything that survives a restart lives below this folder.
+    std::string data_folder;
+    // Where other control hosts connect.
+    endpoint peer_listen;
+    // Where agents and balancers connect.
+    endpoint node_listen;
+    // All control hosts, this one included.
+    std::vector<control_peer> peers;
+    // Where operators connect.
+    std::optional<endpoint> http;
+    // The operators' tokens; required with `http`.
+    std::string tokens_file;
+    std::optional<tls_settings> tls;
+
+    friend auto operator<=>(const control_settings&,
+                            const control_settings&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/settings/include/crowlink/settings/daemon_settings.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "crowlink/base/endpoint.hpp"
+#include "crowlink/settings/agent_settings.hpp"
+#include "crowlink/settings/balancer_settings.hpp"
+#include "crowlink/settings/control_endpoint.hpp"
+#include "crowlink/settings/control_settings.hpp"
+#include "crowlink/settings/host_settings.hpp"
+#include "crowlink/settings/key_settings.hpp"
+#include "crowlink/settings/log_settings.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace crowlink
+{
+
+// One daemon's settings. A role runs if its section is there; at least one is.
+struct daemon_settings
+{
+    host_settings host;
+    log_settings log;
+    std::optional<key_settings> keys;
+    // Where a node finds control; empty for a daemon with the control role,
+    // whose other roles use the control in their own process.
+    std::vector<control_endpoint> control_endpoints;
+    std::optional<control_settings> control;
+    std::optional<balancer_settings> balancer;
+    std::vector<agent_settings> agents;
+    // Control traffic that one node may send or receive, bytes a second.
+    std::uint32_t pacing_bytes_per_second = 8192;
+    // Where health, readiness and metrics are served; none if absent.
+    std::optional<endpoint> health;
+
+    friend auto operator<=>(const daemon_settings&,
+                            const daemon_settings&) = default;
+};
+
+} // namespace crowlink
