--- /dev/null
+++ b/packages/settings/src/sections.cpp
@@ -0,0 +1,148 @@
+#include "sections.hpp"
+
+#include "object_reader.hpp"
+
+#include <limits>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+constexpr std::uint32_t most_queue_lines = 1'000'000;
+constexpr std::uint32_t most_decisions = 1'000'000;
+constexpr std::uint32_t most_threads = 64;
+constexpr std::uint32_t most_weight = 1000;
+constexpr std::uint32_t most_drain_seconds = 86'400;
+constexpr std::size_t public_key_length = 40;
+
+constexpr choice<log_format> formats[] = {
+    {"key_value", log_format::key_value},
+    {"json", log_format::json},
+};
+constexpr choice<log_level> levels[] = {
+    {"debug", log_level::debug},
+    {"info", log_level::info},
+    {"warning", log_level::warning},
+    {"error", log_level::error},
+};
+constexpr choice<port_mode> port_modes[] = {
+    {"datagram", port_mode::datagram},
+    {"ip_in_udp", port_mode::ip_in_udp},
+};
+constexpr choice<delivery_mode> delivery_modes[] = {
+    {"datagram", delivery_mode::datagram},
+    {"ip_in_udp", delivery_mode::ip_in_udp},
+};
+
+std::string read_public_key(object_reader& reader)
+{
+    std::string key = reader.optional_text("public_key");
+    if (!key.empty() && key.size() != public_key_length)
+    {
+        reader.refuse("public_key",
+                      "found " + std::to_string(key.size()) +
+                          " characters; allowed: 40 characters of Z85");
+    }
+    return key;
+}
+
+control_peer read_peer(object_reader& reader)
+{
+    control_peer peer;
+    peer.host = host_id(reader.text("host"));
+    peer.address = reader.address("address");
+    peer.public_key = read_public_key(reader);
+    peer.voter = reader.flag("voter", true);
+    return peer;
+}
+
+tls_settings read_tls(object_reader& reader)
+{
+    return tls_settings{reader.text("certificate"), reader.text("key")};
+}
+
+} // namespace
+
+host_settings read_host(object_reader& reader)
+{
+    host_settings host;
+    host.name = host_id(reader.text("name"));
+    host.place = place_id(reader.text("place"));
+    host.region = region_id(reader.text("region"));
+    return host;
+}
+
+log_settings read_log(object_reader& reader)
+{
+    log_settings log;
+    log.format = reader.one_of("format", formats, log.format);
+    log.level = reader.one_of("level", levels, log.level);
+    log.queue_lines =
+        reader.number("queue_lines", 1, most_queue_lines, log.queue_lines);
+    log.decisions_per_second = reader.number(
+        "decisions_per_second", 0, most_decisions, log.decisions_per_second);
+    return log;
+}
+
+key_settings read_keys(object_reader& reader)
+{
+    key_settings keys;
+    keys.own = reader.text("own");
+    keys.allowed = reader.optional_text("allowed");
+    keys.packet = reader.texts("packet", 0);
+    return keys;
+}
+
+control_endpoint read_control_endpoint(object_reader& reader)
+{
+    return control_endpoint{reader.address("address"), read_public_key(reader)};
+}
+
+control_settings read_control(object_reader& reader)
+{
+    control_settings control;
+    control.data_folder = reader.text("data_folder");
+    control.peer_listen = reader.address("peer_listen");
+    control.node_listen = reader.address("node_listen");
+    control.peers = reader.objects("peers", read_peer);
+    if (reader.has("http"))
+    {
+        control.http = reader.address("http");
+    }
+    control.tokens_file = reader.optional_text("tokens_file");
+    if (reader.has("tls"))
+    {
+        control.tls = reader.object("tls", read_tls);
+    }
+    return control;
+}
+
+balancer_settings read_balancer(object_reader& reader)
+{
+    balancer_settings balancer;
+    balancer.mode = reader.one_of("mode", port_modes, balancer.mode);
+    balancer.listen = reader.addresses("listen", 1);
+    balancer.tunnel = reader.address("tunnel");
+    balancer.threads =
+        reader.number("threads", 1, most_threads, balancer.threads);
+    return balancer;
+}
+
+agent_settings read_agent(object_reader& reader)
+{
+    agent_settings agent;
+    agent.upstream = upstream_id(reader.text("upstream"));
+    agent.service = service_id(
+        reader.number("service", 1, std::numeric_limits<std::uint32_t>::max()));
+    agent.upstream_address = reader.address("upstream_address");
+    agent.delivery = reader.one_of("delivery", delivery_modes, agent.delivery);
+    agent.weight = reader.number("weight", 1, most_weight, agent.weight);
+    agent.tunnel = reader.address("tunnel");
+    agent.drain_seconds = reader.number("drain_seconds", 0, most_drain_seconds,
+                                        agent.drain_seconds);
+    return agent;
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/settings/test/settings_test.cpp
@@ -0,0 +1,146 @@
+#include "crowlink/settings.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <string>
+
+namespace crowlink
+{
+namespace
+{
+
+constexpr const char* valid_node = R"({
+  // An entry host.
+  "host": {"name": "entry-1", "place": "quezon", "region": "ncr"},
+  "log": {"format": "json", "level": "debug"},
+  "control_endpoints": [{"address": "127.0.0.1:7002"}],
+  "balancer": {"mode": "datagram", "listen": ["127.0.0.1:9000"],
+               "tunnel": "127.0.0.1:9100", "threads": 2},
+  "agents": [{"upstream": "hiraman-1", "service": 1, "weight": 50,
+              "upstream_address": "127.0.0.1:9200",
+              "tunnel": "127.0.0.1:9101"}]
+})";
+
+// Whether one of the errors names this place and holds this text.
+bool names(const settings_result& found, const std::string& place,
+           const std::string& text)
+{
+    return !found &&
+           std::any_of(found.error().begin(), found.error().end(),
+                       [&](const error& each)
+                       {
+                           return each.place == place &&
+                                  each.message.find(text) != std::string::npos;
+                       });
+}
+
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(settings, reads_every_field)
+{
+    const settings_result found = parse_settings(valid_node, "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    EXPECT_EQ(found->host.place, place_id("quezon"));
+    EXPECT_EQ(found->log.format, log_format::json);
+    EXPECT_EQ(found->log.level, log_level::debug);
+    EXPECT_EQ(found->balancer->mode, port_mode::datagram);
+    EXPECT_EQ(found->balancer->threads, 2U);
+    EXPECT_EQ(found->agents.front().weight, 50U);
+    EXPECT_EQ(found->agents.front().service, service_id(1));
+    EXPECT_FALSE(found->control);
+}
+
+TEST(settings, reports_all_errors_at_once_with_path_found_and_allowed)
+{
+    std::string text = replaced(valid_node, "\"weight\": 50",
+                                "\"weight\": 5000, \"wieght\": 1");
+    text = replaced(text, "127.0.0.1:9100", "localhost");
+    text = replaced(text, "\"json\"", "\"xml\"");
+    const settings_result found = parse_settings(text, "a.jsonc");
+    ASSERT_FALSE(found);
+    EXPECT_EQ(found.error().size(), 4U);
+    EXPECT_TRUE(names(found, "a.jsonc: /agents/0/weight",
+                      "found 5000; allowed: a whole number, 1 to 1000"));
+    EXPECT_TRUE(names(found, "a.jsonc: /agents/0/wieght",
+                      "unknown field; allowed: delivery, drain_seconds"));
+    EXPECT_TRUE(
+        names(found, "a.jsonc: /balancer/tunnel", "found \"localhost\""));
+    EXPECT_TRUE(names(found, "a.jsonc: /log/format",
+                      "allowed: \"key_value\" or \"json\""));
+}
+
+TEST(settings, refuses_a_field_given_twice)
+{
+    const std::string text = replaced(valid_node, "\"service\": 1",
+                                      "\"service\": 1, \"service\": 2");
+    EXPECT_TRUE(names(parse_settings(text, "f"), "f", "\"service\" twice"));
+}
+
+TEST(settings, refuses_wrong_types_without_stopping)
+{
+    for (const char* text : {"[]", "{\"host\": 3}", "{\"agents\": {}}",
+                             "{\"host\": {}, \"balancer\": []}", "{", "", "7",
+                             "{\"agents\": [1]}", "\"\\ud800\""})
+    {
+        EXPECT_FALSE(parse_settings(text, "f")) << text;
+    }
+}
+
+TEST(settings, without_keys_only_loopback_is_allowed)
+{
+    const std::string text =
+        replaced(valid_node, "127.0.0.1:9101", "192.0.2.1:9101");
+    EXPECT_TRUE(names(parse_settings(text, "f"), "f: /agents/0/tunnel",
+                      "without \"keys\""));
+}
+
+TEST(settings, with_keys_the_public_keys_of_control_are_required)
+{
+    const std::string text =
+        replaced(valid_node, "\"log\"",
+                 R"("keys": {"own": "a", "packet": ["b"]}, "log")");
+    EXPECT_TRUE(names(parse_settings(text, "f"),
+                      "f: /control_endpoints/0/public_key", "missing"));
+}
+
+TEST(settings, resolves_files_against_the_settings_folder)
+{
+    const std::string text = R"({
+      "host": {"name": "c1", "place": "brest", "region": "bretagne"},
+      "control": {"data_folder": "data", "peer_listen": "127.0.0.1:1",
+                  "node_listen": "127.0.0.1:2", "http": "127.0.0.1:3",
+                  "tokens_file": "/abs/tokens",
+                  "peers": [{"host": "c1", "address": "127.0.0.1:1"}]}})";
+    const settings_result found = parse_settings(text, "/etc/x/c1.jsonc");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    EXPECT_EQ(found->control->data_folder, "/etc/x/data");
+    EXPECT_EQ(found->control->tokens_file, "/abs/tokens");
+}
+
+TEST(settings, checks_the_set_of_control_hosts)
+{
+    const std::string text = R"({
+      "host": {"name": "c3", "place": "brest", "region": "bretagne"},
+      "control": {"data_folder": "data", "peer_listen": "127.0.0.1:1",
+                  "node_listen": "127.0.0.1:2",
+                  "peers": [{"host": "c1", "address": "127.0.0.1:1"},
+                            {"host": "c1", "address": "127.0.0.1:4"}]}})";
+    const settings_result found = parse_settings(text, "f");
+    EXPECT_TRUE(names(found, "f: /control/peers", "found 2 voters"));
+    EXPECT_TRUE(names(found, "f: /control/peers", "\"c1\" twice"));
+    EXPECT_TRUE(names(found, "f: /control/peers", "this host \"c3\""));
+}
+
+TEST(settings, a_file_that_cannot_be_read_is_one_error)
+{
+    const settings_result found = load_settings("/nonexistent/x.jsonc");
+    ASSERT_FALSE(found);
+    EXPECT_EQ(found.error().front().kind, error_kind::storage);
+}
+
+} // namespace
+} // namespace crowlink
