--- a/packages/settings/include/crowlink/settings.hpp
+++ b/packages/settings/include/crowlink/settings.hpp
@@ -15,6 +15,9 @@
 //   agent_settings.hpp     the agent role, one for each upstream
 //   daemon_settings.hpp    the whole file
 //   load.hpp               reading and checking
+//   node_role.hpp          the roles that a key may be allowed
+//   key_grant.hpp          what one key is allowed
+//   key_grants.hpp         all keys that a control host accepts
 
 #include "crowlink/settings/agent_settings.hpp"
 #include "crowlink/settings/balancer_settings.hpp"
@@ -23,7 +26,10 @@
 #include "crowlink/settings/control_settings.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/settings/host_settings.hpp"
+#include "crowlink/settings/key_grant.hpp"
+#include "crowlink/settings/key_grants.hpp"
 #include "crowlink/settings/key_settings.hpp"
 #include "crowlink/settings/load.hpp"
 #include "crowlink/settings/log_settings.hpp"
+#include "crowlink/settings/node_role.hpp"
 #include "crowlink/settings/tls_settings.hpp"
--- a/packages/settings/include/crowlink/settings/balancer_settings.hpp
+++ b/packages/settings/include/crowlink/settings/balancer_settings.hpp
@@ -26,6 +26,8 @@
     std::vector<endpoint> listen;
     // Where agents send answers, and where packets to agents come from.
     endpoint tunnel;
+    // In ip_in_udp mode, where packets for callers are sent.
+    endpoint gateway;
     // Traffic threads; each has sockets of its own on the same addresses.
     std::uint32_t threads = 1;
 
--- a/packages/settings/include/crowlink/settings/key_settings.hpp
+++ b/packages/settings/include/crowlink/settings/key_settings.hpp
@@ -14,8 +14,8 @@
     std::string own;
     // Who may connect, with which roles; only control hosts need it.
     std::string allowed;
-    // Keys that authenticate packets between balancers and agents; the first
-    // one signs, all are accepted. Their mode must be 0600.
+    // One or two keys that authenticate packets between balancers and agents;
+    // the first one signs, both are accepted. Their mode must be 0600.
     std::vector<std::string> packet;
 
     friend auto operator<=>(const key_settings&, const key_settings&) = default;
--- a/packages/settings/src/object_reader.cpp
+++ b/packages/settings/src/object_reader.cpp
@@ -14,6 +14,13 @@
 constexpr std::string_view an_endpoint =
     "an address and port such as \"192.0.2.1:80\" or \"[2001:db8::1]:80\"";
 
+bool is_number_between(const json& value, std::uint32_t least,
+                       std::uint32_t most)
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() >= least &&
+           value.get<std::uint64_t>() <= most;
+}
+
 endpoint refused_address()
 {
     return endpoint{*ip_address::parse("127.0.0.1"), 0};
@@ -108,10 +115,7 @@
     {
         return otherwise;
     }
-    const bool fits = found->is_number_unsigned() &&
-                      found->get<std::uint64_t>() >= least &&
-                      found->get<std::uint64_t>() <= most;
-    if (!fits)
+    if (!is_number_between(*found, least, most))
     {
         report(name, *found,
                fmt::format("a whole number, {} to {}", least, most));
@@ -176,6 +180,35 @@
     return values;
 }
 
+std::vector<std::uint32_t> object_reader::numbers(std::string_view name,
+                                                  std::uint32_t least,
+                                                  std::uint32_t most)
+{
+    std::vector<std::uint32_t> values;
+    const json* found = find(name);
+    if (found == nullptr)
+    {
+        return values;
+    }
+    const std::string allowed =
+        fmt::format("a list of whole numbers, {} to {}", least, most);
+    if (!found->is_array())
+    {
+        report(name, *found, allowed);
+        return values;
+    }
+    for (const json& element : *found)
+    {
+        if (!is_number_between(element, least, most))
+        {
+            report(name, element, allowed);
+            continue;
+        }
+        values.push_back(element.get<std::uint32_t>());
+    }
+    return values;
+}
+
 std::vector<endpoint> object_reader::addresses(std::string_view name,
                                                std::size_t least)
 {
--- a/packages/settings/src/object_reader.hpp
+++ b/packages/settings/src/object_reader.hpp
@@ -48,6 +48,9 @@
     endpoint address(std::string_view name);
     // Texts of a list of at least `least` elements.
     std::vector<std::string> texts(std::string_view name, std::size_t least);
+    // Whole numbers of a list; a missing field is an empty list.
+    std::vector<std::uint32_t> numbers(std::string_view name,
+                                       std::uint32_t least, std::uint32_t most);
     std::vector<endpoint> addresses(std::string_view name, std::size_t least);
 
     template <class Value, std::size_t Count>
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t most_weight = 1000;
 constexpr std::uint32_t most_drain_seconds = 86'400;
 constexpr std::size_t public_key_length = 40;
+constexpr std::size_t most_packet_keys = 2;
 
 constexpr choice<log_format> formats[] = {
     {"key_value", log_format::key_value},
@@ -92,6 +93,12 @@
     keys.own = reader.text("own");
     keys.allowed = reader.optional_text("allowed");
     keys.packet = reader.texts("packet", 0);
+    if (keys.packet.size() > most_packet_keys)
+    {
+        reader.refuse("packet", "found " + std::to_string(keys.packet.size()) +
+                                    " files; allowed: one that signs and one "
+                                    "more that is accepted");
+    }
     return keys;
 }
 
@@ -125,6 +132,10 @@
     balancer.mode = reader.one_of("mode", port_modes, balancer.mode);
     balancer.listen = reader.addresses("listen", 1);
     balancer.tunnel = reader.address("tunnel");
+    if (balancer.mode == port_mode::ip_in_udp || reader.has("gateway"))
+    {
+        balancer.gateway = reader.address("gateway");
+    }
     balancer.threads =
         reader.number("threads", 1, most_threads, balancer.threads);
     return balancer;
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -142,5 +142,34 @@
     EXPECT_EQ(found.error().front().kind, error_kind::storage);
 }
 
+TEST(key_grants, tell_roles_services_and_revoked_keys_apart)
+{
+    const std::string first(40, 'a');
+    const std::string second(40, 'b');
+    const auto found = key_grants::parse(
+        R"({"keys": [{"public_key": ")" + second +
+            R"(", "holder": "h1", "roles": ["agent"], "services": [7]},
+            {"public_key": ")" +
+            first + R"(", "holder": "e1", "roles": ["balancer"],
+             "revoked": true}]})",
+        "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    EXPECT_EQ(found->find(std::string(40, 'c')), nullptr);
+    EXPECT_TRUE(found->find(second)->allows(service_id(7)));
+    EXPECT_FALSE(found->find(second)->allows(service_id(8)));
+    EXPECT_FALSE(found->find(second)->allows(node_role::balancer));
+    EXPECT_FALSE(found->find(first)->allows(node_role::balancer));
+}
+
+TEST(key_grants, refuse_short_and_doubled_keys_and_unknown_roles)
+{
+    const std::string grant = R"({"public_key": "short", "holder": "h",
+                                  "roles": ["king"], "services": [0]})";
+    const auto found =
+        key_grants::parse("{\"keys\": [" + grant + "," + grant + "]}", "f");
+    ASSERT_FALSE(found);
+    EXPECT_EQ(found.error().size(), 7U);
+}
+
 } // namespace
 } // namespace crowlink
