--- /dev/null
+++ b/packages/transport/test/message_sockets_test.cpp
@@ -0,0 +1,136 @@
+#include "crowlink/transport.hpp"
+
+#include <array>
+#include <gtest/gtest.h>
+
+namespace crowlink
+{
+namespace
+{
+
+const endpoint any_port = *endpoint::parse("127.0.0.1:0");
+// Bounds a wait that ends early in every run that passes.
+constexpr std::chrono::seconds longest_wait(20);
+
+bool readable(zmq::socket_ref socket)
+{
+    std::array<zmq::pollitem_t, 1> items{
+        zmq::pollitem_t{socket.handle(), 0, ZMQ_POLLIN, 0}};
+    zmq::poll(
+        items.data(), items.size(),
+        std::chrono::duration_cast<std::chrono::milliseconds>(longest_wait));
+    return (items[0].revents & ZMQ_POLLIN) != 0;
+}
+
+class secured : public testing::Test
+{
+protected:
+    // Connects with a pair, and waits until the server judged it.
+    void connect(const curve_key_pair& pair)
+    {
+        zmq::context_t client;
+        auto made = dealer_socket::connect(client, m_server.local(), pair,
+                                           m_server_pair.public_key);
+        ASSERT_TRUE(made);
+        // The handshake fails or passes; both are events of this monitor.
+        zmq::socket_t events = monitor(client, *made);
+        ASSERT_TRUE(readable(events));
+    }
+
+    static zmq::socket_t monitor(zmq::context_t& client, dealer_socket& made)
+    {
+        constexpr int judged = ZMQ_EVENT_HANDSHAKE_SUCCEEDED |
+                               ZMQ_EVENT_HANDSHAKE_FAILED_AUTH |
+                               ZMQ_EVENT_DISCONNECTED;
+        zmq_socket_monitor(made.socket().handle(), "inproc://events", judged);
+        zmq::socket_t events(client, zmq::socket_type::pair);
+        events.set(zmq::sockopt::linger, 0);
+        events.connect("inproc://events");
+        return events;
+    }
+
+    static key_grant grant(const curve_key_pair& pair, node_role role)
+    {
+        return key_grant{pair.public_key, host_id("h"), {role}, {}, false};
+    }
+
+    curve_key_pair m_server_pair = *curve_key_pair::generate();
+    curve_key_pair m_agent = *curve_key_pair::generate();
+    curve_key_pair m_control = *curve_key_pair::generate();
+    zmq::context_t m_context;
+    zap_authenticator m_authenticator{
+        m_context, key_grants({grant(m_agent, node_role::agent),
+                               grant(m_control, node_role::control)})};
+    router_socket m_server = *router_socket::bind(
+        m_context, any_port, m_server_pair, "balancer+agent");
+};
+
+TEST_F(secured, messages_carry_the_key_that_was_admitted)
+{
+    zmq::context_t client;
+    auto dealer = dealer_socket::connect(client, m_server.local(), m_agent,
+                                         m_server_pair.public_key);
+    ASSERT_TRUE(dealer);
+    ASSERT_TRUE(dealer->send("hello"));
+    ASSERT_TRUE(readable(m_server.socket()));
+    const auto received = m_server.receive();
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->bytes, "hello");
+    EXPECT_EQ(received->public_key, m_agent.public_key);
+    EXPECT_FALSE(m_server.receive());
+
+    ASSERT_TRUE(m_server.send(received->connection, "back"));
+    ASSERT_TRUE(readable(dealer->socket()));
+    EXPECT_EQ(dealer->receive(), "back");
+    EXPECT_EQ(m_authenticator.counted().admitted, 1U);
+}
+
+TEST_F(secured, a_stranger_is_refused_and_counted)
+{
+    connect(*curve_key_pair::generate());
+    EXPECT_GE(m_authenticator.counted().strangers, 1U);
+    EXPECT_EQ(m_authenticator.counted().admitted, 0U);
+}
+
+TEST_F(secured, a_key_of_another_role_is_refused_and_counted)
+{
+    connect(m_control);
+    EXPECT_GE(m_authenticator.counted().wrong_role, 1U);
+    EXPECT_EQ(m_authenticator.counted().admitted, 0U);
+}
+
+TEST_F(secured, a_revoked_key_is_refused_and_counted)
+{
+    key_grant revoked = grant(m_agent, node_role::agent);
+    revoked.revoked = true;
+    m_authenticator.replace(key_grants({revoked}));
+    connect(m_agent);
+    EXPECT_GE(m_authenticator.counted().revoked, 1U);
+    EXPECT_EQ(m_authenticator.counted().admitted, 0U);
+}
+
+TEST(message_sockets, work_without_keys)
+{
+    zmq::context_t context;
+    auto server = router_socket::bind(context, any_port, std::nullopt, "");
+    ASSERT_TRUE(server);
+    auto dealer =
+        dealer_socket::connect(context, server->local(), std::nullopt, "");
+    ASSERT_TRUE(dealer);
+    ASSERT_TRUE(dealer->send("x"));
+    ASSERT_TRUE(readable(server->socket()));
+    EXPECT_EQ(server->receive()->public_key, "");
+    EXPECT_FALSE(server->send("nobody", "x"));
+}
+
+TEST(message_sockets, an_address_in_use_is_an_error)
+{
+    zmq::context_t context;
+    auto first = router_socket::bind(context, any_port, std::nullopt, "");
+    ASSERT_TRUE(first);
+    EXPECT_FALSE(
+        router_socket::bind(context, first->local(), std::nullopt, ""));
+}
+
+} // namespace
+} // namespace crowlink
