--- a/packages/settings/include/crowlink/settings/agent_settings.hpp
+++ b/packages/settings/include/crowlink/settings/agent_role_settings.hpp
@@ -19,7 +19,7 @@
 };
 
 // The agent role, for one upstream.
-struct agent_settings
+struct agent_role_settings
 {
     upstream_id upstream;
     service_id service;
@@ -33,8 +33,8 @@
     // How long a leaving agent keeps flows that do not end by themselves.
     std::uint32_t drain_seconds = 60;
 
-    friend auto operator<=>(const agent_settings&,
-                            const agent_settings&) = default;
+    friend auto operator<=>(const agent_role_settings&,
+                            const agent_role_settings&) = default;
 };
 
 } // namespace crowlink
--- a/packages/settings/include/crowlink/settings/balancer_settings.hpp
+++ b/packages/settings/include/crowlink/settings/balancer_role_settings.hpp
@@ -19,7 +19,7 @@
 };
 
 // The balancer role: takes callers' packets and sends them to agents.
-struct balancer_settings
+struct balancer_role_settings
 {
     port_mode mode = port_mode::ip_in_udp;
     // Where packets arrive. In datagram mode each is a service's address.
@@ -31,8 +31,8 @@
     // Traffic threads; each has sockets of its own on the same addresses.
     std::uint32_t threads = 1;
 
-    friend auto operator<=>(const balancer_settings&,
-                            const balancer_settings&) = default;
+    friend auto operator<=>(const balancer_role_settings&,
+                            const balancer_role_settings&) = default;
 };
 
 } // namespace crowlink
--- a/packages/settings/include/crowlink/settings/control_peer.hpp
+++ b/packages/settings/include/crowlink/settings/control_peer.hpp
@@ -13,6 +13,8 @@
 struct control_peer
 {
     host_id host;
+    place_id place;
+    region_id region;
     endpoint address;
     // The CURVE public key, Z85; empty where keys are not in use.
     std::string public_key;
--- a/packages/settings/include/crowlink/settings/control_settings.hpp
+++ b/packages/settings/include/crowlink/settings/control_role_settings.hpp
@@ -13,7 +13,7 @@
 {
 
 // The control role: a host with a disk that holds the replicated document.
-struct control_settings
+struct control_role_settings
 {
     // Everything that survives a restart lives below this folder.
     std::string data_folder;
@@ -29,8 +29,8 @@
     std::string tokens_file;
     std::optional<tls_settings> tls;
 
-    friend auto operator<=>(const control_settings&,
-                            const control_settings&) = default;
+    friend auto operator<=>(const control_role_settings&,
+                            const control_role_settings&) = default;
 };
 
 } // namespace crowlink
--- a/packages/settings/include/crowlink/settings/daemon_settings.hpp
+++ b/packages/settings/include/crowlink/settings/daemon_settings.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "crowlink/base/endpoint.hpp"
-#include "crowlink/settings/agent_settings.hpp"
-#include "crowlink/settings/balancer_settings.hpp"
+#include "crowlink/settings/agent_role_settings.hpp"
+#include "crowlink/settings/balancer_role_settings.hpp"
 #include "crowlink/settings/control_endpoint.hpp"
-#include "crowlink/settings/control_settings.hpp"
+#include "crowlink/settings/control_role_settings.hpp"
 #include "crowlink/settings/host_settings.hpp"
 #include "crowlink/settings/key_settings.hpp"
 #include "crowlink/settings/log_settings.hpp"
@@ -26,9 +26,9 @@
     // Where a node finds control; empty for a daemon with the control role,
     // whose other roles use the control in their own process.
     std::vector<control_endpoint> control_endpoints;
-    std::optional<control_settings> control;
-    std::optional<balancer_settings> balancer;
-    std::vector<agent_settings> agents;
+    std::optional<control_role_settings> control;
+    std::optional<balancer_role_settings> balancer;
+    std::vector<agent_role_settings> agents;
     // Control traffic that one node may send or receive, bytes a second.
     std::uint32_t pacing_bytes_per_second = 8192;
     // Where health, readiness and metrics are served; none if absent.
--- a/packages/settings/src/daemon_section.cpp
+++ b/packages/settings/src/daemon_section.cpp
@@ -26,7 +26,7 @@
            (address.is_v4() && address.bytes()[v4_offset] == v4_loopback_net);
 }
 
-std::size_t voters_of(const control_settings& control)
+std::size_t voters_of(const control_role_settings& control)
 {
     std::size_t voters = 0;
     for (const control_peer& peer : control.peers)
@@ -53,7 +53,7 @@
 
 void check_peers(object_reader& reader, const daemon_settings& daemon)
 {
-    const control_settings& control = *daemon.control;
+    const control_role_settings& control = *daemon.control;
     const std::size_t voters = voters_of(control);
     if (voters != 1 && voters != 3 && voters != most_voters)
     {
@@ -87,7 +87,7 @@
     }
 }
 
-void check_http(object_reader& reader, const control_settings& control)
+void check_http(object_reader& reader, const control_role_settings& control)
 {
     if (control.http && control.tokens_file.empty())
     {
@@ -189,7 +189,7 @@
     std::set<endpoint> tunnels;
     for (std::size_t at = 0; at < daemon.agents.size(); ++at)
     {
-        const agent_settings& agent = daemon.agents[at];
+        const agent_role_settings& agent = daemon.agents[at];
         if (!names.insert(agent.upstream).second)
         {
             reader.refuse(fmt::format("agents/{}/upstream", at),
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -53,6 +53,8 @@
 {
     control_peer peer;
     peer.host = host_id(reader.text("host"));
+    peer.place = place_id(reader.text("place"));
+    peer.region = region_id(reader.text("region"));
     peer.address = reader.address("address");
     peer.public_key = read_public_key(reader);
     peer.voter = reader.flag("voter", true);
@@ -104,12 +106,18 @@
 
 control_endpoint read_control_endpoint(object_reader& reader)
 {
-    return control_endpoint{reader.address("address"), read_public_key(reader)};
+    control_endpoint control;
+    control.host = host_id(reader.text("host"));
+    control.place = place_id(reader.text("place"));
+    control.region = region_id(reader.text("region"));
+    control.address = reader.address("address");
+    control.public_key = read_public_key(reader);
+    return control;
 }
 
-control_settings read_control(object_reader& reader)
+control_role_settings read_control(object_reader& reader)
 {
-    control_settings control;
+    control_role_settings control;
     control.data_folder = reader.text("data_folder");
     control.peer_listen = reader.address("peer_listen");
     control.node_listen = reader.address("node_listen");
@@ -126,9 +134,9 @@
     return control;
 }
 
-balancer_settings read_balancer(object_reader& reader)
+balancer_role_settings read_balancer(object_reader& reader)
 {
-    balancer_settings balancer;
+    balancer_role_settings balancer;
     balancer.mode = reader.one_of("mode", port_modes, balancer.mode);
     balancer.listen = reader.addresses("listen", 1);
     balancer.tunnel = reader.address("tunnel");
@@ -141,9 +149,9 @@
     return balancer;
 }
 
-agent_settings read_agent(object_reader& reader)
+agent_role_settings read_agent(object_reader& reader)
 {
-    agent_settings agent;
+    agent_role_settings agent;
     agent.upstream = upstream_id(reader.text("upstream"));
     agent.service = service_id(
         reader.number("service", 1, std::numeric_limits<std::uint32_t>::max()));
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -13,7 +13,8 @@
   // An entry host.
   "host": {"name": "entry-1", "place": "quezon", "region": "ncr"},
   "log": {"format": "json", "level": "debug"},
-  "control_endpoints": [{"address": "127.0.0.1:7002"}],
+  "control_endpoints": [{"host": "c1", "place": "quezon", "region": "ncr",
+                         "address": "127.0.0.1:7002"}],
   "balancer": {"mode": "datagram", "listen": ["127.0.0.1:9000"],
                "tunnel": "127.0.0.1:9100", "threads": 2},
   "agents": [{"upstream": "hiraman-1", "service": 1, "weight": 50,
@@ -114,7 +115,8 @@
       "control": {"data_folder": "data", "peer_listen": "127.0.0.1:1",
                   "node_listen": "127.0.0.1:2", "http": "127.0.0.1:3",
                   "tokens_file": "/abs/tokens",
-                  "peers": [{"host": "c1", "address": "127.0.0.1:1"}]}})";
+                  "peers": [{"host": "c1", "place": "brest",
+                             "region": "bretagne", "address": "127.0.0.1:1"}]}})";
     const settings_result found = parse_settings(text, "/etc/x/c1.jsonc");
     ASSERT_TRUE(found) << to_string(found.error().front());
     EXPECT_EQ(found->control->data_folder, "/etc/x/data");
@@ -127,8 +129,10 @@
       "host": {"name": "c3", "place": "brest", "region": "bretagne"},
       "control": {"data_folder": "data", "peer_listen": "127.0.0.1:1",
                   "node_listen": "127.0.0.1:2",
-                  "peers": [{"host": "c1", "address": "127.0.0.1:1"},
-                            {"host": "c1", "address": "127.0.0.1:4"}]}})";
+                  "peers": [{"host": "c1", "place": "brest",
+                             "region": "bretagne", "address": "127.0.0.1:1"},
+                            {"host": "c1", "place": "brest",
+                             "region": "bretagne", "address": "127.0.0.1:4"}]}})";
     const settings_result found = parse_settings(text, "f");
     EXPECT_TRUE(names(found, "f: /control/peers", "found 2 voters"));
     EXPECT_TRUE(names(found, "f: /control/peers", "\"c1\" twice"));
--- a/packages/transport/include/crowlink/transport/dealer_socket.hpp
+++ b/packages/transport/include/crowlink/transport/dealer_socket.hpp
@@ -2,7 +2,9 @@
 
 #include "crowlink/base/endpoint.hpp"
 #include "crowlink/base/error.hpp"
+#include "crowlink/base/ids.hpp"
 #include "crowlink/transport/curve_key_pair.hpp"
+#include "crowlink/transport/message_channel.hpp"
 
 #include <optional>
 #include <string>
@@ -17,25 +19,35 @@
 class dealer_socket
 {
 public:
-    // With a pair, the peer must prove that it holds `peer_key`.
+    // A message from the peer.
+    struct message
+    {
+        message_channel channel = message_channel::membership;
+        std::string bytes;
+    };
+
+    // `self` is sent with each message. With a pair, the peer must prove that
+    // it holds `peer_key`.
     static result<dealer_socket>
-    connect(zmq::context_t& context, const endpoint& peer,
+    connect(zmq::context_t& context, const host_id& self, const endpoint& peer,
             const std::optional<curve_key_pair>& pair,
             std::string_view peer_key);
 
     zmq::socket_ref socket() { return m_socket; }
 
     // The next message, or empty if there is none.
-    std::optional<std::string> receive();
+    std::optional<message> receive();
     // Queues a message; false if the queue is full.
-    bool send(std::string_view bytes);
+    bool send(message_channel channel, std::string_view bytes);
 
 private:
-    explicit dealer_socket(zmq::socket_t socket) : m_socket(std::move(socket))
+    dealer_socket(zmq::socket_t socket, host_id self)
+        : m_socket(std::move(socket)), m_self(std::move(self))
     {
     }
 
     zmq::socket_t m_socket;
+    host_id m_self;
 };
 
 } // namespace crowlink
--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -2,6 +2,9 @@
 #include "crowlink/transport/router_socket.hpp"
 
 #include <fmt/format.h>
+#include <iterator>
+#include <vector>
+#include <zmq_addon.hpp>
 
 namespace crowlink
 {
@@ -18,6 +21,48 @@
 constexpr int first_reconnect_milliseconds = 50;
 constexpr int longest_reconnect_milliseconds = 2000;
 
+// The frames of a message as each end sees them.
+constexpr std::size_t router_connection = 0;
+constexpr std::size_t router_sender = 1;
+constexpr std::size_t router_channel = 2;
+constexpr std::size_t router_bytes = 3;
+constexpr std::size_t router_frames = 4;
+constexpr std::size_t dealer_channel = 0;
+constexpr std::size_t dealer_bytes = 1;
+constexpr std::size_t dealer_frames = 2;
+
+bool is_channel(const zmq::message_t& frame)
+{
+    if (frame.size() != 1)
+    {
+        return false;
+    }
+    const auto tag = static_cast<message_channel>(*frame.data<char>());
+    return tag == message_channel::replication ||
+           tag == message_channel::membership;
+}
+
+message_channel channel_of(const zmq::message_t& frame)
+{
+    return static_cast<message_channel>(*frame.data<char>());
+}
+
+// Takes all frames of the next message; false if there is none.
+bool receive_frames(zmq::socket_t& socket, std::vector<zmq::message_t>& frames)
+{
+    try
+    {
+        return zmq::recv_multipart(socket, std::back_inserter(frames),
+                                   zmq::recv_flags::dontwait)
+            .has_value();
+    }
+    catch (const zmq::error_t&)
+    {
+        // Interrupted by a signal.
+        return false;
+    }
+}
+
 std::string to_zmq_address(const endpoint& value)
 {
     return "tcp://" + value.to_string();
@@ -69,40 +114,50 @@
     }
 }
 
-std::optional<router_socket::message> router_socket::receive()
+std::optional<received_message> router_socket::receive()
 {
-    zmq::message_t connection;
-    if (!m_socket.recv(connection, zmq::recv_flags::dontwait))
-    {
-        return std::nullopt;
-    }
-    message received;
-    received.connection = connection.to_string();
-    zmq::message_t bytes;
-    bool more = connection.more();
-    while (more)
-    {
-        (void)m_socket.recv(bytes, zmq::recv_flags::none);
-        more = bytes.more();
-    }
-    received.bytes = bytes.to_string();
-    const char* key = zmq_msg_gets(bytes.handle(), "User-Id");
-    if (key != nullptr)
+    while (true)
     {
-        received.public_key = key;
+        std::vector<zmq::message_t> frames;
+        if (!receive_frames(m_socket, frames))
+        {
+            return std::nullopt;
+        }
+        const bool whole = frames.size() == router_frames &&
+                           is_channel(frames[router_channel]);
+        if (!whole)
+        {
+            ++m_malformed;
+            continue;
+        }
+        received_message received;
+        received.connection = frames[router_connection].to_string();
+        received.sender = host_id(frames[router_sender].to_string());
+        received.channel = channel_of(frames[router_channel]);
+        received.bytes = frames[router_bytes].to_string();
+        const char* key =
+            zmq_msg_gets(frames[router_bytes].handle(), "User-Id");
+        if (key != nullptr)
+        {
+            received.public_key = key;
+        }
+        return received;
     }
-    return received;
 }
 
-bool router_socket::send(std::string_view connection, std::string_view bytes)
+bool router_socket::send(std::string_view connection, message_channel channel,
+                         std::string_view bytes)
 {
     try
     {
-        const auto first = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
-        if (!m_socket.send(zmq::buffer(connection), first))
+        const auto more = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
+        const char tag = static_cast<char>(channel);
+        if (!m_socket.send(zmq::buffer(connection), more))
         {
             return false;
         }
+        // ZeroMQ takes all frames of a message once it took the first.
+        (void)m_socket.send(zmq::buffer(&tag, 1), more);
         return m_socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
             .has_value();
     }
@@ -113,14 +168,14 @@
     }
 }
 
-result<dealer_socket>
-dealer_socket::connect(zmq::context_t& context, const endpoint& peer,
-                       const std::optional<curve_key_pair>& pair,
-                       std::string_view peer_key)
+result<dealer_socket> dealer_socket::connect(
+    zmq::context_t& context, const host_id& self, const endpoint& peer,
+    const std::optional<curve_key_pair>& pair, std::string_view peer_key)
 {
     try
     {
-        dealer_socket made(zmq::socket_t(context, zmq::socket_type::dealer));
+        dealer_socket made(zmq::socket_t(context, zmq::socket_type::dealer),
+                           self);
         set_common(made.m_socket);
         made.m_socket.set(zmq::sockopt::reconnect_ivl,
                           first_reconnect_milliseconds);
@@ -143,18 +198,33 @@
     }
 }
 
-std::optional<std::string> dealer_socket::receive()
+std::optional<dealer_socket::message> dealer_socket::receive()
 {
-    zmq::message_t bytes;
-    if (!m_socket.recv(bytes, zmq::recv_flags::dontwait))
+    while (true)
     {
-        return std::nullopt;
+        std::vector<zmq::message_t> frames;
+        if (!receive_frames(m_socket, frames))
+        {
+            return std::nullopt;
+        }
+        if (frames.size() == dealer_frames &&
+            is_channel(frames[dealer_channel]))
+        {
+            return message{channel_of(frames[dealer_channel]),
+                           frames[dealer_bytes].to_string()};
+        }
     }
-    return bytes.to_string();
 }
 
-bool dealer_socket::send(std::string_view bytes)
+bool dealer_socket::send(message_channel channel, std::string_view bytes)
 {
+    const auto more = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
+    const char tag = static_cast<char>(channel);
+    if (!m_socket.send(zmq::buffer(m_self.value()), more))
+    {
+        return false;
+    }
+    (void)m_socket.send(zmq::buffer(&tag, 1), more);
     return m_socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
         .has_value();
 }
--- a/packages/transport/test/message_sockets_test.cpp
+++ b/packages/transport/test/message_sockets_test.cpp
@@ -29,8 +29,9 @@
     void connect(const curve_key_pair& pair)
     {
         zmq::context_t client;
-        auto made = dealer_socket::connect(client, m_server.local(), pair,
-                                           m_server_pair.public_key);
+        auto made =
+            dealer_socket::connect(client, host_id("n1"), m_server.local(),
+                                   pair, m_server_pair.public_key);
         ASSERT_TRUE(made);
         // The handshake fails or passes; both are events of this monitor.
         zmq::socket_t events = monitor(client, *made);
@@ -68,20 +69,26 @@
 TEST_F(secured, messages_carry_the_key_that_was_admitted)
 {
     zmq::context_t client;
-    auto dealer = dealer_socket::connect(client, m_server.local(), m_agent,
-                                         m_server_pair.public_key);
+    auto dealer =
+        dealer_socket::connect(client, host_id("n1"), m_server.local(), m_agent,
+                               m_server_pair.public_key);
     ASSERT_TRUE(dealer);
-    ASSERT_TRUE(dealer->send("hello"));
+    ASSERT_TRUE(dealer->send(message_channel::membership, "hello"));
     ASSERT_TRUE(readable(m_server.socket()));
     const auto received = m_server.receive();
     ASSERT_TRUE(received);
     EXPECT_EQ(received->bytes, "hello");
     EXPECT_EQ(received->public_key, m_agent.public_key);
+    EXPECT_EQ(received->sender, host_id("n1"));
     EXPECT_FALSE(m_server.receive());
 
-    ASSERT_TRUE(m_server.send(received->connection, "back"));
+    ASSERT_TRUE(m_server.send(received->connection,
+                              message_channel::replication, "back"));
     ASSERT_TRUE(readable(dealer->socket()));
-    EXPECT_EQ(dealer->receive(), "back");
+    const auto back = dealer->receive();
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->bytes, "back");
+    EXPECT_EQ(back->channel, message_channel::replication);
     EXPECT_EQ(m_authenticator.counted().admitted, 1U);
 }
 
@@ -114,13 +121,32 @@
     zmq::context_t context;
     auto server = router_socket::bind(context, any_port, std::nullopt, "");
     ASSERT_TRUE(server);
-    auto dealer =
-        dealer_socket::connect(context, server->local(), std::nullopt, "");
+    auto dealer = dealer_socket::connect(context, host_id("n1"),
+                                         server->local(), std::nullopt, "");
     ASSERT_TRUE(dealer);
-    ASSERT_TRUE(dealer->send("x"));
+    ASSERT_TRUE(dealer->send(message_channel::membership, "x"));
     ASSERT_TRUE(readable(server->socket()));
     EXPECT_EQ(server->receive()->public_key, "");
-    EXPECT_FALSE(server->send("nobody", "x"));
+    EXPECT_FALSE(server->send("nobody", message_channel::membership, "x"));
+}
+
+TEST(message_sockets, leave_out_malformed_messages)
+{
+    zmq::context_t context;
+    auto server = router_socket::bind(context, any_port, std::nullopt, "");
+    ASSERT_TRUE(server);
+    auto dealer = dealer_socket::connect(context, host_id("n1"),
+                                         server->local(), std::nullopt, "");
+    ASSERT_TRUE(dealer);
+    dealer->socket().send(zmq::str_buffer("alone"), zmq::send_flags::none);
+    ASSERT_TRUE(dealer->send(message_channel::membership, "good"));
+    std::optional<received_message> received;
+    while (!received && readable(server->socket()))
+    {
+        received = server->receive();
+    }
+    EXPECT_EQ(received->bytes, "good");
+    EXPECT_EQ(server->malformed(), 1U);
 }
 
 TEST(message_sockets, an_address_in_use_is_an_error)
