--- a/packages/base/include/crowlink/base/ids.hpp
+++ b/packages/base/include/crowlink/base/ids.hpp
@@ -37,7 +37,7 @@
 // The number that the operators' document gives to a service; never reused.
 using service_id = typed_id<struct service_tag, std::uint32_t>;
 // The name under which a back end announces itself, unique in the system.
-using upstream_id = typed_id<struct upstream_tag, std::string>;
+using upstream_id = typed_id<struct upstream_id_tag, std::string>;
 // Drawn anew by each start of an agent process, and rising over restarts.
 using incarnation = typed_id<struct incarnation_tag, std::uint64_t>;
 // The version of the operators' document; it only rises.
