--- a/packages/forwarding/include/crowlink/forwarding.hpp
+++ b/packages/forwarding/include/crowlink/forwarding.hpp
@@ -5,9 +5,15 @@
 //   candidate.hpp         one agent that may take a flow
 //   candidate_chain.hpp   a flow's candidates in order, without allocation
 //   packet_header.hpp     what travels in front of each packet between hosts
+//   forwarding_set.hpp    all services of a node: address to tables
 //   forwarding_table.hpp  a service's immutable table: flow hash to chain
+//   removed_service.hpp   a service that is no longer declared
+//   service_tables.hpp    a service's current and previous table
 
 #include "crowlink/forwarding/candidate.hpp"
 #include "crowlink/forwarding/candidate_chain.hpp"
+#include "crowlink/forwarding/forwarding_set.hpp"
 #include "crowlink/forwarding/forwarding_table.hpp"
 #include "crowlink/forwarding/packet_header.hpp"
+#include "crowlink/forwarding/removed_service.hpp"
+#include "crowlink/forwarding/service_tables.hpp"
--- /dev/null
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "crowlink/base/flow_key.hpp"
+#include "crowlink/forwarding/removed_service.hpp"
+#include "crowlink/forwarding/service_tables.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace crowlink
+{
+
+// An immutable snapshot of all services of a node: address to service, with
+// the current and the previous table of each. A changed set shares with its
+// predecessor whatever did not change. Versions only rise: a view or removal of
+// an older version than the held one is left out, and of two records of an
+// upstream the newer one is kept.
+class forwarding_set
+{
+public:
+    // A set without services.
+    static std::shared_ptr<const forwarding_set> empty();
+
+    // This set with the changes applied; this set itself if none counts.
+    static std::shared_ptr<const forwarding_set>
+    changed(const std::shared_ptr<const forwarding_set>& prior,
+            std::span<const service_view> views,
+            std::span<const removed_service> removed);
+
+    // The service at an address, or null. Does not allocate.
+    const service_tables* find(transport protocol,
+                               const endpoint& address) const;
+    // The service of this number, or null.
+    const service_tables* find(service_id service) const;
+
+    std::size_t size() const { return m_services.size(); }
+    // Identifies the content: equal for equal services and tables.
+    std::uint64_t digest() const { return m_digest; }
+
+    // The bytes that the set and all that it holds take.
+    std::size_t memory() const;
+
+private:
+    std::vector<std::shared_ptr<const service_tables>> m_services;
+    std::uint64_t m_digest = 0;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/forwarding/include/crowlink/forwarding/removed_service.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "crowlink/base/ids.hpp"
+
+#include <compare>
+
+namespace crowlink
+{
+
+// A service that the document of this version no longer declares.
+struct removed_service
+{
+    service_id service;
+    config_version version;
+
+    friend auto operator<=>(const removed_service&,
+                            const removed_service&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/forwarding/include/crowlink/forwarding/service_tables.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "crowlink/base/ids.hpp"
+#include "crowlink/forwarding/forwarding_table.hpp"
+#include "crowlink/model/service_view.hpp"
+
+#include <cstddef>
+#include <memory>
+
+namespace crowlink
+{
+
+// A service in a forwarding set: its view, its table, and the table before.
+struct service_tables
+{
+    std::shared_ptr<const service_view> view;
+    std::shared_ptr<const forwarding_table> current;
+    // Kept until the current table is replaced; null for a new service.
+    std::shared_ptr<const forwarding_table> previous;
+
+    service_id service() const { return view->declared.id; }
+
+    // The bytes that view and tables take.
+    std::size_t memory() const;
+};
+
+} // namespace crowlink
