--- /dev/null
+++ b/packages/membership/include/crowlink/membership/announcer_settings.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/observer_info.hpp"
+
+#include <chrono>
+#include <vector>
+
+namespace crowlink
+{
+
+struct announcer_settings
+{
+    // Every observer; the announcer orders them by itself.
+    std::vector<observer_info> observers;
+    // The announcer's own region; its observers are preferred.
+    region_id region;
+    // A lease is renewed this often; it must be at most a third of
+    // the observers' lease.
+    duration renew_every = std::chrono::seconds(2);
+    // An observer that has not answered for this long is tried once more,
+    // then another one is asked.
+    duration answer_timeout = std::chrono::seconds(1);
+    // The first announcement is spread over this time.
+    duration start_spread = std::chrono::milliseconds(500);
+    // Waits between rounds over all observers, doubled up to the limit.
+    duration backoff_first = std::chrono::milliseconds(500);
+    duration backoff_limit = std::chrono::seconds(8);
+    // After a fail-over the first choice is tried again after this time.
+    duration return_after = std::chrono::minutes(10);
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/change_log.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "crowlink/membership/record_key.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace crowlink::internal
+{
+
+// One change: which item, and the number that it had as its latest change when
+// it was logged. An empty id stands for a service's declaration.
+struct logged_change
+{
+    record_key key;
+    std::uint64_t number = 0;
+};
+
+// The latest changes, bounded. Readers hold a position each, so that a change
+// costs the same however many nodes wait for it. An entry whose item changed
+// again later is skipped, which merges many changes of one item into one.
+class change_log
+{
+public:
+    explicit change_log(std::size_t capacity) : m_capacity(capacity) {}
+
+    void add(logged_change change)
+    {
+        m_entries.push_back(std::move(change));
+        if (m_entries.size() > m_capacity)
+        {
+            m_entries.pop_front();
+            ++m_first;
+        }
+    }
+
+    // The position after the newest entry.
+    std::uint64_t end() const { return m_first + m_entries.size(); }
+
+    // Whether the entry at a position is no longer held.
+    bool lost(std::uint64_t position) const { return position < m_first; }
+
+    const logged_change& at(std::uint64_t position) const
+    {
+        return m_entries[position - m_first];
+    }
+
+private:
+    std::size_t m_capacity;
+    std::uint64_t m_first = 0;
+    std::deque<logged_change> m_entries;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/membership_host.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "crowlink/membership/observer.hpp"
+#include "crowlink/membership/publisher.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace crowlink
+{
+
+// An observer and a publisher as they sit together in a control host: what the
+// observer learns is published.
+class membership_host
+{
+public:
+    membership_host(observer_settings observing, publisher_settings publishing,
+                    std::uint64_t seed, time_point now);
+
+    std::vector<membership_send> handle(time_point now, const host_id& from,
+                                        const wire::membership_message& in);
+    std::vector<membership_send> tick(time_point now);
+
+    // For messages that came through an announcement_gate.
+    std::vector<membership_send> take(time_point now, observer_output out);
+
+    void document_changed(config_version version, const system_document& next)
+    {
+        m_publisher.document_changed(version, next);
+    }
+    void set_document_age(duration age) { m_publisher.set_document_age(age); }
+
+    observer& observing() { return m_observer; }
+    const observer& observing() const { return m_observer; }
+    const publisher& publishing() const { return m_publisher; }
+
+private:
+    observer m_observer;
+    publisher m_publisher;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/observed_record.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/model/upstream_record.hpp"
+
+#include <cstdint>
+
+namespace crowlink::internal
+{
+
+// A record as an observer holds it.
+struct observed_record
+{
+    upstream_record record;
+    // The observer that holds its lease.
+    host_id home;
+    // Of version, content and home; zero while gone.
+    std::uint64_t hash = 0;
+    // Set at the home only.
+    time_point lease_until{};
+    // Since when it is silent; meaningful while suspect.
+    time_point suspect_since{};
+    time_point gone_at{};
+    bool suspect = false;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "crowlink/base/metrics.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/digest_book.hpp"
+#include "crowlink/membership/observed_record.hpp"
+#include "crowlink/membership/observer_output.hpp"
+#include "crowlink/membership/observer_settings.hpp"
+#include "crowlink/membership/peer_board.hpp"
+#include "crowlink/membership/record_key.hpp"
+#include "crowlink/membership/region_age.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace crowlink
+{
+
+// Holds the newest record of every upstream and balancer as soft state, and
+// the leases of those whose home it is. Only changes flow between observers;
+// digests repair what was missed. A record merges by its version, so that
+// order and duplication do not matter; a gone record wins over a living one of
+// the same version.
+//
+// Silence is judged before it is believed: see docs/design/membership.md.
+// The shell calls tick about every 100 ms.
+class observer
+{
+public:
+    observer(observer_settings settings, time_point now);
+
+    // Takes a message of an announcer or of another observer; others are
+    // ignored.
+    observer_output handle(time_point now, const host_id& from,
+                           const wire::membership_message& in);
+
+    observer_output tick(time_point now);
+
+    // Whether it knows enough to publish.
+    bool ready() const { return m_ready; }
+
+    // Records that are not gone.
+    std::size_t living() const { return m_living; }
+
+    // The record of a member, or null if it is unknown.
+    const upstream_record* find(service_id service,
+                                const upstream_id& id) const;
+
+    // Places that are held to be lost.
+    const std::set<place_id>& lost_places() const { return m_lost_places; }
+
+    // Regions that are cut off, with the age of what is known of them.
+    std::vector<region_age> cut_regions(time_point now) const;
+
+    const metrics& counters() const { return m_metrics; }
+
+private:
+    using table = std::map<internal::record_key, internal::observed_record>;
+    struct place_count
+    {
+        std::size_t living = 0;
+        std::size_t silent = 0;
+        std::size_t settled = 0;
+        std::size_t own = 0;
+        std::size_t own_settled = 0;
+    };
+
+    void announced(time_point now, const host_id& from,
+                   const wire::announcement& in, observer_output& out);
+    void renewed(time_point now, const host_id& from, const wire::renewal& in,
+                 observer_output& out);
+    void changes(time_point now, const wire::observer_changes& in,
+                 observer_output& out);
+    void heartbeat(time_point now, const host_id& from,
+                   const wire::observer_heartbeat& in);
+    void digest(time_point now, const host_id& from,
+                const wire::observer_digest& in, observer_output& out);
+
+    bool merge(time_point now, internal::observed_record next,
+               observer_output& out);
+    void store(const internal::record_key& key,
+               internal::observed_record& place, internal::observed_record next,
+               observer_output& out);
+    void send_changes(observer_output& out);
+    void send_heartbeats(time_point now, observer_output& out) const;
+    void send_digest(observer_output& out);
+    void forgive_pause(time_point now);
+
+    void judge(time_point now, observer_output& out);
+    bool is_silent(time_point now, const internal::observed_record& held) const;
+    void mark(time_point now, internal::observed_record& held) const;
+    void count(time_point now, const internal::observed_record& held);
+    void judge_places(time_point now, observer_output& out);
+    void place_back(time_point now, const place_id& where);
+    void expire_silent(time_point now, observer_output& out);
+    bool may_expire(time_point now, const internal::observed_record& held);
+    bool within_cap(time_point now, const internal::observed_record& held);
+
+    observer_settings m_settings;
+    internal::peer_board m_peers;
+    table m_records;
+    internal::digest_book m_book;
+    std::size_t m_living = 0;
+    // Own changes that the peers must still hear.
+    std::set<internal::record_key> m_unsent;
+    std::map<place_id, place_count> m_counts;
+    std::map<place_id, time_point> m_own_reports;
+    std::set<place_id> m_lost_places;
+    std::map<place_id, time_point> m_lost_since;
+    std::size_t m_next_peer = 0;
+    std::size_t m_first_bucket = 0;
+    std::size_t m_expired_in_window = 0;
+    time_point m_window_start;
+    time_point m_started;
+    time_point m_last_tick;
+    time_point m_next_heartbeat;
+    time_point m_next_digest;
+    time_point m_next_judgement;
+    bool m_ready = false;
+    metrics m_metrics;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/peer_board.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/observer_settings.hpp"
+#include "crowlink/membership/region_age.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// What an observer knows of the other observers: when each was heard, by
+// itself or by one that it hears, and which places each reports as lost.
+class peer_board
+{
+public:
+    peer_board(const observer_settings& settings, time_point now);
+
+    bool known(const host_id& peer) const { return m_peers.count(peer) != 0; }
+
+    // Takes in a peer's heartbeat; lists are bounded by what is known.
+    void heard(time_point now, const host_id& from,
+               const std::vector<host_id>& heard_by_it,
+               std::set<place_id> lost_places);
+
+    // Whether neither this observer nor one that it hears heard the peer
+    // within the time. The own observer is never silent.
+    bool silent(time_point now, const host_id& peer, duration time) const;
+
+    // Whether every observer of the peer's region is silent, and the region is
+    // not the own one.
+    bool region_cut(time_point now, const host_id& peer) const;
+
+    // When anything of the peer's region was heard last.
+    time_point region_heard(const host_id& peer) const;
+
+    bool reports_lost(const host_id& peer, const place_id& where) const;
+
+    // Whether at least half of the own region's observers, this one included,
+    // are heard.
+    bool own_region_heard(time_point now) const;
+
+    bool any_heard() const { return m_any_heard; }
+
+    // The peers that were heard directly within the timeout.
+    std::vector<host_id> directly_heard(time_point now) const;
+
+    std::vector<region_age> cut_regions(time_point now) const;
+
+    // After a pause of the own process the silence of others means nothing.
+    void forgive(time_point now);
+
+private:
+    struct peer
+    {
+        observer_info info;
+        time_point direct{};
+        time_point indirect{};
+        std::set<place_id> lost_places;
+    };
+
+    static time_point latest(const peer& value);
+
+    host_id m_self;
+    region_id m_region;
+    duration m_timeout;
+    std::map<host_id, peer> m_peers;
+    bool m_any_heard = false;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/publisher_settings.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace crowlink
+{
+
+struct publisher_settings
+{
+    // What each node is sent, on average and at once.
+    std::uint32_t bytes_a_second = 4096;
+    std::uint32_t burst_bytes = 4096;
+    // The largest message, framing included.
+    std::size_t part_bytes = 2048;
+    // An idle stream is sent a digest this often.
+    duration digest_every = std::chrono::seconds(5);
+    // A node that was not heard for this long is forgotten.
+    duration node_timeout = std::chrono::seconds(30);
+    // Changes that are kept for nodes that lag; one that lags more is asked to
+    // attach anew and gets a snapshot of what differs.
+    std::size_t change_capacity = 8192;
+    // Nodes that are served at the same time.
+    std::size_t node_capacity = 4096;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/record_key.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "crowlink/base/ids.hpp"
+
+#include <compare>
+
+namespace crowlink::internal
+{
+
+// Names a record: its service or group of balancers, and its id.
+struct record_key
+{
+    service_id service;
+    upstream_id id;
+
+    friend auto operator<=>(const record_key&, const record_key&) = default;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/digest_book.hpp"
+#include "crowlink/membership/record_key.hpp"
+#include "crowlink/model/service_view.hpp"
+
+#include <bitset>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace crowlink::internal
+{
+
+// A record as a node knows it.
+struct subscribed_record
+{
+    upstream_record record;
+    bool drained = false;
+    // The document's version that the drain mark is from.
+    std::uint64_t drain_version = 0;
+    std::uint64_t hash = 0;
+    // The stream that confirmed it last.
+    std::uint32_t generation = 0;
+    // A publisher's snapshot did not name it, first at this time.
+    std::optional<time_point> absent_since;
+    // It is gone only because it stayed absent: the same version may return.
+    bool forgotten = false;
+    time_point gone_at{};
+};
+
+// A service's declaration as a node knows it.
+struct subscribed_service
+{
+    service declared;
+    std::uint64_t version = 0;
+    bool removed = false;
+    std::uint64_t hash = 0;
+    std::uint32_t generation = 0;
+};
+
+// What a node knows. Nothing in it is replaced by an older version.
+class subscribed_state
+{
+public:
+    // Each yields whether the node's views change by it.
+    bool take_record(time_point now, const upstream_record& record,
+                     bool drained, std::uint64_t version,
+                     std::uint32_t generation);
+    bool take_service(const service& declared, bool removed,
+                      std::uint64_t version, std::uint32_t generation);
+    bool set_lost_places(std::set<place_id> lost);
+
+    // Handles what a snapshot of these buckets did not name.
+    void sweep(time_point now, std::uint64_t version, std::uint32_t generation,
+               const std::bitset<digest_book::bucket_count>& covered);
+
+    // Drops gone records past their life.
+    void purge(time_point now, duration life);
+
+    // The services whose views changed since the last call.
+    std::set<service_id> take_touched();
+
+    std::optional<service_view> view(service_id id) const;
+    const std::map<service_id, subscribed_service>& services() const
+    {
+        return m_services;
+    }
+    const std::map<record_key, subscribed_record>& records() const
+    {
+        return m_records;
+    }
+    const std::set<place_id>& lost_places() const { return m_lost_places; }
+    const digest_book& book() const { return m_book; }
+    std::size_t living() const { return m_living; }
+
+private:
+    void replace_hash(const record_key& key, subscribed_record& held);
+    void touch(service_id service);
+    std::size_t
+    count_absent(std::uint32_t generation,
+                 const std::bitset<digest_book::bucket_count>& covered) const;
+
+    std::map<record_key, subscribed_record> m_records;
+    std::map<service_id, subscribed_service> m_services;
+    std::set<place_id> m_lost_places;
+    std::set<service_id> m_touched;
+    digest_book m_book;
+    std::size_t m_living = 0;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "crowlink/base/random.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/staleness.hpp"
+#include "crowlink/membership/subscribed_state.hpp"
+#include "crowlink/membership/subscriber_output.hpp"
+#include "crowlink/membership/subscriber_settings.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace crowlink
+{
+
+// A node's side of distribution: attaches to one publisher at a time, takes in
+// its stream, finds gaps by sequence and digest, and goes to another publisher
+// when the present one is silent or behind. What it holds only rises, whoever
+// serves it. The shell calls tick about every 100 ms.
+class subscriber
+{
+public:
+    subscriber(subscriber_settings settings, std::uint64_t seed,
+               time_point now);
+
+    subscriber_output handle(time_point now, const host_id& from,
+                             const wire::membership_message& in);
+
+    subscriber_output tick(time_point now);
+
+    // The newest version of the document that is in force here as a whole.
+    config_version applied_version() const { return m_applied; }
+
+    // A service as it is known now; nothing if it is not declared.
+    std::optional<service_view> view(service_id id) const
+    {
+        return m_state.view(id);
+    }
+
+    // The declared services that are known.
+    std::vector<service_id> services() const;
+
+    staleness age(time_point now) const;
+
+    // The publisher that is asked at present.
+    const host_id& source() const;
+    bool attached() const { return m_phase == phase::attached; }
+
+    // Snapshots that were taken in to their end.
+    std::uint64_t snapshots() const { return m_snapshots; }
+    // Bytes received and sent, framing included.
+    std::uint64_t bytes() const { return m_bytes; }
+    const internal::subscribed_state& state() const { return m_state; }
+
+private:
+    enum class phase : std::uint8_t
+    {
+        waiting,
+        attaching,
+        attached,
+    };
+
+    void take_part(time_point now, const wire::stream_part& in);
+    void apply(time_point now, const wire::stream_part& in);
+    void take_digest(time_point now, const wire::stream_digest& in);
+    void note_version(time_point now, std::uint64_t version);
+    void emit(subscriber_output& out);
+    void attach(time_point now, subscriber_output& out);
+    void repair(time_point now);
+    void next_publisher(time_point now);
+    void wait(time_point now);
+    void order_publishers();
+    std::uint64_t root() const;
+    void send(wire::membership_message message, subscriber_output& out);
+
+    subscriber_settings m_settings;
+    seeded_random m_random;
+    std::vector<host_id> m_order;
+    // Wanted services and groups beside those of all_services.
+    std::set<service_id> m_listed;
+    internal::subscribed_state m_state;
+    std::set<service_id> m_pending;
+    std::size_t m_source = 0;
+    phase m_phase = phase::waiting;
+    std::uint32_t m_stream = 0;
+    std::uint32_t m_sequence = 0;
+    std::uint32_t m_filling = 0;
+    config_version m_applied;
+    // The highest version that was heard of, applied or not.
+    std::uint64_t m_highest = 0;
+    std::optional<time_point> m_behind_since;
+    duration m_backoff;
+    time_point m_next;
+    time_point m_next_alive;
+    time_point m_next_purge;
+    time_point m_heard;
+    duration m_document_age{};
+    std::vector<region_age> m_cut_regions;
+    std::uint64_t m_snapshots = 0;
+    std::uint64_t m_bytes = 0;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/subscriber_output.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "crowlink/membership/membership_send.hpp"
+#include "crowlink/model/service_view.hpp"
+
+#include <vector>
+
+namespace crowlink
+{
+
+// What one step of a subscriber yields.
+struct subscriber_output
+{
+    std::vector<membership_send> sends;
+    // The new views of services that changed.
+    std::vector<service_view> changed;
+    // Services that the document no longer declares.
+    std::vector<service_id> removed;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/subscriber_settings.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/interest.hpp"
+#include "crowlink/membership/observer_info.hpp"
+
+#include <chrono>
+#include <vector>
+
+namespace crowlink
+{
+
+struct subscriber_settings
+{
+    interest wants;
+    // Every control host; the subscriber orders them by itself.
+    std::vector<observer_info> publishers;
+    // The node's own name and region; the region's publishers are preferred.
+    host_id self;
+    region_id region;
+    // A publisher that was silent for this long is left for another one.
+    duration silence_timeout = std::chrono::seconds(12);
+    duration answer_timeout = std::chrono::seconds(2);
+    duration alive_every = std::chrono::seconds(5);
+    // A publisher whose document stays older than the node's is left.
+    duration behind_timeout = std::chrono::seconds(10);
+    // Waits between attachments, doubled up to the limit, with jitter.
+    duration backoff_first = std::chrono::milliseconds(500);
+    duration backoff_limit = std::chrono::seconds(30);
+    duration start_spread = std::chrono::milliseconds(500);
+    // A removed record is remembered for this long, so that it can not return.
+    duration tombstone_life = std::chrono::hours(3);
+};
+
+} // namespace crowlink
