--- /dev/null
+++ b/packages/replication/include/crowlink/replication/change_outcome.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "crowlink/base/ids.hpp"
+#include "crowlink/base/verdict.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace crowlink::replication
+{
+
+enum class change_result : std::uint8_t
+{
+    // Committed; `version` is the new one.
+    applied,
+    // Another change was first; `version` is the current one.
+    conflict,
+    // The operation id came before with another change.
+    operation_reused,
+    // Not taken, for example without a leader: it did not run.
+    unavailable,
+    // The leader was lost on the way: it may have run. Send the same operation
+    // again to learn the answer.
+    unknown,
+};
+
+std::string_view to_string(change_result value);
+
+// The answer to a document change.
+struct change_outcome
+{
+    change_result result = change_result::unknown;
+    config_version version;
+    // For people; empty where the result says all.
+    std::string message;
+
+    friend auto operator<=>(const change_outcome&,
+                            const change_outcome&) = default;
+};
+
+// What the outcome says about the change's effect.
+verdict to_verdict(change_result value);
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/include/crowlink/replication/document_version.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "crowlink/base/ids.hpp"
+
+#include <compare>
+#include <string>
+
+namespace crowlink::replication
+{
+
+// A document that was in force, and who made it so.
+struct document_version
+{
+    config_version version;
+    operation_id operation;
+    std::string operator_name;
+    std::string document;
+
+    friend auto operator<=>(const document_version&,
+                            const document_version&) = default;
+};
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/include/crowlink/replication/internal/log_storage.ipp
@@ -0,0 +1,1 @@
+#pragma once
--- /dev/null
+++ b/packages/replication/include/crowlink/replication/log_entry.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "crowlink/replication/log_position.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace crowlink::replication
+{
+
+enum class entry_kind : std::uint8_t
+{
+    // Written by a new leader, to learn what is committed.
+    no_operation,
+    // Bytes for the state machine.
+    payload,
+    // An encoded membership, in force from the moment that it is appended.
+    membership,
+};
+
+// One entry of the replicated log.
+struct log_entry
+{
+    log_index index = 0;
+    term_number term = 0;
+    entry_kind kind = entry_kind::no_operation;
+    std::string payload;
+
+    friend auto operator<=>(const log_entry&, const log_entry&) = default;
+};
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/include/crowlink/replication/message.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "crowlink/replication/change_outcome.hpp"
+#include "crowlink/replication/document_change.hpp"
+#include "crowlink/replication/log_entry.hpp"
+#include "crowlink/replication/member.hpp"
+#include "crowlink/replication/membership.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crowlink::replication
+{
+
+// The bodies of the messages between replicas. Their fields are described in
+// the wire package's replication.proto.
+
+// Sent by a host that is no member, so that it can be admitted.
+struct hello
+{
+    bool blank = false;
+
+    friend auto operator<=>(const hello&, const hello&) = default;
+};
+
+struct vote_request
+{
+    bool pre_vote = false;
+    log_index last_index = 0;
+    term_number last_term = 0;
+    term_number term = 0;
+
+    friend auto operator<=>(const vote_request&, const vote_request&) = default;
+};
+
+struct vote_reply
+{
+    bool pre_vote = false;
+    bool granted = false;
+    term_number term = 0;
+
+    friend auto operator<=>(const vote_reply&, const vote_reply&) = default;
+};
+
+struct append_request
+{
+    log_index previous_index = 0;
+    term_number previous_term = 0;
+    log_index commit = 0;
+    std::vector<log_entry> entries;
+    std::int64_t sent_at = 0;
+
+    friend auto operator<=>(const append_request&,
+                            const append_request&) = default;
+};
+
+struct append_reply
+{
+    bool accepted = false;
+    log_index match_index = 0;
+    log_index next_index = 0;
+    std::int64_t sent_at = 0;
+
+    friend auto operator<=>(const append_reply&, const append_reply&) = default;
+};
+
+struct snapshot_chunk
+{
+    log_index index = 0;
+    term_number term = 0;
+    membership members;
+    std::uint64_t offset = 0;
+    std::uint64_t total = 0;
+    std::string data;
+    std::int64_t sent_at = 0;
+
+    friend auto operator<=>(const snapshot_chunk&,
+                            const snapshot_chunk&) = default;
+};
+
+struct snapshot_reply
+{
+    log_index index = 0;
+    std::uint64_t next_offset = 0;
+    std::int64_t sent_at = 0;
+
+    friend auto operator<=>(const snapshot_reply&,
+                            const snapshot_reply&) = default;
+};
+
+// A change of the document on its way to the leader.
+struct forwarded_change
+{
+    std::uint64_t request = 0;
+    document_change change;
+
+    friend auto operator<=>(const forwarded_change&,
+                            const forwarded_change&) = default;
+};
+
+struct forwarded_answer
+{
+    std::uint64_t request = 0;
+    change_outcome outcome;
+
+    friend auto operator<=>(const forwarded_answer&,
+                            const forwarded_answer&) = default;
+};
+
+using message_body =
+    std::variant<hello, vote_request, vote_reply, append_request, append_reply,
+                 snapshot_chunk, snapshot_reply, forwarded_change,
+                 forwarded_answer>;
+
+// One message between two control hosts.
+struct replica_message
+{
+    host_id from;
+    disk_id from_disk;
+    host_id to;
+    // The disk that the sender believes the receiver to have; 0 where unknown.
+    disk_id to_disk;
+    // Drawn when the log was founded; 0 before.
+    std::uint64_t cluster = 0;
+    // The sender's.
+    term_number term = 0;
+    message_body body;
+
+    friend auto operator<=>(const replica_message&,
+                            const replica_message&) = default;
+};
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/include/crowlink/replication/replicated_document_event.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "crowlink/replication/change_outcome.hpp"
+#include "crowlink/replication/document_change.hpp"
+#include "crowlink/replication/replica_effect.hpp"
+#include "crowlink/replication/replica_event.hpp"
+
+#include <cstdint>
+#include <variant>
+
+namespace crowlink::replication
+{
+
+// An operator's change; the request number is the caller's own and comes back
+// with the answer.
+struct propose_change
+{
+    std::uint64_t request = 0;
+    document_change change;
+};
+
+// What can happen to a replicated document.
+using document_event =
+    std::variant<message_received, tick, propose_change, propose_membership,
+                 storage_done, storage_failed>;
+
+// The answer to propose_change; exactly one comes for each.
+struct change_answered
+{
+    std::uint64_t request = 0;
+    change_outcome outcome;
+};
+
+// The answer to propose_membership: the change is in the leader's log, or the
+// error that kept it out. The status shows when it is committed.
+struct membership_answered
+{
+    std::uint64_t request = 0;
+    result<void> outcome;
+};
+
+// This host now holds this version, committed and synced.
+struct version_applied
+{
+    config_version version;
+};
+
+// What a replicated document wants done, in this order.
+using document_effect =
+    std::variant<send_message, persist, role_changed, change_answered,
+                 membership_answered, version_applied>;
+
+} // namespace crowlink::replication
