--- /dev/null
+++ b/packages/requests/include/crowlink/requests/admission_effects.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "crowlink/base/flow_key.hpp"
+#include "crowlink/requests/answer_reason.hpp"
+#include "crowlink/requests/request_id.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace crowlink
+{
+
+// A datagram to send to the caller of a flow.
+struct admission_datagram
+{
+    flow_key flow;
+    std::string bytes;
+
+    friend auto operator<=>(const admission_datagram&,
+                            const admission_datagram&) = default;
+};
+
+// What was decided on a request; one log line each.
+enum class admission_step : std::uint8_t
+{
+    queued,
+    started,
+    ended,
+    refused,
+};
+
+struct admission_decision
+{
+    admission_step step = admission_step::queued;
+    flow_key flow;
+    request_id id;
+    std::string kind;
+    answer_reason reason = answer_reason::answered;
+
+    friend auto operator<=>(const admission_decision&,
+                            const admission_decision&) = default;
+};
+
+// What a request_admission wants done; the shell carries it out in order and
+// clears it.
+struct admission_effects
+{
+    std::vector<admission_datagram> to_callers;
+    std::vector<std::string> to_upstream;
+    // Weights of the requests that took and that left a slot, for the agent's
+    // count of work in progress.
+    std::vector<std::uint32_t> work_started;
+    std::vector<std::uint32_t> work_ended;
+    std::vector<admission_decision> decisions;
+
+    friend bool operator==(const admission_effects&,
+                           const admission_effects&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/requests/include/crowlink/requests/request_cancel.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "crowlink/requests/request_id.hpp"
+#include "crowlink/requests/ticket.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace crowlink
+{
+
+// A caller's wish that one attempt not run, or stop if it runs.
+struct request_cancel
+{
+    request_id id;
+    std::uint32_t attempt = 1;
+    ticket under;
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const request_cancel&,
+                            const request_cancel&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/requests/include/crowlink/requests/request_outcome.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "crowlink/requests/request_answer.hpp"
+#include "crowlink/requests/request_id.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace crowlink
+{
+
+// The one final outcome of a request. The verdict covers all its attempts.
+struct request_outcome
+{
+    request_id id;
+    request_answer answer;
+    // How many attempts were made, under a ticket and sequence each.
+    std::uint32_t attempts = 0;
+
+    friend auto operator<=>(const request_outcome&,
+                            const request_outcome&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/requests/include/crowlink/requests/request_part.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/requests/request_id.hpp"
+#include "crowlink/requests/ticket.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace crowlink
+{
+
+// One datagram of one attempt of a request. Every part carries the whole
+// header, since parts arrive in any order.
+struct request_part
+{
+    request_id id;
+    std::uint32_t attempt = 1;
+    ticket under;
+    std::uint64_t sequence = 0;
+    // The caller never again sends a sequence of this session below this one.
+    std::uint64_t settled_below = 0;
+    // The name of the request's kind in the service's document.
+    std::string kind;
+    // Whether the caller holds the kind to be idempotent.
+    bool idempotent = false;
+    // Time left until the deadline when the part was sent.
+    duration remaining{};
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    std::string body;
+
+    friend auto operator<=>(const request_part&, const request_part&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/requests/include/crowlink/requests/session_opened.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/requests/ticket.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace crowlink
+{
+
+// The agent's answer to `open_session`. Without a ticket, the agent's memory
+// is full and the caller may come back after `retry_after`.
+struct session_opened
+{
+    std::uint64_t secret = 0;
+    std::optional<ticket> granted;
+    duration retry_after{};
+
+    friend auto operator<=>(const session_opened&,
+                            const session_opened&) = default;
+};
+
+} // namespace crowlink
