--- a/packages/requests/include/crowlink/requests/answer_reason.hpp
+++ b/packages/requests/include/crowlink/requests/answer_reason.hpp
@@ -29,9 +29,11 @@
     answer_lost = 8,
     // No agent could be reached in time.
     unreachable = 9,
+    // The body or the kind's name is longer than a request may be.
+    too_large = 10,
 };
 
-constexpr answer_reason last_answer_reason = answer_reason::unreachable;
+constexpr answer_reason last_answer_reason = answer_reason::too_large;
 
 std::string_view to_string(answer_reason reason);
 
--- a/packages/requests/include/crowlink/requests/caller_settings.hpp
+++ b/packages/requests/include/crowlink/requests/caller_settings.hpp
@@ -16,7 +16,7 @@
     // The flows that it keeps to the service.
     path_index paths = 2;
     // Requests without an outcome at one time; one more is refused at once.
-    std::size_t outstanding_limit = 10000;
+    std::size_t outstanding_limit = 1024;
     // Resends and retries, as a fraction of fresh requests, and how many may
     // be saved up.
     double retry_ratio = 0.1;
--- /dev/null
+++ b/packages/requests/include/crowlink/requests/fair_order.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "crowlink/requests/queue_order.hpp"
+
+namespace crowlink
+{
+
+// Start-time fair queueing (Goyal, Vin and Cheng 1996) over kinds: each kind
+// with waiting requests gets an equal share of the started weight. The kind
+// with the most waiting weight is shed from.
+class fair_order
+{
+public:
+    explicit fair_order(std::size_t kinds) : m_starts(kinds) {}
+
+    void pushed(const queued_work& work, const kind_queues& queues);
+    void taken(const queued_work& work);
+    kind_index next(const kind_queues& queues) const;
+    kind_index shed_from(const queued_work& arriving,
+                         const kind_queues& queues) const;
+
+private:
+    // The virtual start time of each kind's oldest request.
+    std::vector<std::uint64_t> m_starts;
+    // The virtual start time of the request that was started last.
+    std::uint64_t m_virtual_time = 0;
+};
+
+static_assert(queue_order<fair_order>,
+              "fair_order must satisfy the queue order concept");
+
+} // namespace crowlink
--- a/packages/requests/include/crowlink/requests/request_admission.hpp
+++ b/packages/requests/include/crowlink/requests/request_admission.hpp
@@ -41,7 +41,7 @@
 
     // The upstream died: what ran may have run, and nothing starts until
     // upstream_ready().
-    void upstream_lost(time_point now, admission_effects& effects);
+    void upstream_lost(admission_effects& effects);
     void upstream_ready(time_point now, admission_effects& effects);
 
     // The service's document or the limits changed. What runs runs on; queued
--- /dev/null
+++ b/packages/requests/src/admission_core.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "crowlink/requests/admission_counts.hpp"
+#include "crowlink/requests/admission_effects.hpp"
+#include "crowlink/requests/admission_settings.hpp"
+#include "crowlink/requests/at_most_once.hpp"
+#include "crowlink/requests/fair_order.hpp"
+#include "crowlink/requests/message_codec.hpp"
+#include "crowlink/requests/run_times.hpp"
+#include "crowlink/requests/work_queue.hpp"
+#include "job.hpp"
+#include "wakeups.hpp"
+
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+namespace crowlink::internal
+{
+
+// Where a caller's message came from and when, and where effects go.
+struct arrival
+{
+    time_point now;
+    const flow_key& flow;
+    admission_effects& effects;
+};
+
+class admission_core
+{
+public:
+    admission_core(const admission_settings& settings, incarnation own);
+
+    void handle_datagram(time_point now, const flow_key& flow,
+                         std::string_view datagram, admission_effects& effects);
+    void handle_upstream(time_point now, std::string_view datagram,
+                         admission_effects& effects);
+    void upstream_lost(admission_effects& effects);
+    void upstream_ready(time_point now, admission_effects& effects);
+    void apply(time_point now, const admission_settings& settings,
+               admission_effects& effects);
+    void advance(time_point now, admission_effects& effects);
+    time_point next_wakeup() const { return m_wakeups.next(); }
+    const admission_counts& counts() const { return m_counts; }
+
+private:
+    // One overload for each message of a caller.
+    void take(const arrival& on, const open_session& message);
+    void take(const arrival& on, const request_part& message);
+    void take(const arrival& on, const request_cancel& message);
+
+    // Receiving.
+    void begin(const arrival& on, const request_part& message,
+               remembered_request& remembered);
+    void add_part(const arrival& on, const request_part& message, job& to);
+    void repeat_answer(const arrival& on, request_id id, std::uint32_t attempt,
+                       const request_answer& answer);
+    void refuse_stale(const arrival& on, request_id id, std::uint32_t attempt);
+
+    // Queueing and running.
+    void admit(time_point now, job& whole, admission_effects& effects);
+    std::optional<answer_reason> refusal(time_point now,
+                                         const job& whole) const;
+    bool must_wait() const;
+    void start_what_can(time_point now, admission_effects& effects);
+    void start(time_point now, job& next, admission_effects& effects);
+    void stop(job& running, admission_effects& effects);
+    void refuse(job& of, answer_reason reason, admission_effects& effects);
+    void end(job& of, request_answer answer, admission_effects& effects);
+    void leave_slot(const job& of, admission_effects& effects);
+    void take_due(time_point now, job& due, admission_effects& effects);
+    request_answer answer_of(const job& run, upstream_answer& from) const;
+
+    // Settings.
+    std::optional<kind_index> kind_named(std::string_view name) const;
+    std::string kind_name(const job& of) const;
+    void renumber_kinds(const std::vector<request_kind>& before,
+                        admission_effects& effects);
+    duration retry_after() const;
+    void decide(admission_step step, const job& on, answer_reason reason,
+                admission_effects& effects);
+    void send(const flow_key& flow, request_id id, std::uint32_t attempt,
+              const request_answer& answer, admission_effects& effects);
+
+    admission_settings m_settings;
+    incarnation m_own;
+    at_most_once m_memory;
+    run_times m_run_times;
+    work_queue<fair_order> m_queue;
+    std::unordered_map<std::uint64_t, job> m_jobs;
+    wakeups m_wakeups;
+    std::uint64_t m_last_job = 0;
+    std::size_t m_body_bytes = 0;
+    bool m_upstream_up = true;
+    admission_counts m_counts;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/requests/src/caller_path.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/requests/ticket.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+
+namespace crowlink::internal
+{
+
+// One flow of a caller: its ticket and the sequences under it.
+class caller_path
+{
+public:
+    const std::optional<ticket>& granted() const { return m_ticket; }
+    bool opening() const { return m_opening; }
+    std::uint32_t tries() const { return m_tries; }
+    std::uint64_t secret() const { return m_secret; }
+    time_point refused_until() const { return m_refused_until; }
+
+    // Starts an exchange for a ticket. The secret is kept while there is a
+    // ticket to be confirmed, else `drawn` is the new one.
+    void begin_opening(std::uint64_t drawn);
+    void count_try() { ++m_tries; }
+    void end_opening() { m_opening = false; }
+
+    // A ticket was granted. Another one than before starts sequences anew.
+    void grant(time_point now, const ticket& fresh);
+    void refuse_until(time_point until) { m_refused_until = until; }
+
+    // The agent no longer honours this ticket.
+    void drop(const ticket& stale);
+
+    // The agent answered under this ticket.
+    void hear(time_point now, const ticket& under);
+
+    // Whether a request may be sent; one that runs at most once needs a ticket
+    // that was confirmed after `confirmed_since`.
+    bool usable(std::optional<time_point> confirmed_since) const;
+
+    // Whether an exchange for a ticket is needed before that.
+    bool needs_opening(std::optional<time_point> confirmed_since) const;
+
+    std::uint64_t take_sequence();
+    void settle(const ticket& under, std::uint64_t sequence);
+    std::uint64_t settled_below() const;
+
+private:
+    std::optional<ticket> m_ticket;
+    std::uint64_t m_secret = 0;
+    bool m_opening = false;
+    std::uint32_t m_tries = 0;
+    time_point m_heard{};
+    time_point m_refused_until{};
+    std::uint64_t m_next_sequence = 1;
+    std::set<std::uint64_t> m_unsettled;
+};
+
+} // namespace crowlink::internal
