--- /dev/null
+++ b/packages/document/include/crowlink/document/document_difference.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "crowlink/document/document_change.hpp"
+
+#include <compare>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crowlink
+{
+
+struct system_document;
+
+// The places where two documents differ, sorted by path.
+class document_difference
+{
+public:
+    document_difference() = default;
+    explicit document_difference(std::vector<document_change> changes);
+
+    bool empty() const { return m_changes.empty(); }
+    const std::vector<document_change>& changes() const { return m_changes; }
+
+    // One line a change: "~ path: before -> after", "+ path: after" or
+    // "- path: before". Empty for equal documents.
+    std::string to_text() const;
+    // [{"path":...,"before":...,"after":...}]; null stands for absence.
+    std::string to_json() const;
+
+    friend auto operator<=>(const document_difference&,
+                            const document_difference&) = default;
+
+private:
+    std::vector<document_change> m_changes;
+};
+
+// What has to change to get from one document to the other. The order of lists
+// is no difference.
+document_difference compare(const system_document& before,
+                            const system_document& after);
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/document/include/crowlink/document/document_error.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace crowlink
+{
+
+// One rule that a document breaks.
+struct document_error
+{
+    // JSON pointer (RFC 6901) to the value; empty for the document itself.
+    std::string path;
+    // The value found as compact JSON, cut to a bounded length.
+    std::string found;
+    // What is allowed.
+    std::string rule;
+
+    // "/services/0/candidates: found 9, must be a whole number from 1 to 4".
+    std::string to_string() const;
+
+    friend auto operator<=>(const document_error&,
+                            const document_error&) = default;
+};
+
+} // namespace crowlink
