--- a/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
@@ -30,6 +30,8 @@
     lookup,
     // No owner was found: the candidates are asked in turn to admit the flow.
     admit,
+    // The candidates were asked; the one at `position` is to take the flow.
+    place,
 };
 
 // What travels in front of each caller's packet from a balancer to an agent
@@ -37,6 +39,8 @@
 // need not be equal everywhere at one moment.
 struct packet_header
 {
+    static constexpr std::uint8_t no_position = 255;
+
     service_id service;
     // Identifies the balancer's table by its content; two hosts with the same
     // members and policy have the same number without any agreement.
@@ -49,6 +53,13 @@
     std::uint8_t position = 0;
     // The number of agents it went through, to bound loops.
     std::uint8_t hops = 0;
+    // The position of the agent that fits best among those asked so far: on
+    // the lookup pass one that may take the flow up again after its own
+    // restart, on the admit pass the least loaded one.
+    std::uint8_t best = no_position;
+    // On the admit pass, the load of that agent as it stated it, in millionths
+    // of what it can take.
+    std::uint32_t best_load = 0;
     candidate_chain current;
     // The chain by the table before; empty if it is equal to the current one.
     candidate_chain previous;
