--- a/packages/balancer/include/crowlink/balancer/traffic_path.hpp
+++ b/packages/balancer/include/crowlink/balancer/traffic_path.hpp
@@ -37,6 +37,8 @@
     const traffic_counts& counts() const { return m_counts; }
 
 private:
+    tl::unexpected<route_drop> drop(route_drop reason);
+
     datagram_codec m_codec;
     endpoint m_return_to;
     traffic_counts m_counts;
--- /dev/null
+++ b/packages/balancer/src/traffic_path.cpp
@@ -0,0 +1,130 @@
+#include "crowlink/balancer/traffic_path.hpp"
+
+namespace crowlink
+{
+
+namespace
+{
+
+// The two chains of a flow by a service's tables. The previous one is left
+// empty where it would say the same again.
+void fill_chains(const service_tables& tables, const flow_key& flow,
+                 candidate_chain& current, candidate_chain& previous)
+{
+    const std::uint64_t hash = stable_hash(flow);
+    current = tables.current->chain(hash);
+    if (!tables.previous)
+    {
+        return;
+    }
+    previous = tables.previous->chain(hash);
+    if (previous == current)
+    {
+        previous = candidate_chain();
+    }
+}
+
+route_reason reason_of(const candidate_chain& current,
+                       const candidate_chain& previous)
+{
+    if (!current.empty())
+    {
+        return route_reason::head_of_chain;
+    }
+    return previous.empty() ? route_reason::no_candidate
+                            : route_reason::previous_chain;
+}
+
+} // namespace
+
+traffic_path::traffic_path(const key_ring& keys, const endpoint& return_to)
+    : m_codec(keys), m_return_to(return_to)
+{
+}
+
+tl::expected<routed_packet, route_drop>
+traffic_path::route(const forwarding_set& set, const caller_packet& packet,
+                    std::span<std::uint8_t> buffer)
+{
+    const service_tables* const tables =
+        set.find(packet.flow.protocol, packet.flow.service);
+    if (tables == nullptr)
+    {
+        return drop(route_drop::no_service);
+    }
+    forward_datagram out;
+    packet_header& header = out.header;
+    fill_chains(*tables, packet.flow, header.current, header.previous);
+    if (header.current.empty() && header.previous.empty())
+    {
+        return drop(route_drop::no_candidate);
+    }
+    header.service = tables->service();
+    header.table = tables->current->digest();
+    header.flow = packet.flow;
+    header.role = packet.role;
+    header.return_to = m_return_to;
+    out.payload = packet.payload;
+    const std::size_t size = m_codec.encode(out, buffer);
+    if (size == 0)
+    {
+        return drop(route_drop::too_large);
+    }
+    ++m_counts.forwarded;
+    m_counts.forwarded_bytes += size;
+    const candidate& head =
+        header.current.empty() ? header.previous[0] : header.current[0];
+    return routed_packet{head.agent, size};
+}
+
+std::optional<caller_answer>
+traffic_path::answer(std::span<const std::uint8_t> bytes)
+{
+    const auto value = m_codec.decode(bytes);
+    if (!value)
+    {
+        ++m_counts.datagram_drops[static_cast<std::size_t>(value.error())];
+        return std::nullopt;
+    }
+    if (const auto* answered = std::get_if<answer_datagram>(&*value))
+    {
+        ++m_counts.answers;
+        return caller_answer(*answered);
+    }
+    if (const auto* notice = std::get_if<notice_datagram>(&*value))
+    {
+        ++m_counts.notices;
+        return caller_answer(*notice);
+    }
+    ++m_counts.misdirected;
+    return std::nullopt;
+}
+
+tl::unexpected<route_drop> traffic_path::drop(route_drop reason)
+{
+    ++m_counts.route_drops[static_cast<std::size_t>(reason)];
+    return tl::unexpected<route_drop>(reason);
+}
+
+route_decision explain(const forwarding_set& set, const flow_key& flow)
+{
+    route_decision decision;
+    decision.flow = flow;
+    const service_tables* const tables = set.find(flow.protocol, flow.service);
+    if (tables == nullptr)
+    {
+        return decision;
+    }
+    decision.service = tables->service();
+    decision.table = tables->current->digest();
+    fill_chains(*tables, flow, decision.current, decision.previous);
+    decision.reason = reason_of(decision.current, decision.previous);
+    if (decision.reason != route_reason::no_candidate)
+    {
+        decision.chosen = decision.current.empty() ? decision.previous[0]
+                                                   : decision.current[0];
+    }
+    return decision;
+}
+
+} // namespace crowlink
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/flow_key.hpp"
+#include "crowlink/forwarding/address_hash.hpp"
 #include "crowlink/forwarding/removed_service.hpp"
 #include "crowlink/forwarding/service_tables.hpp"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace crowlink
@@ -44,7 +46,28 @@
     std::size_t memory() const;
 
 private:
+    // Where each address leads; the value is an index into the services.
+    using address_index =
+        std::unordered_map<internal::service_address, std::uint32_t,
+                           internal::address_hash>;
+
+    forwarding_set();
+
+    // Takes in one change; yields whether it counts.
+    bool apply(const service_view& view);
+    bool apply(const removed_service& removed);
+    bool was_removed_since(const service_view& view) const;
+    // Yields whether the removal was news.
+    bool remember(const removed_service& removed);
+    void finish(const forwarding_set& prior);
+    bool same_addresses(const forwarding_set& other) const;
+    std::shared_ptr<const address_index> make_index() const;
+
+    // Sorted by number.
     std::vector<std::shared_ptr<const service_tables>> m_services;
+    std::shared_ptr<const address_index> m_index;
+    // Late views must not bring these back. Bounded: the oldest go first.
+    std::vector<removed_service> m_removed;
     std::uint64_t m_digest = 0;
 };
 
--- a/packages/forwarding/include/crowlink/forwarding/service_tables.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/service_tables.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <vector>
 
 namespace crowlink
 {
@@ -17,6 +18,9 @@
     std::shared_ptr<const forwarding_table> current;
     // Kept until the current table is replaced; null for a new service.
     std::shared_ptr<const forwarding_table> previous;
+    // The last records of members that are gone; late views must not bring
+    // older ones back. Bounded: the oldest go first.
+    std::vector<upstream_record> departed;
 
     service_id service() const { return view->declared.id; }
 
--- /dev/null
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -0,0 +1,251 @@
+#include "crowlink/forwarding/forwarding_set.hpp"
+
+#include "view_merge.hpp"
+
+#include <algorithm>
+#include <array>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace crowlink
+{
+
+namespace internal
+{
+
+std::size_t address_hash::operator()(const service_address& value) const
+{
+    std::array<std::uint8_t, ip_address::byte_count + 3> bytes{};
+    const auto& address = value.address.address.bytes();
+    std::uint8_t* out =
+        std::copy(address.begin(), address.end(), bytes.begin());
+    *out++ = static_cast<std::uint8_t>(value.address.port >> 8U);
+    *out++ = static_cast<std::uint8_t>(value.address.port & 0xffU);
+    *out = static_cast<std::uint8_t>(value.protocol);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+} // namespace internal
+
+namespace
+{
+
+// More services than are removed while a late view is under way.
+constexpr std::size_t removed_limit = 1024;
+
+using services = std::vector<std::shared_ptr<const service_tables>>;
+
+template <class Services>
+auto place_of(Services& all, service_id wanted)
+{
+    return std::lower_bound(
+        all.begin(), all.end(), wanted,
+        [](const std::shared_ptr<const service_tables>& held, service_id id)
+        { return held->service() < id; });
+}
+
+bool holds(const services& all, services::const_iterator place,
+           service_id wanted)
+{
+    return place != all.end() && (*place)->service() == wanted;
+}
+
+std::uint64_t digest_of(const services& all)
+{
+    std::uint64_t digest = all.size();
+    for (const auto& tables : all)
+    {
+        digest = combine_hash(digest, tables->current->digest());
+        const bool has_previous = tables->previous != nullptr;
+        digest =
+            combine_hash(digest, has_previous ? tables->previous->digest() : 0);
+    }
+    return digest;
+}
+
+} // namespace
+
+forwarding_set::forwarding_set()
+    : m_index(std::make_shared<const address_index>())
+{
+}
+
+std::shared_ptr<const forwarding_set> forwarding_set::empty()
+{
+    return std::shared_ptr<const forwarding_set>(new forwarding_set);
+}
+
+std::shared_ptr<const forwarding_set>
+forwarding_set::changed(const std::shared_ptr<const forwarding_set>& prior,
+                        std::span<const service_view> views,
+                        std::span<const removed_service> removed)
+{
+    const std::shared_ptr<forwarding_set> next(new forwarding_set(*prior));
+    bool counts = false;
+    for (const removed_service& gone : removed)
+    {
+        counts = next->apply(gone) || counts;
+    }
+    for (const service_view& view : views)
+    {
+        counts = next->apply(view) || counts;
+    }
+    if (!counts)
+    {
+        return prior;
+    }
+    next->finish(*prior);
+    return next;
+}
+
+bool forwarding_set::apply(const service_view& view)
+{
+    if (was_removed_since(view))
+    {
+        return false;
+    }
+    const service_id id = view.declared.id;
+    const auto place = place_of(m_services, id);
+    const bool known = holds(m_services, place, id);
+    auto tables = internal::merged(known ? place->get() : nullptr, view);
+    if (!tables)
+    {
+        return false;
+    }
+    if (known)
+    {
+        *place = std::move(tables);
+        return true;
+    }
+    m_services.insert(place, std::move(tables));
+    return true;
+}
+
+bool forwarding_set::apply(const removed_service& removed)
+{
+    const auto place = place_of(m_services, removed.service);
+    const bool known = holds(m_services, place, removed.service);
+    if (known && (*place)->view->version > removed.version)
+    {
+        return false;
+    }
+    if (known)
+    {
+        m_services.erase(place);
+    }
+    return remember(removed) || known;
+}
+
+bool forwarding_set::was_removed_since(const service_view& view) const
+{
+    return std::any_of(m_removed.begin(), m_removed.end(),
+                       [&view](const removed_service& gone) {
+                           return gone.service == view.declared.id &&
+                                  gone.version >= view.version;
+                       });
+}
+
+bool forwarding_set::remember(const removed_service& removed)
+{
+    const auto found = std::find_if(m_removed.begin(), m_removed.end(),
+                                    [&removed](const removed_service& known) {
+                                        return known.service == removed.service;
+                                    });
+    if (found != m_removed.end())
+    {
+        const bool rises = found->version < removed.version;
+        found->version = std::max(found->version, removed.version);
+        return rises;
+    }
+    if (m_removed.size() == removed_limit)
+    {
+        m_removed.erase(m_removed.begin());
+    }
+    m_removed.push_back(removed);
+    return true;
+}
+
+void forwarding_set::finish(const forwarding_set& prior)
+{
+    m_digest = digest_of(m_services);
+    if (!same_addresses(prior))
+    {
+        m_index = make_index();
+    }
+}
+
+bool forwarding_set::same_addresses(const forwarding_set& other) const
+{
+    return std::equal(m_services.begin(), m_services.end(),
+                      other.m_services.begin(), other.m_services.end(),
+                      [](const std::shared_ptr<const service_tables>& first,
+                         const std::shared_ptr<const service_tables>& second)
+                      {
+                          if (first == second)
+                          {
+                              return true;
+                          }
+                          const service& one = first->view->declared;
+                          const service& two = second->view->declared;
+                          return one.id == two.id &&
+                                 one.protocol == two.protocol &&
+                                 one.addresses == two.addresses;
+                      });
+}
+
+std::shared_ptr<const forwarding_set::address_index>
+forwarding_set::make_index() const
+{
+    const auto index = std::make_shared<address_index>();
+    for (std::size_t i = 0; i < m_services.size(); ++i)
+    {
+        const service& declared = m_services[i]->view->declared;
+        for (const endpoint& address : declared.addresses)
+        {
+            const internal::service_address key{address, declared.protocol};
+            const auto [entry, added] =
+                index->emplace(key, static_cast<std::uint32_t>(i));
+            // An address that moves to another service while views arrive
+            // unevenly belongs to the service of the newer document.
+            const auto& holder = m_services[entry->second]->view;
+            if (!added && holder->version < m_services[i]->view->version)
+            {
+                entry->second = static_cast<std::uint32_t>(i);
+            }
+        }
+    }
+    return index;
+}
+
+const service_tables* forwarding_set::find(transport protocol,
+                                           const endpoint& address) const
+{
+    const auto found =
+        m_index->find(internal::service_address{address, protocol});
+    return found == m_index->end() ? nullptr : m_services[found->second].get();
+}
+
+const service_tables* forwarding_set::find(service_id service) const
+{
+    const auto place = place_of(m_services, service);
+    return holds(m_services, place, service) ? place->get() : nullptr;
+}
+
+std::size_t forwarding_set::memory() const
+{
+    // A node of the index holds its value, its hash and a link.
+    constexpr std::size_t node =
+        sizeof(address_index::value_type) + 2 * sizeof(void*);
+    std::size_t total = sizeof *this;
+    total += m_services.capacity() * sizeof(services::value_type);
+    total += m_index->size() * node + m_index->bucket_count() * sizeof(void*);
+    total += m_removed.capacity() * sizeof(removed_service);
+    for (const auto& tables : m_services)
+    {
+        total += tables->memory();
+    }
+    return total;
+}
+
+} // namespace crowlink
--- a/packages/wire/include/crowlink/wire/datagram_codec.hpp
+++ b/packages/wire/include/crowlink/wire/datagram_codec.hpp
@@ -13,8 +13,8 @@
 {
 
 // Turns datagrams into bytes and back without allocation. The bytes are a
-// prefix (format version, key number, length of the authenticated part), a
-// message of proto/packet.proto in protobuf's wire format, and SipHash-2-4
+// prefix (format version, key number, kind, length of the authenticated part),
+// a message of proto/packet.proto in protobuf's wire format, and SipHash-2-4
 // (Aumasson and Bernstein 2012) of prefix and message up to the payload. The
 // payload itself is not hashed: see docs/design/forwarding.md.
 //
@@ -26,13 +26,16 @@
 public:
     // The most that a datagram adds to its payload.
     static constexpr std::size_t overhead_limit = 384;
-    // Enough for any datagram whose payload fits an IP packet.
-    static constexpr std::size_t buffer_size = 65536 + overhead_limit;
+    // The most that an IP packet holds.
+    static constexpr std::size_t payload_limit = 65535;
+    // Enough for any datagram.
+    static constexpr std::size_t buffer_size = payload_limit + overhead_limit;
 
     explicit datagram_codec(const key_ring& keys) : m_keys(keys) {}
 
-    // Writes a datagram to the buffer and yields its size; zero if the buffer
-    // is too small.
+    // Writes a datagram to the buffer and yields its size; zero if the payload
+    // is larger than payload_limit, or the buffer has less room than the
+    // payload and overhead_limit.
     std::size_t encode(const forward_datagram& value,
                        std::span<std::uint8_t> out) const;
     std::size_t encode(const answer_datagram& value,
--- /dev/null
+++ b/packages/wire/src/datagram_decode.cpp
@@ -0,0 +1,301 @@
+#include "crowlink/wire/datagram_codec.hpp"
+
+#include "authenticate.hpp"
+#include "message_reader.hpp"
+#include "packet_fields.hpp"
+
+#include <sodium/utils.h>
+
+namespace crowlink
+{
+
+namespace
+{
+
+using internal::datagram_kind;
+using internal::message_reader;
+namespace prefix = internal::prefix;
+
+using byte_view = std::span<const std::uint8_t>;
+using decoded = tl::expected<datagram, datagram_drop>;
+
+tl::unexpected<datagram_drop> drop(datagram_drop reason)
+{
+    return tl::unexpected<datagram_drop>(reason);
+}
+
+// Chains hold at most their capacity; a longer one is an error, not cut.
+void append(candidate_chain& chain, message_reader& in)
+{
+    if (chain.size() == candidate_chain::capacity)
+    {
+        in.fail(datagram_drop::out_of_range);
+        return;
+    }
+    chain.push_back(in.read_candidate());
+}
+
+template <class Enumeration>
+Enumeration read_enumerator(message_reader& in, Enumeration last)
+{
+    return static_cast<Enumeration>(
+        in.varint(static_cast<std::uint32_t>(last)));
+}
+
+void read_field(message_reader& in, std::uint32_t found,
+                forward_datagram& value)
+{
+    namespace tags = internal::forward_tag;
+    packet_header& header = value.header;
+    switch (found)
+    {
+    case tags::service:
+        header.service = service_id(in.varint());
+        break;
+    case tags::table:
+        header.table = in.fixed64();
+        break;
+    case tags::flow:
+        header.flow = in.read_flow();
+        break;
+    case tags::role:
+        header.role = read_enumerator(in, packet_role::resets);
+        break;
+    case tags::pass:
+        header.pass = read_enumerator(in, packet_pass::admit);
+        break;
+    case tags::position:
+        header.position = static_cast<std::uint8_t>(in.varint(UINT8_MAX));
+        break;
+    case tags::hops:
+        header.hops = static_cast<std::uint8_t>(in.varint(UINT8_MAX));
+        break;
+    case tags::current:
+        append(header.current, in);
+        break;
+    case tags::previous:
+        append(header.previous, in);
+        break;
+    case tags::return_to:
+        header.return_to = in.read_endpoint();
+        break;
+    case internal::payload_tag:
+        value.payload = in.bytes();
+        break;
+    default:
+        in.skip(found);
+    }
+}
+
+void read_field(message_reader& in, std::uint32_t found, answer_datagram& value)
+{
+    switch (found)
+    {
+    case internal::answer_tag::flow:
+        value.flow = in.read_flow();
+        break;
+    case internal::payload_tag:
+        value.payload = in.bytes();
+        break;
+    default:
+        in.skip(found);
+    }
+}
+
+void read_field(message_reader& in, std::uint32_t found, notice_datagram& value)
+{
+    namespace tags = internal::notice_tag;
+    switch (found)
+    {
+    case tags::flow:
+        value.flow = in.read_flow();
+        break;
+    case tags::outcome:
+        value.outcome = read_enumerator(in, verdict::may_have_run);
+        break;
+    case tags::reason:
+        value.reason = read_enumerator(in, notice_reason::no_service);
+        break;
+    case tags::retry_after:
+        value.retry_after = std::chrono::milliseconds(in.varint());
+        break;
+    case tags::sequence:
+        value.sequence = in.fixed32();
+        break;
+    case tags::acknowledgement:
+        value.acknowledgement = in.fixed32();
+        break;
+    default:
+        in.skip(found);
+    }
+}
+
+// What redirects and withdrawals have in common.
+template <class Value>
+void read_owner_field(message_reader& in, std::uint32_t found, Value& value)
+{
+    namespace tags = internal::redirect_tag;
+    switch (found)
+    {
+    case tags::flow:
+        value.flow = in.read_flow();
+        break;
+    case tags::service:
+        value.service = service_id(in.varint());
+        break;
+    case tags::receiver:
+        value.receiver = in.fixed32();
+        break;
+    case tags::owner:
+        value.owner = in.read_candidate();
+        break;
+    default:
+        in.skip(found);
+    }
+}
+
+void read_field(message_reader& in, std::uint32_t found,
+                redirect_datagram& value)
+{
+    if (found == internal::redirect_tag::lifetime)
+    {
+        value.lifetime = std::chrono::milliseconds(in.varint());
+        return;
+    }
+    read_owner_field(in, found, value);
+}
+
+void read_field(message_reader& in, std::uint32_t found,
+                withdrawal_datagram& value)
+{
+    read_owner_field(in, found, value);
+}
+
+// The tag of the field that every host sends in each message.
+template <class Value>
+constexpr std::uint32_t flow_field = internal::answer_tag::flow;
+template <>
+constexpr std::uint32_t flow_field<forward_datagram> =
+    internal::forward_tag::flow;
+
+bool plausible(const forward_datagram& value)
+{
+    const packet_header& header = value.header;
+    return header.position < header.current.size() + header.previous.size();
+}
+
+template <class Value>
+bool plausible(const Value&)
+{
+    return true;
+}
+
+template <class Value>
+decoded read_message(byte_view message)
+{
+    message_reader in(message);
+    Value value;
+    bool has_flow = false;
+    while (const std::uint32_t found = in.next_tag())
+    {
+        has_flow = has_flow || found == flow_field<Value>;
+        read_field(in, found, value);
+    }
+    if (in.failure())
+    {
+        return drop(*in.failure());
+    }
+    if (!has_flow || !plausible(value))
+    {
+        return drop(datagram_drop::out_of_range);
+    }
+    return datagram(value);
+}
+
+decoded read_kind(std::uint8_t kind, byte_view message)
+{
+    switch (static_cast<datagram_kind>(kind))
+    {
+    case datagram_kind::forward:
+        return read_message<forward_datagram>(message);
+    case datagram_kind::answer:
+        return read_message<answer_datagram>(message);
+    case datagram_kind::notice:
+        return read_message<notice_datagram>(message);
+    case datagram_kind::redirect:
+        return read_message<redirect_datagram>(message);
+    case datagram_kind::withdrawal:
+        return read_message<withdrawal_datagram>(message);
+    }
+    return drop(datagram_drop::malformed);
+}
+
+// Whether the part that was not authenticated is the message's payload and
+// nothing else: no field may hide behind the authenticated part.
+bool covers_all_but_payload(const datagram& value, byte_view unhashed)
+{
+    byte_view payload;
+    if (const auto* forward = std::get_if<forward_datagram>(&value))
+    {
+        payload = forward->payload;
+    }
+    else if (const auto* answer = std::get_if<answer_datagram>(&value))
+    {
+        payload = answer->payload;
+    }
+    return unhashed.empty() || (payload.data() == unhashed.data() &&
+                                payload.size() == unhashed.size());
+}
+
+} // namespace
+
+const datagram_key* datagram_codec::find_key(std::uint8_t id) const
+{
+    if (m_keys.signing.id == id)
+    {
+        return &m_keys.signing;
+    }
+    const bool accepted = m_keys.accepted && m_keys.accepted->id == id;
+    return accepted ? &*m_keys.accepted : nullptr;
+}
+
+tl::expected<datagram, datagram_drop>
+datagram_codec::decode(std::span<const std::uint8_t> bytes) const
+{
+    if (bytes.size() < prefix::size + internal::hash_size ||
+        bytes.size() > buffer_size)
+    {
+        return drop(datagram_drop::truncated);
+    }
+    if (bytes[prefix::version_at] != prefix::version)
+    {
+        return drop(datagram_drop::unknown_version);
+    }
+    const datagram_key* const key = find_key(bytes[prefix::key_at]);
+    if (key == nullptr)
+    {
+        return drop(datagram_drop::unknown_key);
+    }
+    const byte_view body = bytes.first(bytes.size() - internal::hash_size);
+    const std::size_t authenticated = std::size_t{bytes[prefix::length_at]}
+                                          << 8U |
+                                      bytes[prefix::length_at + 1];
+    if (authenticated < prefix::size || authenticated > body.size())
+    {
+        return drop(datagram_drop::truncated);
+    }
+    const auto hash = internal::authenticate(*key, body.first(authenticated));
+    if (sodium_memcmp(hash.data(), bytes.data() + body.size(), hash.size()) !=
+        0)
+    {
+        return drop(datagram_drop::not_authentic);
+    }
+    auto value = read_kind(bytes[prefix::kind_at], body.subspan(prefix::size));
+    if (value && !covers_all_but_payload(*value, body.subspan(authenticated)))
+    {
+        return drop(datagram_drop::malformed);
+    }
+    return value;
+}
+
+} // namespace crowlink
