--- a/packages/membership/include/crowlink/membership/announcer.hpp
+++ b/packages/membership/include/crowlink/membership/announcer.hpp
@@ -61,7 +61,6 @@
     std::vector<membership_send> answered(time_point now,
                                           const wire::announcement_answer& in);
     void fail_over(time_point now);
-    void wait(time_point now, duration time);
     duration jittered(duration time);
     void order_observers();
     std::vector<membership_send> send(wire::membership_message message) const;
--- a/packages/membership/include/crowlink/membership/digest_book.hpp
+++ b/packages/membership/include/crowlink/membership/digest_book.hpp
@@ -25,6 +25,9 @@
 
     const bucket_array& buckets() const { return m_buckets; }
 
+    // The same without groups of balancers.
+    const bucket_array& service_buckets() const { return m_service_buckets; }
+
     // The sum over all services that are no groups of balancers.
     std::uint64_t services_total() const { return m_services_total; }
 
@@ -33,6 +36,7 @@
 
 private:
     bucket_array m_buckets{};
+    bucket_array m_service_buckets{};
     std::uint64_t m_services_total = 0;
     std::unordered_map<service_id, std::uint64_t> m_sums;
 };
--- a/packages/membership/include/crowlink/membership/observed_record.hpp
+++ b/packages/membership/include/crowlink/membership/observed_record.hpp
@@ -16,6 +16,8 @@
     host_id home;
     // Of version, content and home; zero while gone.
     std::uint64_t hash = 0;
+    // Its bucket in digests.
+    std::uint8_t bucket = 0;
     // Set at the home only.
     time_point lease_until{};
     // Since when it is silent; meaningful while suspect.
--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -60,11 +60,27 @@
     struct place_count
     {
         std::size_t living = 0;
+        // Silent, whether judged or still within a grace period.
         std::size_t silent = 0;
+        // Silent for long enough to be acted on.
         std::size_t settled = 0;
         std::size_t own = 0;
+        std::size_t own_silent = 0;
         std::size_t own_settled = 0;
     };
+    // What holds for all records of one home during one judgement.
+    struct home_status
+    {
+        bool own = false;
+        // Its region is cut off: its records are kept as they are.
+        bool cut = false;
+        bool silent = false;
+        // Silent for longer than its announcers need to find a new home, or
+        // cut off for longer than records are kept.
+        bool orphaned = false;
+        std::size_t population = 0;
+        std::size_t expired_in_window = 0;
+    };
 
     void announced(time_point now, const host_id& from,
                    const wire::announcement& in, observer_output& out);
@@ -77,25 +93,33 @@
     void digest(time_point now, const host_id& from,
                 const wire::observer_digest& in, observer_output& out);
 
-    bool merge(time_point now, internal::observed_record next,
-               observer_output& out);
-    void store(const internal::record_key& key,
-               internal::observed_record& place, internal::observed_record next,
+    bool merge(internal::observed_record next, observer_output& out);
+    void store(internal::observed_record& held, internal::observed_record next,
                observer_output& out);
     void send_changes(observer_output& out);
     void send_heartbeats(time_point now, observer_output& out) const;
-    void send_digest(observer_output& out);
+    void send_digest(const host_id& to, observer_output& out) const;
+    void send_next_digest(observer_output& out);
+    std::vector<bool> buckets_to_send(const wire::observer_digest& in);
     void forgive_pause(time_point now);
 
     void judge(time_point now, observer_output& out);
-    bool is_silent(time_point now, const internal::observed_record& held) const;
-    void mark(time_point now, internal::observed_record& held) const;
-    void count(time_point now, const internal::observed_record& held);
+    void refresh_homes(time_point now);
+    home_status& status_of(time_point now, const host_id& home);
+    void count(time_point now, internal::observed_record& held);
     void judge_places(time_point now, observer_output& out);
-    void place_back(time_point now, const place_id& where);
+    void report_places(time_point now);
+    void place_lost(time_point now, const place_id& where,
+                    observer_output& out);
+    void place_back(time_point now, const place_id& where,
+                    observer_output& out);
     void expire_silent(time_point now, observer_output& out);
     bool may_expire(time_point now, const internal::observed_record& held);
-    bool within_cap(time_point now, const internal::observed_record& held);
+    bool within_cap(time_point now, const internal::observed_record& held,
+                    home_status& status) const;
+    bool settled(time_point now, const internal::observed_record& held) const;
+    bool seems_cut_off(time_point now) const;
+    bool purge(time_point now, const internal::observed_record& held) const;
 
     observer_settings m_settings;
     internal::peer_board m_peers;
@@ -104,13 +128,13 @@
     std::size_t m_living = 0;
     // Own changes that the peers must still hear.
     std::set<internal::record_key> m_unsent;
+    std::map<host_id, home_status> m_homes;
     std::map<place_id, place_count> m_counts;
     std::map<place_id, time_point> m_own_reports;
     std::set<place_id> m_lost_places;
     std::map<place_id, time_point> m_lost_since;
     std::size_t m_next_peer = 0;
     std::size_t m_first_bucket = 0;
-    std::size_t m_expired_in_window = 0;
     time_point m_window_start;
     time_point m_started;
     time_point m_last_tick;
@@ -118,6 +142,8 @@
     time_point m_next_digest;
     time_point m_next_judgement;
     bool m_ready = false;
+    // The silence seems to be this host's own.
+    bool m_held_back = false;
     metrics m_metrics;
 };
 
--- a/packages/membership/include/crowlink/membership/observer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/observer_settings.hpp
@@ -35,14 +35,17 @@
     // A place is lost when this share of its members is, and at least so many.
     double place_share = 0.9;
     std::size_t place_members = 8;
-    // Without confirmation, at most this share of all members, and at least
-    // expiry_least, is expired within expiry_window.
+    // Without confirmation, at most this share of one home's records, and at
+    // least expiry_least, is expired within expiry_window.
     double expiry_share = 0.1;
-    std::size_t expiry_least = 16;
+    std::size_t expiry_least = 2;
     duration expiry_window = std::chrono::seconds(10);
     // What goes beyond is confirmed by staying away for this long while the
-    // majority of the own region's observers is heard.
+    // at least half of the own region's observers are heard.
     duration confirm_after = std::chrono::seconds(10);
+    // A home that reports a place as lost gives the others this long to agree.
+    duration report_wait = std::chrono::seconds(3);
+    duration judge_every = std::chrono::milliseconds(500);
     // A started observer may publish once a peer's digest equalled its own, or
     // after this time if it heard no peer at all.
     duration start_grace = std::chrono::seconds(10);
--- a/packages/membership/include/crowlink/membership/peer_board.hpp
+++ b/packages/membership/include/crowlink/membership/peer_board.hpp
@@ -29,6 +29,9 @@
     // within the time. The own observer is never silent.
     bool silent(time_point now, const host_id& peer, duration time) const;
 
+    // Whether this observer itself did not hear the peer within the timeout.
+    bool silent_directly(time_point now, const host_id& peer) const;
+
     // Whether every observer of the peer's region is silent, and the region is
     // not the own one.
     bool region_cut(time_point now, const host_id& peer) const;
@@ -42,6 +45,9 @@
     // are heard.
     bool own_region_heard(time_point now) const;
 
+    // Whether another observer of the own region is heard directly.
+    bool neighbour_heard(time_point now) const;
+
     bool any_heard() const { return m_any_heard; }
 
     // The peers that were heard directly within the timeout.
@@ -53,7 +59,7 @@
     void forgive(time_point now);
 
 private:
-    struct peer
+    struct known_peer
     {
         observer_info info;
         time_point direct{};
@@ -61,12 +67,13 @@
         std::set<place_id> lost_places;
     };
 
-    static time_point latest(const peer& value);
+    static time_point latest(const known_peer& value);
+    std::size_t neighbours_heard(time_point now) const;
 
     host_id m_self;
     region_id m_region;
     duration m_timeout;
-    std::map<host_id, peer> m_peers;
+    std::map<host_id, known_peer> m_peers;
     bool m_any_heard = false;
 };
 
--- a/packages/membership/include/crowlink/membership/publisher_settings.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_settings.hpp
@@ -23,6 +23,8 @@
     // Changes that are kept for nodes that lag; one that lags more is asked to
     // attach anew and gets a snapshot of what differs.
     std::size_t change_capacity = 8192;
+    // Gone records are kept for this long, to tell nodes that come back.
+    duration tombstone_life = std::chrono::hours(3);
     // Nodes that are served at the same time.
     std::size_t node_capacity = 4096;
 };
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -53,11 +53,15 @@
                       std::uint64_t version, std::uint32_t generation);
     bool set_lost_places(std::set<place_id> lost);
 
+    // The version of the document that is in force as a whole: nothing that an
+    // older document says is taken in from now on.
+    void set_floor(std::uint64_t version) { m_floor = version; }
+
     // Handles what a snapshot of these buckets did not name.
     void sweep(time_point now, std::uint64_t version, std::uint32_t generation,
                const std::bitset<digest_book::bucket_count>& covered);
 
-    // Drops gone records past their life.
+    // Drops gone records past their life, and services that were removed.
     void purge(time_point now, duration life);
 
     // The services whose views changed since the last call.
@@ -89,6 +93,7 @@
     std::set<service_id> m_touched;
     digest_book m_book;
     std::size_t m_living = 0;
+    std::uint64_t m_floor = 0;
 };
 
 } // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/src/announcer.cpp
@@ -0,0 +1,228 @@
+#include "crowlink/membership/announcer.hpp"
+
+#include "crowlink/base/hash.hpp"
+#include "member_codec.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace crowlink
+{
+
+namespace
+{
+
+constexpr int tries_per_observer = 2;
+constexpr unsigned random_bits_in_incarnation = 16;
+constexpr double least_jitter = 0.75;
+constexpr double most_jitter = 1.0;
+
+} // namespace
+
+incarnation first_incarnation(std::uint64_t wall_clock_ms,
+                              std::uint64_t random_bits)
+{
+    const std::uint64_t mask = (1U << random_bits_in_incarnation) - 1U;
+    return incarnation((wall_clock_ms << random_bits_in_incarnation) |
+                       (random_bits & mask));
+}
+
+announcer::announcer(announcer_settings settings, upstream_record first,
+                     std::uint64_t seed, time_point now)
+    : m_settings(std::move(settings))
+    , m_record(std::move(first))
+    , m_random(seed)
+    , m_backoff(m_settings.backoff_first)
+{
+    order_observers();
+    std::uniform_int_distribution<duration::rep> spread(
+        0, m_settings.start_spread.count());
+    m_next = now + duration(spread(m_random));
+    m_return_at = now + m_settings.return_after;
+}
+
+const host_id& announcer::home() const
+{
+    return m_order[m_home];
+}
+
+// Rendezvous order by the record's id, so that announcers spread evenly and a
+// dead observer's ones spread over the others.
+void announcer::order_observers()
+{
+    struct choice
+    {
+        bool remote;
+        std::uint64_t rank;
+        host_id id;
+    };
+    std::vector<choice> choices;
+    for (const observer_info& each : m_settings.observers)
+    {
+        const std::uint64_t seed = stable_hash(m_record.id.value());
+        choices.push_back(choice{each.region != m_settings.region,
+                                 stable_hash(each.id.value(), seed), each.id});
+    }
+    std::sort(choices.begin(), choices.end(),
+              [](const choice& first, const choice& second)
+              {
+                  return std::tie(first.remote, first.rank, first.id) <
+                         std::tie(second.remote, second.rank, second.id);
+              });
+    for (choice& each : choices)
+    {
+        m_order.push_back(std::move(each.id));
+    }
+}
+
+std::vector<membership_send>
+announcer::handle(time_point now, const host_id& from,
+                  const wire::membership_message& in)
+{
+    if (!in.has_answer() || m_superseded || from != home())
+    {
+        return {};
+    }
+    const wire::announcement_answer& answer = in.answer();
+    const bool mine = answer.id() == m_record.id.value() &&
+                      answer.started() == m_record.started.value() &&
+                      answer.sequence() == m_record.sequence;
+    return mine ? answered(now, answer) : std::vector<membership_send>{};
+}
+
+std::vector<membership_send>
+announcer::answered(time_point now, const wire::announcement_answer& in)
+{
+    m_waiting_answer = false;
+    m_tries = 0;
+    m_failed_observers = 0;
+    m_forbidden = in.status() == wire::ANNOUNCEMENT_FORBIDDEN;
+    switch (in.status())
+    {
+    case wire::ANNOUNCEMENT_UNKNOWN:
+        ++m_record.sequence;
+        return announce(now);
+    case wire::ANNOUNCEMENT_OLDER:
+        if (m_ever_accepted)
+        {
+            m_superseded = true;
+            return {};
+        }
+        // The wall clock went back since the last start.
+        m_record.started = incarnation(in.newest_started() + 1);
+        return announce(now);
+    case wire::ANNOUNCEMENT_FORBIDDEN:
+        m_accepted = false;
+        m_next = now + jittered(m_settings.backoff_limit);
+        return {};
+    default:
+        break;
+    }
+    m_accepted = true;
+    m_ever_accepted = true;
+    m_backoff = m_settings.backoff_first;
+    m_next = now + jittered(m_settings.renew_every);
+    return {};
+}
+
+std::vector<membership_send> announcer::tick(time_point now)
+{
+    const bool ended = m_accepted && m_record.state == upstream_state::gone;
+    if (m_superseded || ended || m_order.empty() || now < m_next)
+    {
+        return {};
+    }
+    if (m_waiting_answer && m_tries >= tries_per_observer)
+    {
+        fail_over(now);
+        return {};
+    }
+    if (m_home != 0 && m_accepted && now >= m_return_at)
+    {
+        m_home = 0;
+        m_return_at = now + jittered(m_settings.return_after);
+        m_tries = 0;
+        return announce(now);
+    }
+    return m_accepted ? renew(now) : announce(now);
+}
+
+std::vector<membership_send>
+announcer::change(time_point now, upstream_state state, std::uint32_t weight)
+{
+    m_record.state = state;
+    m_record.weight = weight;
+    ++m_record.sequence;
+    m_tries = 0;
+    if (m_superseded || m_order.empty())
+    {
+        return {};
+    }
+    return announce(now);
+}
+
+std::vector<membership_send> announcer::announce(time_point now)
+{
+    // The record names its home, so that a new home makes it a new version.
+    if (m_announced && m_announced_to != m_home)
+    {
+        ++m_record.sequence;
+    }
+    m_announced = true;
+    m_announced_to = m_home;
+    m_accepted = false;
+    m_waiting_answer = true;
+    ++m_tries;
+    m_next = now + m_settings.answer_timeout;
+    wire::membership_message message;
+    auto& body = *message.mutable_announce();
+    internal::write_member(m_record, *body.mutable_places(),
+                           *body.mutable_record());
+    return send(std::move(message));
+}
+
+std::vector<membership_send> announcer::renew(time_point now)
+{
+    m_waiting_answer = true;
+    ++m_tries;
+    m_next = now + m_settings.answer_timeout;
+    wire::membership_message message;
+    auto& body = *message.mutable_renew();
+    body.set_service(m_record.service.value());
+    body.set_id(m_record.id.value());
+    body.set_started(m_record.started.value());
+    body.set_sequence(m_record.sequence);
+    return send(std::move(message));
+}
+
+void announcer::fail_over(time_point now)
+{
+    m_waiting_answer = false;
+    m_accepted = false;
+    m_tries = 0;
+    m_home = (m_home + 1) % m_order.size();
+    m_return_at = now + jittered(m_settings.return_after);
+    if (++m_failed_observers >= m_order.size())
+    {
+        m_failed_observers = 0;
+        m_next = now + jittered(m_backoff);
+        m_backoff = std::min(m_backoff * 2, m_settings.backoff_limit);
+    }
+}
+
+duration announcer::jittered(duration time)
+{
+    std::uniform_real_distribution<double> share(least_jitter, most_jitter);
+    return std::chrono::duration_cast<duration>(time * share(m_random));
+}
+
+std::vector<membership_send>
+announcer::send(wire::membership_message message) const
+{
+    std::vector<membership_send> out;
+    out.push_back(membership_send{home(), std::move(message)});
+    return out;
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/src/member_codec.cpp
@@ -0,0 +1,234 @@
+#include "member_codec.hpp"
+
+#include "crowlink/base/hash.hpp"
+#include "crowlink/membership/balancer_record.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <string_view>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+constexpr std::size_t longest_name = 255;
+constexpr std::size_t most_places = 256;
+constexpr std::uint32_t usual_weight = 100;
+constexpr std::uint32_t highest_weight = 1000;
+constexpr std::uint32_t highest_port = 65535;
+constexpr std::size_t v4_size = 4;
+constexpr std::size_t v4_offset = ip_address::byte_count - v4_size;
+
+void write_address(const ip_address& address, std::string& out)
+{
+    const auto* bytes =
+        reinterpret_cast<const char*>(address.bytes().data()); // NOLINT
+    if (address.is_v4())
+    {
+        out.assign(bytes + v4_offset, v4_size);
+        return;
+    }
+    out.assign(bytes, ip_address::byte_count);
+}
+
+result<endpoint> read_endpoint(const std::string& bytes, std::uint32_t port)
+{
+    if (port > highest_port)
+    {
+        return fail(error_kind::invalid, "port", "is above 65535");
+    }
+    const auto number = static_cast<std::uint16_t>(port);
+    if (bytes.size() == v4_size)
+    {
+        std::array<std::uint8_t, v4_size> v4{};
+        std::memcpy(v4.data(), bytes.data(), v4.size());
+        return endpoint{ip_address::from_v4(v4), number};
+    }
+    if (bytes.size() != ip_address::byte_count)
+    {
+        return fail(error_kind::invalid, "address", "has not 4 or 16 bytes");
+    }
+    ip_address::bytes_type all{};
+    std::memcpy(all.data(), bytes.data(), all.size());
+    return endpoint{ip_address(all), number};
+}
+
+std::uint64_t hash_endpoint(const endpoint& value, std::uint64_t seed)
+{
+    const auto& bytes = value.address.bytes();
+    const std::string_view view(
+        reinterpret_cast<const char*>(bytes.data()), // NOLINT
+        bytes.size());
+    return combine_hash(stable_hash(view, seed), value.port);
+}
+
+result<upstream_record> read_version(const wire::member& in)
+{
+    if (in.id().empty() || in.id().size() > longest_name)
+    {
+        return fail(error_kind::invalid, "id", "has not 1 to 255 bytes");
+    }
+    if (in.state() > static_cast<std::uint32_t>(upstream_state::gone))
+    {
+        return fail(error_kind::invalid, "state", "is unknown");
+    }
+    upstream_record record;
+    record.id = upstream_id(in.id());
+    record.service = service_id(in.service());
+    record.started = incarnation(in.started());
+    record.sequence = in.sequence();
+    record.state = static_cast<upstream_state>(in.state());
+    return record;
+}
+
+} // namespace
+
+std::uint32_t index_of(name_list& names, const std::string& name)
+{
+    for (int index = 0; index < names.size(); ++index)
+    {
+        if (names[index] == name)
+        {
+            return static_cast<std::uint32_t>(index);
+        }
+    }
+    *names.Add() = name;
+    return static_cast<std::uint32_t>(names.size() - 1);
+}
+
+void write_member(const upstream_record& record, name_list& places,
+                  wire::member& out)
+{
+    out.set_service(record.service.value());
+    out.set_id(record.id.value());
+    out.set_started(record.started.value());
+    out.set_sequence(record.sequence);
+    out.set_state(static_cast<std::uint32_t>(record.state));
+    if (record.state == upstream_state::gone)
+    {
+        return;
+    }
+    write_address(record.agent.address, *out.mutable_address());
+    out.set_port(record.agent.port);
+    out.set_place(index_of(places, record.where.value()));
+    out.set_weight(record.weight == usual_weight ? 0 : record.weight);
+}
+
+result<upstream_record> read_member(const wire::member& in,
+                                    const name_list& places)
+{
+    auto record = read_version(in);
+    if (!record || record->state == upstream_state::gone)
+    {
+        return record;
+    }
+    const auto agent = read_endpoint(in.address(), in.port());
+    if (!agent)
+    {
+        return tl::unexpected<error>(agent.error());
+    }
+    const auto place_count = static_cast<std::uint32_t>(places.size());
+    if (in.place() >= place_count || place_count > most_places)
+    {
+        return fail(error_kind::invalid, "place", "is not in the list");
+    }
+    if (in.weight() > highest_weight)
+    {
+        return fail(error_kind::invalid, "weight", "is above 1000");
+    }
+    record->agent = *agent;
+    record->where = place_id(places[static_cast<int>(in.place())]);
+    record->weight = in.weight() == 0 ? usual_weight : in.weight();
+    return record;
+}
+
+void write_service(const service& declared, wire::service_declaration& out)
+{
+    out.set_id(declared.id.value());
+    out.set_name(declared.name);
+    out.set_protocol(static_cast<std::uint32_t>(declared.protocol));
+    for (const endpoint& address : declared.addresses)
+    {
+        auto& to = *out.add_addresses();
+        write_address(address.address, *to.mutable_address());
+        to.set_port(address.port);
+    }
+    out.set_slots(declared.limits.slots);
+    out.set_connections(declared.limits.connections);
+    out.set_goal(static_cast<std::uint32_t>(declared.sharing.goal));
+    out.set_candidates(declared.sharing.candidates);
+    out.set_cold_start_ns(
+        static_cast<std::uint64_t>(declared.sharing.cold_start.count()));
+    out.set_silent_after_ns(
+        static_cast<std::uint64_t>(declared.sharing.silent_after.count()));
+    for (const request_kind& kind : declared.kinds)
+    {
+        auto& to = *out.add_kinds();
+        to.set_name(kind.name);
+        to.set_weight(kind.weight);
+        to.set_idempotent(kind.idempotent);
+    }
+}
+
+result<service> read_service(const wire::service_declaration& in)
+{
+    if (in.id() >= first_balancer_group)
+    {
+        return fail(error_kind::invalid, "id", "is a group of balancers");
+    }
+    service out;
+    out.id = service_id(in.id());
+    out.name = in.name();
+    out.protocol = static_cast<transport>(in.protocol());
+    for (const auto& address : in.addresses())
+    {
+        const auto read = read_endpoint(address.address(), address.port());
+        if (!read)
+        {
+            return tl::unexpected<error>(read.error());
+        }
+        out.addresses.push_back(*read);
+    }
+    out.limits.slots = in.slots();
+    out.limits.connections = in.connections();
+    out.sharing.goal = static_cast<service_goal>(in.goal());
+    out.sharing.candidates = in.candidates();
+    out.sharing.cold_start =
+        duration(static_cast<duration::rep>(in.cold_start_ns()));
+    out.sharing.silent_after =
+        duration(static_cast<duration::rep>(in.silent_after_ns()));
+    for (const auto& kind : in.kinds())
+    {
+        out.kinds.push_back(
+            request_kind{kind.name(), kind.weight(), kind.idempotent()});
+    }
+    return out;
+}
+
+std::uint64_t content_hash(const upstream_record& record, bool drained)
+{
+    if (record.state == upstream_state::gone)
+    {
+        return 0;
+    }
+    std::uint64_t hash = stable_hash(record.id.value(), record.service.value());
+    hash = combine_hash(hash, record.started.value());
+    hash = hash_endpoint(record.agent, hash);
+    hash = stable_hash(record.where.value(), hash);
+    hash = combine_hash(hash, record.weight);
+    hash = combine_hash(hash, static_cast<std::uint64_t>(record.state));
+    return combine_hash(hash, drained ? 1 : 0) | 1U;
+}
+
+std::uint64_t content_hash(const service& declared)
+{
+    wire::service_declaration message;
+    write_service(declared, message);
+    // The message has no map fields, so its encoding is deterministic.
+    return stable_hash(message.SerializeAsString()) | 1U;
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/src/observer.cpp
@@ -0,0 +1,477 @@
+#include "crowlink/membership/observer.hpp"
+
+#include "change_batch.hpp"
+#include "crowlink/base/hash.hpp"
+#include "member_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink
+{
+
+using internal::observed_record;
+using internal::record_key;
+
+namespace
+{
+
+record_key key_of(const upstream_record& record)
+{
+    return record_key{record.service, record.id};
+}
+
+bool is_gone(const upstream_record& record)
+{
+    return record.state == upstream_state::gone;
+}
+
+bool same_version(const upstream_record& first, const upstream_record& second)
+{
+    return first.started == second.started && first.sequence == second.sequence;
+}
+
+// Whether a record takes the place of the held one. Every observer decides
+// alike, whatever order records come in.
+bool supersedes(const observed_record& next, const observed_record& held)
+{
+    if (!same_version(next.record, held.record))
+    {
+        return newer(next.record, held.record);
+    }
+    if (is_gone(next.record) != is_gone(held.record))
+    {
+        return is_gone(next.record);
+    }
+    return next.home > held.home;
+}
+
+std::uint64_t version_hash(const observed_record& held)
+{
+    if (is_gone(held.record))
+    {
+        return 0;
+    }
+    const std::uint64_t content = internal::content_hash(held.record, false);
+    const std::uint64_t version = combine_hash(content, held.record.sequence);
+    return stable_hash(held.home.value(), version) | 1U;
+}
+
+wire::membership_message answer(const wire::announcement_answer& body)
+{
+    wire::membership_message message;
+    *message.mutable_answer() = body;
+    return message;
+}
+
+template <class Request>
+wire::announcement_answer answer_to(const Request& request)
+{
+    wire::announcement_answer out;
+    out.set_service(request.service());
+    out.set_id(request.id());
+    out.set_started(request.started());
+    out.set_sequence(request.sequence());
+    return out;
+}
+
+} // namespace
+
+observer_output refuse_announcement(const host_id& from,
+                                    const wire::membership_message& in)
+{
+    auto body = in.has_announce() ? answer_to(in.announce().record())
+                                  : answer_to(in.renew());
+    body.set_status(wire::ANNOUNCEMENT_FORBIDDEN);
+    observer_output out;
+    out.sends.push_back(membership_send{from, answer(body)});
+    return out;
+}
+
+observer::observer(observer_settings settings, time_point now)
+    : m_settings(std::move(settings))
+    , m_peers(m_settings, now)
+    , m_window_start(now)
+    , m_started(now)
+    , m_last_tick(now)
+    , m_next_heartbeat(now)
+    , m_next_digest(now)
+    , m_next_judgement(now)
+    , m_ready(m_settings.peers.empty())
+{
+}
+
+const upstream_record* observer::find(service_id service,
+                                      const upstream_id& id) const
+{
+    const auto found = m_records.find(record_key{service, id});
+    return found == m_records.end() ? nullptr : &found->second.record;
+}
+
+std::vector<region_age> observer::cut_regions(time_point now) const
+{
+    return m_peers.cut_regions(now);
+}
+
+observer_output observer::handle(time_point now, const host_id& from,
+                                 const wire::membership_message& in)
+{
+    observer_output out;
+    if (in.has_announce())
+    {
+        announced(now, from, in.announce(), out);
+        return out;
+    }
+    if (in.has_renew())
+    {
+        renewed(now, from, in.renew(), out);
+        return out;
+    }
+    if (!m_peers.known(from))
+    {
+        m_metrics.count("membership_strangers_total");
+        return out;
+    }
+    if (in.has_changes())
+    {
+        changes(now, in.changes(), out);
+    }
+    else if (in.has_heartbeat())
+    {
+        const bool was_silent = m_peers.silent_directly(now, from);
+        heartbeat(now, from, in.heartbeat());
+        if (was_silent)
+        {
+            send_digest(from, out);
+        }
+    }
+    else if (in.has_digest())
+    {
+        digest(now, from, in.digest(), out);
+    }
+    return out;
+}
+
+void observer::announced(time_point now, const host_id& from,
+                         const wire::announcement& in, observer_output& out)
+{
+    const auto record = internal::read_member(in.record(), in.places());
+    if (!record)
+    {
+        m_metrics.count("membership_malformed_total");
+        return;
+    }
+    auto body = answer_to(in.record());
+    observed_record next;
+    next.record = *record;
+    next.home = m_settings.self.id;
+    next.lease_until = now + m_settings.lease;
+    next.gone_at = now;
+    const auto held = m_records.find(key_of(*record));
+    if (merge(next, out))
+    {
+        m_unsent.insert(key_of(*record));
+    }
+    else if (held == m_records.end())
+    {
+        m_metrics.count("membership_table_full_total");
+        return;
+    }
+    else if (!same_version(held->second.record, *record))
+    {
+        body.set_status(wire::ANNOUNCEMENT_OLDER);
+        body.set_newest_started(held->second.record.started.value());
+    }
+    else if (is_gone(held->second.record) != is_gone(*record) ||
+             held->second.home != m_settings.self.id)
+    {
+        body.set_status(wire::ANNOUNCEMENT_UNKNOWN);
+    }
+    else
+    {
+        held->second.lease_until = now + m_settings.lease;
+    }
+    out.sends.push_back(membership_send{from, answer(body)});
+}
+
+void observer::renewed(time_point now, const host_id& from,
+                       const wire::renewal& in, observer_output& out)
+{
+    auto body = answer_to(in);
+    const record_key key{service_id(in.service()), upstream_id(in.id())};
+    const auto held = m_records.find(key);
+    const bool holds = held != m_records.end() &&
+                       held->second.home == m_settings.self.id &&
+                       !is_gone(held->second.record) &&
+                       held->second.record.started.value() == in.started() &&
+                       held->second.record.sequence == in.sequence();
+    if (holds)
+    {
+        held->second.lease_until = now + m_settings.lease;
+    }
+    else if (held != m_records.end() &&
+             held->second.record.started.value() > in.started())
+    {
+        body.set_status(wire::ANNOUNCEMENT_OLDER);
+        body.set_newest_started(held->second.record.started.value());
+    }
+    else
+    {
+        body.set_status(wire::ANNOUNCEMENT_UNKNOWN);
+    }
+    out.sends.push_back(membership_send{from, answer(body)});
+}
+
+void observer::changes(time_point now, const wire::observer_changes& in,
+                       observer_output& out)
+{
+    for (const wire::member& member : in.members())
+    {
+        const auto record = internal::read_member(member, in.places());
+        if (!record || member.home() >= static_cast<std::uint32_t>(
+                                            std::max(0, in.homes_size())))
+        {
+            m_metrics.count("membership_malformed_total");
+            continue;
+        }
+        const std::chrono::seconds gone_for(member.gone_for());
+        if (is_gone(*record) && gone_for >= m_settings.tombstone_life)
+        {
+            continue;
+        }
+        observed_record next;
+        next.record = *record;
+        next.home = host_id(in.homes(static_cast<int>(member.home())));
+        next.gone_at = now - gone_for;
+        // Of the own ones that a restart forgot, the announcers will renew.
+        next.lease_until = now + m_settings.lease + m_settings.orphan_grace;
+        merge(std::move(next), out);
+    }
+}
+
+void observer::heartbeat(time_point now, const host_id& from,
+                         const wire::observer_heartbeat& in)
+{
+    std::vector<host_id> heard;
+    for (const std::string& name : in.heard())
+    {
+        heard.emplace_back(name);
+    }
+    std::set<place_id> lost;
+    for (const wire::place_report& report : in.reports())
+    {
+        if (report.lost())
+        {
+            lost.emplace(report.place());
+        }
+    }
+    m_peers.heard(now, from, heard, std::move(lost));
+}
+
+// Keeps the held record, or replaces it if the next one supersedes it.
+bool observer::merge(observed_record next, observer_output& out)
+{
+    const record_key key = key_of(next.record);
+    const auto found = m_records.find(key);
+    if (found != m_records.end())
+    {
+        if (!supersedes(next, found->second))
+        {
+            return false;
+        }
+        store(found->second, std::move(next), out);
+        return true;
+    }
+    if (m_records.size() >= m_settings.record_capacity)
+    {
+        return false;
+    }
+    observed_record& held = m_records[key];
+    held.record.state = upstream_state::gone;
+    store(held, std::move(next), out);
+    return true;
+}
+
+void observer::store(observed_record& held, observed_record next,
+                     observer_output& out)
+{
+    const std::uint64_t before = internal::content_hash(held.record, false);
+    const std::uint64_t after = internal::content_hash(next.record, false);
+    const std::size_t bucket =
+        internal::bucket_of(next.record.service, next.record.id);
+    next.bucket = static_cast<std::uint8_t>(bucket);
+    next.hash = version_hash(next);
+    m_book.replace(next.record.service, bucket, held.hash, next.hash);
+    m_living += is_gone(next.record) ? 0 : 1;
+    m_living -= is_gone(held.record) ? 0 : 1;
+    held = std::move(next);
+    if (before != after)
+    {
+        out.records.push_back(held.record);
+    }
+}
+
+observer_output observer::tick(time_point now)
+{
+    observer_output out;
+    forgive_pause(now);
+    m_last_tick = now;
+    send_changes(out);
+    if (now >= m_next_heartbeat)
+    {
+        m_next_heartbeat = now + m_settings.heartbeat_every;
+        send_heartbeats(now, out);
+    }
+    if (now >= m_next_digest)
+    {
+        m_next_digest = now + m_settings.digest_every;
+        send_next_digest(out);
+    }
+    if (now >= m_next_judgement)
+    {
+        m_next_judgement = now + m_settings.judge_every;
+        judge(now, out);
+    }
+    if (now - m_started > m_settings.start_grace && !m_peers.any_heard())
+    {
+        m_ready = true;
+    }
+    return out;
+}
+
+// After a pause of this process, leases that ran out meanwhile mean nothing.
+void observer::forgive_pause(time_point now)
+{
+    if (now - m_last_tick <= m_settings.lease / 2)
+    {
+        return;
+    }
+    m_metrics.count("membership_pauses_total");
+    m_peers.forgive(now);
+    for (auto& each : m_records)
+    {
+        time_point& until = each.second.lease_until;
+        until = std::max(until, now + m_settings.lease);
+    }
+}
+
+void observer::send_changes(observer_output& out)
+{
+    internal::change_batch batch(m_settings.records_a_message);
+    for (const record_key& key : m_unsent)
+    {
+        const auto found = m_records.find(key);
+        if (found != m_records.end())
+        {
+            batch.add(found->second, m_last_tick);
+        }
+    }
+    m_unsent.clear();
+    const auto messages = batch.take();
+    for (const observer_info& peer : m_settings.peers)
+    {
+        for (const wire::membership_message& message : messages)
+        {
+            out.sends.push_back(membership_send{peer.id, message});
+        }
+    }
+}
+
+void observer::send_heartbeats(time_point now, observer_output& out) const
+{
+    wire::membership_message message;
+    auto& body = *message.mutable_heartbeat();
+    for (const host_id& each : m_peers.directly_heard(now))
+    {
+        body.add_heard(each.value());
+    }
+    for (const auto& report : m_own_reports)
+    {
+        auto& to = *body.add_reports();
+        to.set_place(report.first.value());
+        to.set_lost(true);
+    }
+    for (const observer_info& peer : m_settings.peers)
+    {
+        out.sends.push_back(membership_send{peer.id, message});
+    }
+}
+
+void observer::send_next_digest(observer_output& out)
+{
+    if (m_settings.peers.empty())
+    {
+        return;
+    }
+    m_next_peer = (m_next_peer + 1) % m_settings.peers.size();
+    send_digest(m_settings.peers[m_next_peer].id, out);
+}
+
+void observer::send_digest(const host_id& to, observer_output& out) const
+{
+    wire::membership_message message;
+    auto& body = *message.mutable_digest();
+    for (const std::uint64_t bucket : m_book.buckets())
+    {
+        body.add_buckets(bucket);
+    }
+    out.sends.push_back(membership_send{to, std::move(message)});
+}
+
+void observer::digest(time_point now, const host_id& from,
+                      const wire::observer_digest& in, observer_output& out)
+{
+    if (in.buckets_size() != static_cast<int>(m_book.buckets().size()))
+    {
+        m_metrics.count("membership_malformed_total");
+        return;
+    }
+    if (std::equal(in.buckets().begin(), in.buckets().end(),
+                   m_book.buckets().begin()))
+    {
+        m_ready = true;
+        return;
+    }
+    m_metrics.count("membership_digest_differences_total");
+    const auto chosen = buckets_to_send(in);
+    internal::change_batch batch(m_settings.records_a_message);
+    for (const auto& each : m_records)
+    {
+        if (chosen[each.second.bucket])
+        {
+            batch.add(each.second, now);
+        }
+    }
+    for (wire::membership_message& message : batch.take())
+    {
+        out.sends.push_back(membership_send{from, std::move(message)});
+    }
+}
+
+// As many differing buckets as one answer may hold, from a place that moves
+// on, so that a great difference is repaired over several digests.
+std::vector<bool> observer::buckets_to_send(const wire::observer_digest& in)
+{
+    constexpr std::size_t all = internal::digest_book::bucket_count;
+    const std::size_t records =
+        m_settings.records_a_message * m_settings.messages_a_digest;
+    std::size_t left = std::max<std::size_t>(
+        1, records * all / std::max<std::size_t>(1, m_records.size()));
+    std::vector<bool> chosen(all, false);
+    for (std::size_t step = 0; step < all && left > 0; ++step)
+    {
+        const std::size_t bucket = (m_first_bucket + step) % all;
+        if (in.buckets(static_cast<int>(bucket)) != m_book.buckets()[bucket])
+        {
+            chosen[bucket] = true;
+            --left;
+        }
+        if (left == 0)
+        {
+            m_first_bucket = bucket + 1;
+        }
+    }
+    return chosen;
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/src/observer_judgement.cpp
@@ -0,0 +1,289 @@
+#include "crowlink/membership/observer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink
+{
+
+using internal::observed_record;
+
+// Silence is judged in three steps: mark what is silent, decide which whole
+// places are lost, then expire one by one what remains, under a cap.
+void observer::judge(time_point now, observer_output& out)
+{
+    refresh_homes(now);
+    m_counts.clear();
+    for (auto& each : m_records)
+    {
+        if (each.second.record.state != upstream_state::gone)
+        {
+            count(now, each.second);
+        }
+    }
+    report_places(now);
+    m_held_back = seems_cut_off(now);
+    if (m_held_back)
+    {
+        m_metrics.count("membership_held_back_total");
+        return;
+    }
+    if (m_peers.own_region_heard(now))
+    {
+        judge_places(now, out);
+    }
+    expire_silent(now, out);
+}
+
+// Whether the silence is more likely this host's own: most of its leases ran
+// out while it hears less than half of its region's observers, or nearly all
+// while nobody could confirm it. What is known is then kept as it is.
+bool observer::seems_cut_off(time_point now) const
+{
+    constexpr std::size_t least_leases = 3;
+    std::size_t own = 0;
+    std::size_t silent = 0;
+    for (const auto& each : m_counts)
+    {
+        own += each.second.own;
+        silent += each.second.own_silent;
+    }
+    if (!m_peers.own_region_heard(now))
+    {
+        return silent * 2 >= own;
+    }
+    const double nearly_all = m_settings.place_share * static_cast<double>(own);
+    return !m_peers.neighbour_heard(now) && own >= least_leases &&
+           static_cast<double>(silent) >= nearly_all;
+}
+
+void observer::refresh_homes(time_point now)
+{
+    const bool next_window = now - m_window_start >= m_settings.expiry_window &&
+                             m_peers.own_region_heard(now);
+    if (next_window)
+    {
+        m_window_start = now;
+    }
+    const std::map<host_id, home_status> before = std::move(m_homes);
+    m_homes.clear();
+    for (const auto& each : before)
+    {
+        // A home without records is forgotten.
+        if (each.second.population != 0 && !next_window)
+        {
+            status_of(now, each.first).expired_in_window =
+                each.second.expired_in_window;
+        }
+    }
+}
+
+observer::home_status& observer::status_of(time_point now, const host_id& home)
+{
+    const auto found = m_homes.find(home);
+    if (found != m_homes.end())
+    {
+        return found->second;
+    }
+    home_status status;
+    status.own = home == m_settings.self.id;
+    status.cut = m_peers.region_cut(now, home);
+    status.silent = m_peers.silent(now, home, m_settings.peer_timeout);
+    const duration limit =
+        status.cut ? m_settings.keep_unreachable : m_settings.orphan_grace;
+    status.orphaned = m_peers.silent(now, home, limit);
+    return m_homes.emplace(home, status).first->second;
+}
+
+void observer::count(time_point now, observed_record& held)
+{
+    home_status& home = status_of(now, held.home);
+    place_count& place = m_counts[held.record.where];
+    const bool reported = m_peers.reports_lost(held.home, held.record.where);
+    const bool unheard = home.cut ? home.orphaned : home.silent || reported;
+    const bool silent = home.own ? held.lease_until < now : unheard;
+    const bool suspect =
+        home.own ? silent : home.orphaned || (reported && !home.cut);
+    if (suspect && (m_held_back || !held.suspect))
+    {
+        held.suspect_since = now;
+    }
+    held.suspect = suspect;
+    const bool acted_on = settled(now, held);
+    ++home.population;
+    ++place.living;
+    place.silent += silent ? 1 : 0;
+    place.settled += acted_on ? 1 : 0;
+    place.own += home.own ? 1 : 0;
+    place.own_silent += home.own && silent ? 1 : 0;
+    place.own_settled += home.own && acted_on ? 1 : 0;
+}
+
+bool observer::settled(time_point now, const observed_record& held) const
+{
+    return held.suspect && now - held.suspect_since >= m_settings.settle;
+}
+
+// Reports to the other observers the places of which this home has lost all or
+// nearly all leases, and keeps the time at which the report began.
+void observer::report_places(time_point now)
+{
+    for (const auto& each : m_counts)
+    {
+        const place_count& place = each.second;
+        const double least =
+            m_settings.place_share * static_cast<double>(place.own);
+        const bool lost =
+            place.own > 0 && static_cast<double>(place.own_settled) >= least;
+        if (lost)
+        {
+            m_own_reports.emplace(each.first, now);
+            continue;
+        }
+        m_own_reports.erase(each.first);
+    }
+}
+
+void observer::judge_places(time_point now, observer_output& out)
+{
+    // The settled ones must be a fair part, so that the death of an observer
+    // that is home to most of a place does not count as the place's.
+    constexpr std::size_t settled_part = 3;
+    for (const auto& each : m_counts)
+    {
+        const place_count& place = each.second;
+        const double least =
+            m_settings.place_share * static_cast<double>(place.living);
+        const bool silent = static_cast<double>(place.silent) >= least;
+        const bool was_lost = m_lost_places.count(each.first) != 0;
+        if (was_lost && !silent)
+        {
+            place_back(now, each.first, out);
+        }
+        const bool enough = place.living >= m_settings.place_members &&
+                            place.settled * settled_part >= place.living;
+        if (!was_lost && silent && enough)
+        {
+            place_lost(now, each.first, out);
+        }
+    }
+    const std::set<place_id> lost = m_lost_places;
+    for (const place_id& where : lost)
+    {
+        if (m_counts.count(where) == 0)
+        {
+            place_back(now, where, out);
+        }
+    }
+}
+
+void observer::place_lost(time_point now, const place_id& where,
+                          observer_output& out)
+{
+    m_lost_places.insert(where);
+    m_lost_since[where] = now;
+    m_metrics.count("membership_places_lost_total");
+    out.places.push_back(place_change{where, true});
+}
+
+// The members of a place that is back get the time to say so themselves.
+void observer::place_back(time_point now, const place_id& where,
+                          observer_output& out)
+{
+    m_lost_places.erase(where);
+    m_lost_since.erase(where);
+    m_metrics.count("membership_places_back_total");
+    out.places.push_back(place_change{where, false});
+    for (auto& each : m_records)
+    {
+        if (each.second.record.where == where)
+        {
+            each.second.suspect_since = now;
+        }
+    }
+}
+
+void observer::expire_silent(time_point now, observer_output& out)
+{
+    for (auto each = m_records.begin(); each != m_records.end();)
+    {
+        if (purge(now, each->second))
+        {
+            each = m_records.erase(each);
+            continue;
+        }
+        if (may_expire(now, each->second))
+        {
+            observed_record next = each->second;
+            next.record.state = upstream_state::gone;
+            next.gone_at = now;
+            next.suspect = false;
+            const bool own = next.home == m_settings.self.id;
+            store(each->second, std::move(next), out);
+            m_metrics.count("membership_expired_total");
+            // Of a dead home's records every observer judges by itself.
+            if (own)
+            {
+                m_unsent.insert(each->first);
+            }
+        }
+        ++each;
+    }
+}
+
+bool observer::purge(time_point now, const observed_record& held) const
+{
+    return held.record.state == upstream_state::gone &&
+           now - held.gone_at >= m_settings.tombstone_life;
+}
+
+bool observer::may_expire(time_point now, const observed_record& held)
+{
+    const bool gone = held.record.state == upstream_state::gone;
+    if (gone || !settled(now, held))
+    {
+        return false;
+    }
+    home_status& home = status_of(now, held.home);
+    const bool judged_here =
+        home.own || (home.orphaned && m_peers.own_region_heard(now));
+    if (!judged_here)
+    {
+        return false;
+    }
+    const auto lost = m_lost_since.find(held.record.where);
+    if (lost != m_lost_since.end() &&
+        now - lost->second < m_settings.keep_unreachable)
+    {
+        return false;
+    }
+    const auto report = m_own_reports.find(held.record.where);
+    const bool may_be_place =
+        m_counts[held.record.where].living >= m_settings.place_members;
+    if (may_be_place && report != m_own_reports.end() &&
+        now - report->second < m_settings.report_wait)
+    {
+        return false;
+    }
+    return within_cap(now, held, home);
+}
+
+bool observer::within_cap(time_point now, const observed_record& held,
+                          home_status& status) const
+{
+    const duration confirmed = m_settings.settle + m_settings.confirm_after;
+    if (now - held.suspect_since >= confirmed && m_peers.own_region_heard(now))
+    {
+        return true;
+    }
+    const auto share = static_cast<std::size_t>(
+        m_settings.expiry_share * static_cast<double>(status.population));
+    if (status.expired_in_window >= std::max(share, m_settings.expiry_least))
+    {
+        return false;
+    }
+    ++status.expired_in_window;
+    return true;
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/src/part_builder.cpp
@@ -0,0 +1,208 @@
+#include "part_builder.hpp"
+
+#include "crowlink/membership/balancer_record.hpp"
+#include "member_codec.hpp"
+
+#include <limits>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// Tag and length of a message within the part.
+constexpr std::size_t nested_bytes = 3;
+
+} // namespace
+
+bool selection::holds(service_id service) const
+{
+    return (all_services && !is_balancer_group(service)) ||
+           services.count(service) != 0;
+}
+
+service_id selection::next(service_id from) const
+{
+    if (all_services && !is_balancer_group(from))
+    {
+        return from;
+    }
+    const auto found = services.lower_bound(from);
+    return found == services.end()
+               ? service_id(std::numeric_limits<std::uint32_t>::max())
+               : *found;
+}
+
+bool part_builder::fill(wire::stream_part& part)
+{
+    add_changes(m_state.urgent(), m_session.urgent, part);
+    if (m_session.snapshot.active && !full())
+    {
+        add_snapshot(part);
+    }
+    if (!m_session.snapshot.active)
+    {
+        add_changes(m_state.ordinary(), m_session.ordinary, part);
+    }
+    return m_added;
+}
+
+void part_builder::add_changes(const change_log& log, std::uint64_t& position,
+                               wire::stream_part& part)
+{
+    for (; position < log.end() && !full(); ++position)
+    {
+        const logged_change& change = log.at(position);
+        if (m_session.wants.holds(change.key.service))
+        {
+            add_change(change, part);
+        }
+    }
+}
+
+// Adds what is current, unless a later entry of a log will.
+void part_builder::add_change(const logged_change& change,
+                              wire::stream_part& part)
+{
+    if (change.key.id.value().empty())
+    {
+        const auto found = m_state.services().find(change.key.service);
+        if (found != m_state.services().end() &&
+            found->second.change == change.number)
+        {
+            add_declaration(found->first, found->second, part);
+        }
+        return;
+    }
+    const auto found = m_state.records().find(change.key);
+    if (found != m_state.records().end() &&
+        found->second.change == change.number)
+    {
+        add_record(found->second, part);
+    }
+}
+
+// Walks declarations and records in one order, service by service: of each
+// first its declaration, then its members.
+void part_builder::add_snapshot(wire::stream_part& part)
+{
+    snapshot_cursor& cursor = m_session.snapshot;
+    while (!full())
+    {
+        if (!cursor.declarations_done)
+        {
+            service_id found;
+            if (!next_service(cursor.next.service, found))
+            {
+                end_snapshot(part);
+                return;
+            }
+            cursor.next = record_key{found, upstream_id()};
+            const auto declared = m_state.services().find(found);
+            if (declared != m_state.services().end() &&
+                cursor.covered[bucket_of(found, upstream_id())])
+            {
+                add_declaration(found, declared->second, part);
+            }
+            cursor.declarations_done = true;
+        }
+        add_members(part);
+    }
+    part.set_filling(cursor.next.service.value());
+}
+
+// Adds the members of the service that the cursor stands at; past the last one
+// the cursor moves to the next service.
+void part_builder::add_members(wire::stream_part& part)
+{
+    snapshot_cursor& cursor = m_session.snapshot;
+    auto record = m_state.records().lower_bound(cursor.next);
+    const service_id service = cursor.next.service;
+    for (;
+         record != m_state.records().end() && record->first.service == service;
+         ++record)
+    {
+        if (full())
+        {
+            cursor.next = record->first;
+            return;
+        }
+        if (cursor.covered[bucket_of(service, record->first.id)])
+        {
+            add_record(record->second, part);
+        }
+    }
+    cursor.declarations_done = false;
+    cursor.next = record_key{service_id(service.value() + 1), upstream_id()};
+}
+
+// The first service at or after a number that is wanted and known.
+bool part_builder::next_service(service_id from, service_id& found) const
+{
+    const auto& services = m_state.services();
+    const auto& records = m_state.records();
+    while (true)
+    {
+        const service_id wanted = m_session.wants.next(from);
+        const auto declared = services.lower_bound(wanted);
+        const auto record =
+            records.lower_bound(record_key{wanted, upstream_id()});
+        if (declared == services.end() && record == records.end())
+        {
+            return false;
+        }
+        const bool by_record = declared == services.end() ||
+                               (record != records.end() &&
+                                record->first.service < declared->first);
+        found = by_record ? record->first.service : declared->first;
+        if (m_session.wants.holds(found))
+        {
+            return true;
+        }
+        from = found;
+    }
+}
+
+void part_builder::add_declaration(service_id id, const published_service& held,
+                                   wire::stream_part& part)
+{
+    auto& out = *part.add_declared();
+    if (held.removed)
+    {
+        out.set_id(id.value());
+        out.set_removed(true);
+    }
+    else
+    {
+        write_service(held.declared, out);
+    }
+    m_size += out.ByteSizeLong() + nested_bytes;
+    m_added = true;
+}
+
+void part_builder::add_record(const published_record& held,
+                              wire::stream_part& part)
+{
+    auto& out = *part.add_members();
+    write_member(held.record, *part.mutable_places(), out);
+    out.set_drained(held.drained);
+    m_size += out.ByteSizeLong() + nested_bytes;
+    m_added = true;
+}
+
+void part_builder::end_snapshot(wire::stream_part& part)
+{
+    m_session.snapshot.active = false;
+    part.set_snapshot_end(true);
+    for (std::size_t bucket = 0; bucket < digest_book::bucket_count; ++bucket)
+    {
+        if (m_session.snapshot.covered[bucket])
+        {
+            part.add_covered(static_cast<std::uint32_t>(bucket));
+        }
+    }
+    m_added = true;
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/src/part_builder.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "crowlink/membership/published_state.hpp"
+#include "crowlink/membership/publisher_session.hpp"
+
+#include <membership.pb.h>
+
+#include <cstddef>
+
+namespace crowlink::internal
+{
+
+// Fills one part of a stream up to a number of bytes, in the order of
+// priority: urgent changes, the snapshot, other changes.
+class part_builder
+{
+public:
+    part_builder(const published_state& state, publisher_session& session,
+                 std::size_t limit)
+        : m_state(state), m_session(session), m_limit(limit)
+    {
+    }
+
+    // Yields whether anything was added.
+    bool fill(wire::stream_part& part);
+
+private:
+    bool full() const { return m_size >= m_limit; }
+    void add_changes(const change_log& log, std::uint64_t& position,
+                     wire::stream_part& part);
+    void add_change(const logged_change& change, wire::stream_part& part);
+    void add_snapshot(wire::stream_part& part);
+    bool next_service(service_id from, service_id& found) const;
+    void add_declaration(service_id id, const published_service& held,
+                         wire::stream_part& part);
+    void add_record(const published_record& held, wire::stream_part& part);
+    void end_snapshot(wire::stream_part& part);
+    void add_members(wire::stream_part& part);
+
+    const published_state& m_state;
+    publisher_session& m_session;
+    std::size_t m_limit;
+    std::size_t m_size = 0;
+    bool m_added = false;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/src/peer_board.cpp
@@ -0,0 +1,161 @@
+#include "crowlink/membership/peer_board.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink::internal
+{
+
+peer_board::peer_board(const observer_settings& settings, time_point now)
+    : m_self(settings.self.id)
+    , m_region(settings.self.region)
+    , m_timeout(settings.peer_timeout)
+{
+    for (const observer_info& each : settings.peers)
+    {
+        m_peers.emplace(each.id, known_peer{each, now, now, {}});
+    }
+}
+
+time_point peer_board::latest(const known_peer& value)
+{
+    return std::max(value.direct, value.indirect);
+}
+
+void peer_board::heard(time_point now, const host_id& from,
+                       const std::vector<host_id>& heard_by_it,
+                       std::set<place_id> lost_places)
+{
+    const auto found = m_peers.find(from);
+    if (found == m_peers.end())
+    {
+        return;
+    }
+    m_any_heard = true;
+    found->second.direct = now;
+    found->second.lost_places = std::move(lost_places);
+    for (const host_id& each : heard_by_it)
+    {
+        const auto other = m_peers.find(each);
+        if (other != m_peers.end())
+        {
+            other->second.indirect = now;
+        }
+    }
+}
+
+bool peer_board::silent(time_point now, const host_id& peer,
+                        duration time) const
+{
+    if (peer == m_self)
+    {
+        return false;
+    }
+    const auto found = m_peers.find(peer);
+    // A home that the settings no longer name is gone for good.
+    return found == m_peers.end() || now - latest(found->second) > time;
+}
+
+bool peer_board::silent_directly(time_point now, const host_id& peer) const
+{
+    const auto found = m_peers.find(peer);
+    return found != m_peers.end() && now - found->second.direct > m_timeout;
+}
+
+bool peer_board::region_cut(time_point now, const host_id& peer) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || found->second.info.region == m_region)
+    {
+        return false;
+    }
+    return now - region_heard(peer) > m_timeout;
+}
+
+time_point peer_board::region_heard(const host_id& peer) const
+{
+    const region_id& region = m_peers.at(peer).info.region;
+    time_point newest{};
+    for (const auto& each : m_peers)
+    {
+        if (each.second.info.region == region)
+        {
+            newest = std::max(newest, latest(each.second));
+        }
+    }
+    return newest;
+}
+
+bool peer_board::reports_lost(const host_id& peer, const place_id& where) const
+{
+    const auto found = m_peers.find(peer);
+    return found != m_peers.end() &&
+           found->second.lost_places.count(where) != 0;
+}
+
+std::size_t peer_board::neighbours_heard(time_point now) const
+{
+    std::size_t heard = 0;
+    for (const auto& each : m_peers)
+    {
+        const bool near = each.second.info.region == m_region;
+        heard += near && now - each.second.direct <= m_timeout ? 1 : 0;
+    }
+    return heard;
+}
+
+bool peer_board::neighbour_heard(time_point now) const
+{
+    return neighbours_heard(now) > 0;
+}
+
+bool peer_board::own_region_heard(time_point now) const
+{
+    std::size_t all = 1;
+    for (const auto& each : m_peers)
+    {
+        all += each.second.info.region == m_region ? 1 : 0;
+    }
+    return (neighbours_heard(now) + 1) * 2 >= all;
+}
+
+std::vector<host_id> peer_board::directly_heard(time_point now) const
+{
+    std::vector<host_id> out;
+    for (const auto& each : m_peers)
+    {
+        if (now - each.second.direct <= m_timeout)
+        {
+            out.push_back(each.first);
+        }
+    }
+    return out;
+}
+
+std::vector<region_age> peer_board::cut_regions(time_point now) const
+{
+    std::map<region_id, duration> ages;
+    for (const auto& each : m_peers)
+    {
+        if (region_cut(now, each.first))
+        {
+            ages[each.second.info.region] = now - region_heard(each.first);
+        }
+    }
+    std::vector<region_age> out;
+    for (const auto& each : ages)
+    {
+        out.push_back(region_age{each.first, each.second});
+    }
+    return out;
+}
+
+void peer_board::forgive(time_point now)
+{
+    for (auto& each : m_peers)
+    {
+        each.second.indirect = now;
+    }
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/src/publisher.cpp
@@ -0,0 +1,330 @@
+#include "crowlink/membership/publisher.hpp"
+
+#include "crowlink/membership/balancer_record.hpp"
+#include "part_builder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink
+{
+
+using internal::digest_book;
+using internal::publisher_session;
+using internal::selection;
+
+namespace
+{
+
+// A part is not begun for less than this; it keeps parts from getting tiny.
+constexpr double least_part_bytes = 256;
+constexpr std::size_t most_listed_services = 65536;
+
+std::uint32_t whole_seconds(duration time)
+{
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(time).count();
+    return static_cast<std::uint32_t>(seconds);
+}
+
+selection selection_of(const wire::attach& in)
+{
+    selection out;
+    out.all_services = in.all_services();
+    for (const std::uint32_t service : in.services())
+    {
+        const service_id id(service);
+        if (!out.all_services || is_balancer_group(id))
+        {
+            out.services.insert(id);
+        }
+    }
+    return out;
+}
+
+// Adds the hashes of one service or group to the buckets.
+void add_service(const internal::published_state& state, service_id service,
+                 digest_book::bucket_array& out)
+{
+    const auto declared = state.services().find(service);
+    if (declared != state.services().end())
+    {
+        out[internal::bucket_of(service, upstream_id())] +=
+            declared->second.hash;
+    }
+    auto record = state.records().lower_bound(
+        internal::record_key{service, upstream_id()});
+    for (; record != state.records().end() && record->first.service == service;
+         ++record)
+    {
+        out[internal::bucket_of(service, record->first.id)] +=
+            record->second.hash;
+    }
+}
+
+// The bucket digests of what a node wants.
+digest_book::bucket_array buckets_of(const internal::published_state& state,
+                                     const selection& wants)
+{
+    digest_book::bucket_array out{};
+    if (wants.all_services)
+    {
+        out = state.book().service_buckets();
+    }
+    for (const service_id service : wants.services)
+    {
+        add_service(state, service, out);
+    }
+    return out;
+}
+
+std::uint64_t root_of(const digest_book& book, const selection& wants)
+{
+    std::uint64_t root = wants.all_services ? book.services_total() : 0;
+    for (const service_id service : wants.services)
+    {
+        root += book.of(service);
+    }
+    return root;
+}
+
+} // namespace
+
+publisher::publisher(publisher_settings settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_state(settings.change_capacity, settings.tombstone_life)
+    , m_random(seed)
+{
+}
+
+void publisher::document_changed(config_version version,
+                                 const system_document& next)
+{
+    m_state.set_document(version, next);
+}
+
+void publisher::record_changed(time_point now, const upstream_record& record)
+{
+    m_state.set_record(now, record);
+}
+
+void publisher::place_changed(const place_change& change)
+{
+    if (change.lost)
+    {
+        m_lost_places.insert(change.where);
+    }
+    else
+    {
+        m_lost_places.erase(change.where);
+    }
+    for (auto& each : m_sessions)
+    {
+        each.second.places_due = true;
+    }
+}
+
+void publisher::set_cut_regions(std::vector<region_age> ages)
+{
+    m_cut_regions = std::move(ages);
+}
+
+std::uint64_t publisher::bytes_sent(const host_id& node) const
+{
+    const auto found = m_sessions.find(node);
+    return found == m_sessions.end() ? 0 : found->second.bytes;
+}
+
+std::vector<membership_send>
+publisher::handle(time_point now, const host_id& from,
+                  const wire::membership_message& in)
+{
+    std::vector<membership_send> out;
+    if (in.has_attach_request())
+    {
+        attached(now, from, in.attach_request(), out);
+        return out;
+    }
+    if (!in.has_alive())
+    {
+        return out;
+    }
+    const auto found = m_sessions.find(from);
+    if (found != m_sessions.end() &&
+        found->second.stream == in.alive().stream())
+    {
+        found->second.heard = now;
+        return out;
+    }
+    wire::membership_message ended;
+    ended.mutable_ended()->set_stream(in.alive().stream());
+    out.push_back(membership_send{from, std::move(ended)});
+    return out;
+}
+
+void publisher::attached(time_point now, const host_id& from,
+                         const wire::attach& in,
+                         std::vector<membership_send>& out)
+{
+    const bool known = m_sessions.count(from) != 0;
+    const bool room = known || m_sessions.size() < m_settings.node_capacity;
+    const bool sound =
+        in.services_size() <= static_cast<int>(most_listed_services);
+    if (!m_ready || !room || !sound)
+    {
+        wire::membership_message refused;
+        refused.mutable_refused();
+        out.push_back(membership_send{from, std::move(refused)});
+        return;
+    }
+    const auto pace = known
+                          ? m_sessions[from].pace
+                          : internal::token_bucket(m_settings.bytes_a_second,
+                                                   m_settings.burst_bytes, now);
+    const std::uint64_t bytes = known ? m_sessions[from].bytes : 0;
+    publisher_session session;
+    session.wants = selection_of(in);
+    session.stream = static_cast<std::uint32_t>(m_random()) | 1U;
+    session.pace = pace;
+    session.bytes = bytes;
+    session.urgent = m_state.urgent().end();
+    session.ordinary = m_state.ordinary().end();
+    session.heard = now;
+    session.next_digest = now + m_settings.digest_every;
+    session.snapshot.active = true;
+    const auto buckets = buckets_of(m_state, session.wants);
+    const bool compared = in.buckets_size() == static_cast<int>(buckets.size());
+    for (std::size_t index = 0; index < buckets.size(); ++index)
+    {
+        const auto mine = static_cast<std::uint32_t>(buckets[index]);
+        session.snapshot.covered[index] =
+            !compared || in.buckets(static_cast<int>(index)) != mine;
+    }
+    m_sessions[from] = std::move(session);
+}
+
+std::vector<membership_send> publisher::tick(time_point now)
+{
+    std::vector<membership_send> out;
+    m_state.purge(now);
+    for (auto each = m_sessions.begin(); each != m_sessions.end();)
+    {
+        const bool kept = serve(now, each->first, each->second, out);
+        each = kept ? std::next(each) : m_sessions.erase(each);
+    }
+    return out;
+}
+
+// Yields whether the node is still served.
+bool publisher::serve(time_point now, const host_id& node,
+                      publisher_session& session,
+                      std::vector<membership_send>& out)
+{
+    if (now - session.heard > m_settings.node_timeout)
+    {
+        return false;
+    }
+    const bool lags = m_state.urgent().lost(session.urgent) ||
+                      m_state.ordinary().lost(session.ordinary);
+    if (lags)
+    {
+        wire::membership_message ended;
+        ended.mutable_ended()->set_stream(session.stream);
+        out.push_back(membership_send{node, std::move(ended)});
+        return false;
+    }
+    while (has_news(session))
+    {
+        if (session.pace.available(now) < least_part_bytes)
+        {
+            return true;
+        }
+        if (!send_part(now, node, session, out))
+        {
+            break;
+        }
+    }
+    if (now >= session.next_digest)
+    {
+        send_digest(now, node, session, out);
+    }
+    return true;
+}
+
+bool publisher::has_news(const publisher_session& session) const
+{
+    return session.places_due || session.snapshot.active ||
+           session.complete_version < m_state.version().value() ||
+           session.urgent < m_state.urgent().end() ||
+           session.ordinary < m_state.ordinary().end();
+}
+
+// Yields whether there was anything to send.
+bool publisher::send_part(time_point now, const host_id& node,
+                          publisher_session& session,
+                          std::vector<membership_send>& out)
+{
+    const double tokens = session.pace.available(now);
+    const auto limit =
+        std::min(static_cast<std::size_t>(tokens), m_settings.part_bytes) -
+        framing_bytes;
+    wire::membership_message message;
+    wire::stream_part& part = *message.mutable_part();
+    bool added = session.places_due;
+    if (session.places_due)
+    {
+        session.places_due = false;
+        part.set_lost_places_set(true);
+        for (const place_id& place : m_lost_places)
+        {
+            part.add_lost_places(place.value());
+        }
+    }
+    internal::part_builder builder(m_state, session, limit);
+    added = builder.fill(part) || added;
+    const std::uint64_t version = m_state.version().value();
+    const bool complete =
+        !session.snapshot.active && session.urgent == m_state.urgent().end();
+    part.set_document_complete(complete);
+    added = added || (complete && session.complete_version < version);
+    if (!added)
+    {
+        return false;
+    }
+    session.complete_version = complete ? version : session.complete_version;
+    part.set_version(version);
+    part.set_stream(session.stream);
+    part.set_sequence(++session.sequence);
+    const std::size_t size = wire_size(message);
+    session.pace.take(size);
+    session.bytes += size;
+    session.next_digest = now + m_settings.digest_every;
+    out.push_back(membership_send{node, std::move(message)});
+    return true;
+}
+
+void publisher::send_digest(time_point now, const host_id& node,
+                            publisher_session& session,
+                            std::vector<membership_send>& out) const
+{
+    session.next_digest = now + m_settings.digest_every;
+    wire::membership_message message;
+    wire::stream_digest& body = *message.mutable_idle();
+    body.set_stream(session.stream);
+    body.set_sequence(session.sequence);
+    body.set_root(root_of(m_state.book(), session.wants));
+    body.set_version(m_state.version().value());
+    body.set_document_seconds(whole_seconds(m_document_age));
+    for (const region_age& each : m_cut_regions)
+    {
+        auto& to = *body.add_stale();
+        to.set_region(each.region.value());
+        to.set_seconds(whole_seconds(each.age));
+    }
+    const std::size_t size = wire_size(message);
+    session.pace.take(size);
+    session.bytes += size;
+    out.push_back(membership_send{node, std::move(message)});
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/src/subscribed_state.cpp
@@ -0,0 +1,277 @@
+#include "crowlink/membership/subscribed_state.hpp"
+
+#include "crowlink/membership/balancer_record.hpp"
+#include "member_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// How long a record must stay absent from a publisher's snapshots before it is
+// taken for gone: a publisher may have started a moment ago.
+constexpr duration absent_grace = std::chrono::seconds(20);
+// The same where much is absent at once.
+constexpr duration mass_absent_grace = std::chrono::minutes(5);
+constexpr std::size_t mass_least = 16;
+constexpr std::size_t mass_part = 3;
+
+bool is_gone(const upstream_record& record)
+{
+    return record.state == upstream_state::gone;
+}
+
+// Whether a record may take the place of the held one.
+bool supersedes(const upstream_record& next, const subscribed_record& held)
+{
+    const bool same = next.started == held.record.started &&
+                      next.sequence == held.record.sequence;
+    if (!same)
+    {
+        return newer(next, held.record);
+    }
+    return is_gone(next) ? !is_gone(held.record) : held.forgotten;
+}
+
+} // namespace
+
+bool subscribed_state::take_record(time_point now,
+                                   const upstream_record& record, bool drained,
+                                   std::uint64_t version,
+                                   std::uint32_t generation)
+{
+    const record_key key{record.service, record.id};
+    const bool unknown = m_records.count(key) == 0;
+    subscribed_record& held = m_records[key];
+    if (unknown)
+    {
+        held.record.state = upstream_state::gone;
+    }
+    const bool same = record.started == held.record.started &&
+                      record.sequence == held.record.sequence;
+    const bool next = unknown || supersedes(record, held);
+    // Of a record that was not known, an old drain mark is better than none.
+    const bool current =
+        unknown || version >= std::max(held.drain_version, m_floor);
+    const bool marks = (next || same) && current;
+    const bool mark = marks && drained != held.drained;
+    held.generation = generation;
+    held.absent_since.reset();
+    if (marks)
+    {
+        held.drained = drained;
+        held.drain_version = version;
+    }
+    if (!next && !mark)
+    {
+        return false;
+    }
+    if (next)
+    {
+        m_living += is_gone(record) ? 0 : 1;
+        m_living -= is_gone(held.record) ? 0 : 1;
+        held.record = record;
+        held.forgotten = false;
+        held.gone_at = now;
+    }
+    replace_hash(key, held);
+    touch(key.service);
+    return true;
+}
+
+bool subscribed_state::take_service(const service& declared, bool removed,
+                                    std::uint64_t version,
+                                    std::uint32_t generation)
+{
+    if (version < m_floor)
+    {
+        return false;
+    }
+    subscribed_service& held = m_services[declared.id];
+    if (version < held.version)
+    {
+        return false;
+    }
+    held.version = version;
+    held.generation = generation;
+    const std::uint64_t hash = removed ? 0 : content_hash(declared);
+    if (hash == held.hash && removed == held.removed)
+    {
+        return false;
+    }
+    m_book.replace(declared.id, bucket_of(declared.id, upstream_id()),
+                   held.hash, hash);
+    held.declared = declared;
+    held.removed = removed;
+    held.hash = hash;
+    m_touched.insert(declared.id);
+    return true;
+}
+
+bool subscribed_state::set_lost_places(std::set<place_id> lost)
+{
+    if (lost == m_lost_places)
+    {
+        return false;
+    }
+    std::set<place_id> changed;
+    std::set_symmetric_difference(lost.begin(), lost.end(),
+                                  m_lost_places.begin(), m_lost_places.end(),
+                                  std::inserter(changed, changed.begin()));
+    m_lost_places = std::move(lost);
+    for (const auto& each : m_records)
+    {
+        if (changed.count(each.second.record.where) != 0)
+        {
+            touch(each.first.service);
+        }
+    }
+    return true;
+}
+
+void subscribed_state::sweep(
+    time_point now, std::uint64_t version, std::uint32_t generation,
+    const std::bitset<digest_book::bucket_count>& covered)
+{
+    for (auto& each : m_services)
+    {
+        subscribed_service& held = each.second;
+        const bool named = held.generation == generation ||
+                           !covered[bucket_of(each.first, upstream_id())];
+        if (!named && !held.removed && version >= held.version)
+        {
+            const service declared = held.declared;
+            take_service(declared, true, version, generation);
+        }
+    }
+    const std::size_t absent = count_absent(generation, covered);
+    const bool mass = absent > mass_least && absent * mass_part > m_living;
+    const duration grace = mass ? mass_absent_grace : absent_grace;
+    for (auto& each : m_records)
+    {
+        subscribed_record& held = each.second;
+        const bool named =
+            held.generation == generation || is_gone(held.record) ||
+            !covered[bucket_of(each.first.service, each.first.id)];
+        if (named)
+        {
+            continue;
+        }
+        if (!held.absent_since)
+        {
+            held.absent_since = now;
+        }
+        if (now - *held.absent_since >= grace)
+        {
+            held.record.state = upstream_state::gone;
+            held.forgotten = true;
+            held.gone_at = now;
+            --m_living;
+            replace_hash(each.first, held);
+            touch(each.first.service);
+        }
+    }
+}
+
+std::size_t subscribed_state::count_absent(
+    std::uint32_t generation,
+    const std::bitset<digest_book::bucket_count>& covered) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_records.begin(), m_records.end(),
+        [generation, &covered](const auto& each)
+        {
+            return each.second.generation != generation &&
+                   !is_gone(each.second.record) &&
+                   covered[bucket_of(each.first.service, each.first.id)];
+        }));
+}
+
+void subscribed_state::purge(time_point now, duration life)
+{
+    for (auto each = m_records.begin(); each != m_records.end();)
+    {
+        const bool old =
+            is_gone(each->second.record) && now - each->second.gone_at >= life;
+        each = old ? m_records.erase(each) : std::next(each);
+    }
+    for (auto each = m_services.begin(); each != m_services.end();)
+    {
+        const bool old =
+            each->second.removed && each->second.version <= m_floor;
+        each = old ? m_services.erase(each) : std::next(each);
+    }
+}
+
+void subscribed_state::replace_hash(const record_key& key,
+                                    subscribed_record& held)
+{
+    const std::uint64_t hash = content_hash(held.record, held.drained);
+    m_book.replace(key.service, bucket_of(key.service, key.id), held.hash,
+                   hash);
+    held.hash = hash;
+}
+
+// A balancer's change touches every view that this node holds.
+void subscribed_state::touch(service_id service)
+{
+    if (!is_balancer_group(service))
+    {
+        m_touched.insert(service);
+        return;
+    }
+    for (const auto& each : m_services)
+    {
+        m_touched.insert(each.first);
+    }
+}
+
+std::set<service_id> subscribed_state::take_touched()
+{
+    return std::exchange(m_touched, {});
+}
+
+std::optional<service_view> subscribed_state::view(service_id id) const
+{
+    const auto found = m_services.find(id);
+    if (found == m_services.end() || found->second.removed)
+    {
+        return std::nullopt;
+    }
+    service_view out;
+    out.version = config_version(found->second.version);
+    out.declared = found->second.declared;
+    auto member = m_records.lower_bound(record_key{id, upstream_id()});
+    for (; member != m_records.end() && member->first.service == id; ++member)
+    {
+        upstream_record record = member->second.record;
+        if (is_gone(record) || m_lost_places.count(record.where) != 0)
+        {
+            continue;
+        }
+        if (member->second.drained)
+        {
+            record.state = upstream_state::draining;
+        }
+        out.members.push_back(std::move(record));
+    }
+    const record_key groups{service_id(first_balancer_group), upstream_id()};
+    for (auto each = m_records.lower_bound(groups); each != m_records.end();
+         ++each)
+    {
+        const upstream_record& record = each->second.record;
+        if (record.state == upstream_state::ready &&
+            m_lost_places.count(record.where) == 0)
+        {
+            out.balancers.push_back(record.agent);
+        }
+    }
+    std::sort(out.balancers.begin(), out.balancers.end());
+    return out;
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/membership/src/subscriber.cpp
@@ -0,0 +1,375 @@
+#include "crowlink/membership/subscriber.hpp"
+
+#include "crowlink/base/hash.hpp"
+#include "crowlink/membership/balancer_record.hpp"
+#include "member_codec.hpp"
+
+#include <algorithm>
+#include <random>
+#include <tuple>
+#include <utility>
+
+namespace crowlink
+{
+
+using internal::digest_book;
+
+namespace
+{
+
+constexpr double least_jitter = 0.5;
+constexpr duration purge_every = std::chrono::seconds(60);
+
+} // namespace
+
+subscriber::subscriber(subscriber_settings settings, std::uint64_t seed,
+                       time_point now)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+    , m_backoff(m_settings.backoff_first)
+    , m_next_alive(now)
+    , m_next_purge(now + purge_every)
+    , m_heard(now)
+{
+    order_publishers();
+    if (!m_settings.wants.all_services)
+    {
+        m_listed.insert(m_settings.wants.services.begin(),
+                        m_settings.wants.services.end());
+    }
+    for (const place_id& where : m_settings.wants.balancers_in)
+    {
+        m_listed.insert(balancer_group(where));
+    }
+    std::uniform_int_distribution<duration::rep> spread(
+        0, m_settings.start_spread.count());
+    m_next = now + duration(spread(m_random));
+}
+
+// The own region's publishers first, each part in rendezvous order.
+void subscriber::order_publishers()
+{
+    struct choice
+    {
+        bool remote;
+        std::uint64_t rank;
+        host_id id;
+    };
+    std::vector<choice> choices;
+    for (const observer_info& each : m_settings.publishers)
+    {
+        const std::uint64_t seed = stable_hash(m_settings.self.value());
+        choices.push_back(choice{each.region != m_settings.region,
+                                 stable_hash(each.id.value(), seed), each.id});
+    }
+    std::sort(choices.begin(), choices.end(),
+              [](const choice& first, const choice& second)
+              {
+                  return std::tie(first.remote, first.rank, first.id) <
+                         std::tie(second.remote, second.rank, second.id);
+              });
+    for (choice& each : choices)
+    {
+        m_order.push_back(std::move(each.id));
+    }
+}
+
+const host_id& subscriber::source() const
+{
+    return m_order[m_source];
+}
+
+std::vector<service_id> subscriber::services() const
+{
+    std::vector<service_id> out;
+    for (const auto& each : m_state.services())
+    {
+        if (!each.second.removed)
+        {
+            out.push_back(each.first);
+        }
+    }
+    return out;
+}
+
+staleness subscriber::age(time_point now) const
+{
+    const duration passed = now - m_heard;
+    staleness out;
+    out.publisher = passed;
+    out.document = m_document_age + passed;
+    for (const region_age& each : m_cut_regions)
+    {
+        out.regions.push_back(region_age{each.region, each.age + passed});
+    }
+    return out;
+}
+
+subscriber_output subscriber::handle(time_point now, const host_id& from,
+                                     const wire::membership_message& in)
+{
+    subscriber_output out;
+    if (m_order.empty() || from != source())
+    {
+        return out;
+    }
+    m_bytes += wire_size(in);
+    if (in.has_part())
+    {
+        take_part(now, in.part());
+        emit(out);
+    }
+    else if (in.has_idle())
+    {
+        take_digest(now, in.idle());
+    }
+    else if (in.has_ended() && in.ended().stream() == m_stream)
+    {
+        repair(now);
+    }
+    else if (in.has_refused() && m_phase == phase::attaching)
+    {
+        next_publisher(now);
+    }
+    return out;
+}
+
+void subscriber::take_part(time_point now, const wire::stream_part& in)
+{
+    if (m_phase == phase::waiting)
+    {
+        return;
+    }
+    const bool begins = m_phase == phase::attaching && in.sequence() == 1;
+    if (begins)
+    {
+        m_phase = phase::attached;
+        m_stream = in.stream();
+        m_sequence = 0;
+        m_heard = now;
+        m_next_alive = now + m_settings.alive_every;
+    }
+    if (m_phase != phase::attached || in.stream() != m_stream ||
+        in.sequence() <= m_sequence)
+    {
+        return;
+    }
+    m_heard = now;
+    if (in.sequence() != m_sequence + 1)
+    {
+        repair(now);
+        return;
+    }
+    m_sequence = in.sequence();
+    apply(now, in);
+}
+
+void subscriber::apply(time_point now, const wire::stream_part& in)
+{
+    note_version(now, in.version());
+    if (in.lost_places_set())
+    {
+        std::set<place_id> lost;
+        for (const std::string& name : in.lost_places())
+        {
+            lost.emplace(name);
+        }
+        m_state.set_lost_places(std::move(lost));
+    }
+    for (const wire::service_declaration& each : in.declared())
+    {
+        const auto declared = internal::read_service(each);
+        if (declared)
+        {
+            m_state.take_service(*declared, each.removed(), in.version(),
+                                 m_stream);
+        }
+    }
+    for (const wire::member& each : in.members())
+    {
+        const auto record = internal::read_member(each, in.places());
+        if (record)
+        {
+            m_state.take_record(now, *record, each.drained(), in.version(),
+                                m_stream);
+        }
+    }
+    m_filling = in.filling();
+    if (in.snapshot_end())
+    {
+        std::bitset<digest_book::bucket_count> covered;
+        for (const std::uint32_t bucket : in.covered())
+        {
+            covered.set(bucket % digest_book::bucket_count);
+        }
+        m_state.sweep(now, in.version(), m_stream, covered);
+        ++m_snapshots;
+    }
+    if (in.document_complete())
+    {
+        m_applied = std::max(m_applied, config_version(in.version()));
+        m_state.set_floor(m_applied.value());
+    }
+}
+
+void subscriber::take_digest(time_point now, const wire::stream_digest& in)
+{
+    if (m_phase != phase::attached || in.stream() != m_stream)
+    {
+        return;
+    }
+    m_heard = now;
+    note_version(now, in.version());
+    m_document_age = std::chrono::seconds(in.document_seconds());
+    m_cut_regions.clear();
+    for (const wire::stale_region& each : in.stale())
+    {
+        m_cut_regions.push_back(region_age{
+            region_id(each.region()), std::chrono::seconds(each.seconds())});
+    }
+    if (in.sequence() > m_sequence || in.root() != root())
+    {
+        repair(now);
+        return;
+    }
+    m_backoff = m_settings.backoff_first;
+}
+
+void subscriber::note_version(time_point now, std::uint64_t version)
+{
+    m_highest = std::max(m_highest, version);
+    if (version >= m_highest)
+    {
+        m_behind_since.reset();
+    }
+    else if (!m_behind_since)
+    {
+        m_behind_since = now;
+    }
+}
+
+std::uint64_t subscriber::root() const
+{
+    const digest_book& book = m_state.book();
+    std::uint64_t sum =
+        m_settings.wants.all_services ? book.services_total() : 0;
+    for (const service_id service : m_listed)
+    {
+        sum += book.of(service);
+    }
+    return sum;
+}
+
+// Yields the views that changed, but for the one whose members are still on
+// their way.
+void subscriber::emit(subscriber_output& out)
+{
+    const std::set<service_id> touched = m_state.take_touched();
+    m_pending.insert(touched.begin(), touched.end());
+    for (auto each = m_pending.begin(); each != m_pending.end();)
+    {
+        if (m_filling != 0 && each->value() == m_filling)
+        {
+            ++each;
+            continue;
+        }
+        auto view = m_state.view(*each);
+        const auto declared = m_state.services().find(*each);
+        if (view)
+        {
+            out.changed.push_back(std::move(*view));
+        }
+        else if (declared != m_state.services().end())
+        {
+            out.removed.push_back(*each);
+        }
+        each = m_pending.erase(each);
+    }
+}
+
+subscriber_output subscriber::tick(time_point now)
+{
+    subscriber_output out;
+    if (m_order.empty())
+    {
+        return out;
+    }
+    if (now >= m_next_purge)
+    {
+        m_next_purge = now + purge_every;
+        m_state.purge(now, m_settings.tombstone_life);
+    }
+    const bool silent = m_phase == phase::attached &&
+                        now - m_heard > m_settings.silence_timeout;
+    const bool unanswered = m_phase == phase::attaching && now >= m_next;
+    const bool behind =
+        m_behind_since && now - *m_behind_since > m_settings.behind_timeout;
+    if (silent || unanswered || behind)
+    {
+        next_publisher(now);
+    }
+    if (m_phase == phase::waiting && now >= m_next)
+    {
+        attach(now, out);
+    }
+    if (m_phase == phase::attached && now >= m_next_alive)
+    {
+        m_next_alive = now + m_settings.alive_every;
+        wire::membership_message message;
+        message.mutable_alive()->set_stream(m_stream);
+        message.mutable_alive()->set_version(m_applied.value());
+        send(std::move(message), out);
+    }
+    return out;
+}
+
+void subscriber::attach(time_point now, subscriber_output& out)
+{
+    m_phase = phase::attaching;
+    m_stream = 0;
+    m_next = now + m_settings.answer_timeout;
+    wire::membership_message message;
+    wire::attach& body = *message.mutable_attach_request();
+    body.set_all_services(m_settings.wants.all_services);
+    for (const service_id service : m_listed)
+    {
+        body.add_services(service.value());
+    }
+    for (const std::uint64_t bucket : m_state.book().buckets())
+    {
+        body.add_buckets(static_cast<std::uint32_t>(bucket));
+    }
+    body.set_version(m_applied.value());
+    send(std::move(message), out);
+}
+
+// Attaches anew to the same publisher, which then sends what differs.
+void subscriber::repair(time_point now)
+{
+    m_phase = phase::waiting;
+    m_filling = 0;
+    wait(now);
+}
+
+void subscriber::next_publisher(time_point now)
+{
+    m_source = (m_source + 1) % m_order.size();
+    m_behind_since.reset();
+    repair(now);
+}
+
+void subscriber::wait(time_point now)
+{
+    std::uniform_real_distribution<double> share(least_jitter, 1.0);
+    m_next =
+        now + std::chrono::duration_cast<duration>(m_backoff * share(m_random));
+    m_backoff = std::min(m_backoff * 2, m_settings.backoff_limit);
+}
+
+void subscriber::send(wire::membership_message message, subscriber_output& out)
+{
+    m_bytes += wire_size(message);
+    out.sends.push_back(membership_send{source(), std::move(message)});
+}
+
+} // namespace crowlink
