--- /dev/null
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/model/upstream_record.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace crowlink
+{
+
+// What an agent is told once, at its start. The limits that operators declare
+// come with the service's view.
+struct agent_settings
+{
+    // The upstream as it is announced first. `started` identifies the
+    // upstream's own life: an agent that restarts beside an upstream that
+    // lived on passes the same number, so that packets still carry its tag.
+    upstream_record self;
+    // For so long after a change of table, or after its own start, an agent
+    // looks for the owner of an unknown flow elsewhere before it admits it. It
+    // must exceed the time in which a change reaches all agents.
+    duration settle = std::chrono::seconds(10);
+    // How long a redirect is kept without renewal; owners renew at a third.
+    duration redirect_lifetime = std::chrono::seconds(60);
+    // How long an agent remembers that a flow is being placed elsewhere.
+    duration placing_lifetime = std::chrono::seconds(1);
+    // To how many of a flow's first candidates its owner publishes, 1 to 4.
+    // With two, the next candidate knows the flow when the first one dies.
+    std::uint32_t redirect_copies = 2;
+    // Bounds the redirects that are published at one tick.
+    std::uint32_t redirects_per_tick = 256;
+    // Bounds the redirects of others that are kept.
+    std::uint32_t redirects_kept = 65536;
+    // Flows without any packet for so long are closed.
+    duration udp_idle = std::chrono::minutes(30);
+    duration tcp_idle = std::chrono::hours(24);
+    // A flow that both ends have finished is kept for so long.
+    duration linger = std::chrono::seconds(10);
+    // A refused caller is told to come back after this.
+    duration retry_after = std::chrono::seconds(1);
+    // How often load is told to peers and progress is judged.
+    duration assess = std::chrono::milliseconds(250);
+    // With work waiting and none answered for so long, an upstream counts as
+    // stalled.
+    duration stall_after = std::chrono::seconds(2);
+    // The sharing of decisions into the log: every one, or none.
+    bool log_decisions = true;
+
+    friend auto operator<=>(const agent_settings&,
+                            const agent_settings&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/flow_decision.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "crowlink/base/flow_key.hpp"
+#include "crowlink/base/ids.hpp"
+#include "crowlink/forwarding/candidate.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace crowlink
+{
+
+// What was decided about a flow; packets of known flows decide nothing.
+enum class flow_action : std::uint8_t
+{
+    admitted,
+    adopted,
+    handed_off,
+    looked_up,
+    redirected,
+    refused,
+    reset,
+    closed,
+    yielded,
+    dropped,
+};
+
+constexpr std::string_view to_string(flow_action action)
+{
+    switch (action)
+    {
+    case flow_action::admitted:
+        return "admitted";
+    case flow_action::adopted:
+        return "adopted";
+    case flow_action::handed_off:
+        return "handed_off";
+    case flow_action::looked_up:
+        return "looked_up";
+    case flow_action::redirected:
+        return "redirected";
+    case flow_action::refused:
+        return "refused";
+    case flow_action::reset:
+        return "reset";
+    case flow_action::closed:
+        return "closed";
+    case flow_action::yielded:
+        return "yielded";
+    case flow_action::dropped:
+        return "dropped";
+    }
+    return "unknown";
+}
+
+// One routing or placement decision, for one log line. Cheap to build; the
+// shell renders it only if its level is on.
+struct flow_decision
+{
+    flow_action action = flow_action::admitted;
+    service_id service;
+    flow_key flow;
+    // The digest of the table that the packet came with, else of one's own.
+    std::uint64_t table = 0;
+    // Where the flow goes next; without an address where it goes nowhere.
+    candidate chosen;
+    // The agent's own load in millionths of what it can take.
+    std::uint32_t load = 0;
+    // One word; static storage.
+    std::string_view reason;
+
+    friend auto operator<=>(const flow_decision&,
+                            const flow_decision&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/peer_message.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "crowlink/agent/load_notice.hpp"
+#include "crowlink/agent/redirect_notice.hpp"
+#include "crowlink/agent/shed_notice.hpp"
+
+#include <variant>
+
+namespace crowlink
+{
+
+// What agents tell each other beside the packets that they forward. Each may
+// be lost, doubled or late.
+using peer_message =
+    std::variant<redirect_notice, load_notice, shed_request, shed_grant>;
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/redirect_notice.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "crowlink/base/flow_key.hpp"
+#include "crowlink/base/ids.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/candidate.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <vector>
+
+namespace crowlink
+{
+
+// One flow of a redirect notice and for how long its owner has had it. Should
+// two agents ever own one flow, the one that had it longer keeps it.
+struct owned_flow
+{
+    flow_key flow;
+    duration age{};
+
+    friend auto operator<=>(const owned_flow&, const owned_flow&) = default;
+};
+
+// An owner tells a flow's first candidates where the flow is. Soft state: it
+// is forgotten after its lifetime unless it is renewed.
+struct redirect_notice
+{
+    // So that a notice of IPv6 flows fits into one datagram of 1,400 bytes.
+    static constexpr std::size_t most_flows = 20;
+
+    service_id service;
+    candidate owner;
+    // Zero withdraws: the owner no longer has these flows.
+    duration lifetime{};
+    std::vector<owned_flow> flows;
+
+    friend auto operator<=>(const redirect_notice&,
+                            const redirect_notice&) = default;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/shed_notice.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "crowlink/base/ids.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/candidate.hpp"
+
+#include <compare>
+
+namespace crowlink
+{
+
+// An agent that judges its upstream stalled asks for leave to take no new
+// flow. Asked of one agent, the head of a fixed chain, which grants it to at
+// most a third of the service's upstreams; so a wrong judgement that spreads
+// can't take more than that out.
+struct shed_request
+{
+    service_id service;
+    candidate sender;
+
+    friend auto operator<=>(const shed_request&, const shed_request&) = default;
+};
+
+// Leave to shed for a time. A request that isn't granted gets no answer.
+struct shed_grant
+{
+    service_id service;
+    upstream_tag receiver = 0;
+    duration lifetime{};
+
+    friend auto operator<=>(const shed_grant&, const shed_grant&) = default;
+};
+
+} // namespace crowlink
