--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -47,6 +47,8 @@
 
     config_version version() const { return m_state.version(); }
     std::size_t nodes() const { return m_sessions.size(); }
+    // What it knows of the document and of the members.
+    const internal::published_state& state() const { return m_state; }
 
     // The bytes sent to a node since it attached.
     std::uint64_t bytes_sent(const host_id& node) const;
