--- a/packages/transport/include/crowlink/transport/datagram_batch.hpp
+++ b/packages/transport/include/crowlink/transport/datagram_batch.hpp
@@ -36,6 +36,9 @@
     // Whether the datagram was larger than its buffer.
     bool truncated(std::size_t index) const;
 
+    // Whether the last receive found that the peer's port is closed.
+    bool peer_refused() const { return m_refused; }
+
     // The free buffer that the next `commit` sends; the batch isn't full.
     std::span<std::uint8_t> next();
     // Adds the first bytes of `next()`, to be sent to an address; an
@@ -49,6 +52,7 @@
 
     std::size_t m_size;
     std::size_t m_used = 0;
+    bool m_refused = false;
     std::unique_ptr<std::uint8_t[]> m_buffer;
     std::vector<sockaddr_in6> m_addresses;
     std::vector<iovec> m_vectors;
--- a/packages/transport/src/udp_socket.cpp
+++ b/packages/transport/src/udp_socket.cpp
@@ -122,6 +122,7 @@
         ::recvmmsg(m_handle, batch.m_headers.data(),
                    static_cast<unsigned>(batch.capacity()), 0, nullptr);
     // An error is an ICMP message about an earlier datagram, or no data.
+    batch.m_refused = received < 0 && errno == ECONNREFUSED;
     batch.m_used = received < 0 ? 0 : static_cast<std::size_t>(received);
     return batch.m_used;
 }
--- a/packages/transport/test/udp_socket_test.cpp
+++ b/packages/transport/test/udp_socket_test.cpp
@@ -65,6 +65,20 @@
     EXPECT_EQ(text_of(batch.bytes(0)), text);
 }
 
+TEST(udp_socket, tells_that_the_peers_port_is_closed)
+{
+    auto peer = udp_socket::bind(*endpoint::parse("127.0.0.1:0"));
+    const auto connected = udp_socket::connect(peer->local());
+    ASSERT_TRUE(connected);
+    peer = fail(error_kind::unavailable, "", "closed");
+    ASSERT_TRUE(connected->send(std::vector<std::uint8_t>(1)));
+    datagram_batch batch;
+    EXPECT_EQ(receive_all(*connected, batch), 0U);
+    EXPECT_TRUE(batch.peer_refused());
+    EXPECT_EQ(connected->receive(batch), 0U);
+    EXPECT_FALSE(batch.peer_refused());
+}
+
 TEST(udp_socket, tells_truncated_datagrams)
 {
     const endpoint any_port = *endpoint::parse("127.0.0.1:0");
