--- a/packages/agent/include/crowlink/agent.hpp
+++ b/packages/agent/include/crowlink/agent.hpp
@@ -10,17 +10,15 @@
 //   redirect_notice.hpp  where flows are, told to their first candidates
 //   load_notice.hpp      how much a peer has to do
 //   shed_notice.hpp      asking and granting leave to take no new flow
-//   refusal.hpp          what a caller is told
+//   flow_refusal.hpp     what a caller is told
 //   flow_decision.hpp    one decision, for the log
-//   table_source.hpp     what the agent asks of a forwarding table
 
 #include "crowlink/agent/agent_effects.hpp"
 #include "crowlink/agent/agent_events.hpp"
 #include "crowlink/agent/agent_settings.hpp"
 #include "crowlink/agent/flow_decision.hpp"
+#include "crowlink/agent/flow_refusal.hpp"
 #include "crowlink/agent/load_notice.hpp"
 #include "crowlink/agent/peer_message.hpp"
 #include "crowlink/agent/redirect_notice.hpp"
-#include "crowlink/agent/refusal.hpp"
 #include "crowlink/agent/shed_notice.hpp"
-#include "crowlink/agent/table_source.hpp"
--- a/packages/agent/include/crowlink/agent/agent_effects.hpp
+++ b/packages/agent/include/crowlink/agent/agent_effects.hpp
@@ -2,8 +2,8 @@
 
 #include "crowlink/agent/agent_events.hpp"
 #include "crowlink/agent/flow_decision.hpp"
+#include "crowlink/agent/flow_refusal.hpp"
 #include "crowlink/agent/peer_message.hpp"
-#include "crowlink/agent/refusal.hpp"
 #include "crowlink/base/endpoint.hpp"
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/forwarding/packet_header.hpp"
@@ -29,7 +29,7 @@
 template <class Effects>
 concept agent_effects = requires(
     Effects& effects, const endpoint& to, const flow_key& flow,
-    const packet_header& header, payload_view payload, const refusal& told,
+    const packet_header& header, payload_view payload, const flow_refusal& told,
     refusal_reason reason, const peer_message& message,
     const upstream_record& record, const flow_decision& decision)
 {
--- a/packages/agent/include/crowlink/agent/agent_settings.hpp
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -22,14 +22,16 @@
     // must exceed the time in which a change reaches all agents.
     duration settle = std::chrono::seconds(10);
     // How long a redirect is kept without renewal; owners renew at a third.
-    duration redirect_lifetime = std::chrono::seconds(60);
+    duration redirect_lifetime = std::chrono::minutes(10);
     // How long an agent remembers that a flow is being placed elsewhere.
     duration placing_lifetime = std::chrono::seconds(1);
     // To how many of a flow's first candidates its owner publishes, 1 to 4.
     // With two, the next candidate knows the flow when the first one dies.
     std::uint32_t redirect_copies = 2;
-    // Bounds the redirects that are published at one tick.
+    // Bounds the redirects that are published at one tick, and the flows that
+    // are looked at for it after a change of table.
     std::uint32_t redirects_per_tick = 256;
+    std::uint32_t checks_per_tick = 8192;
     // Bounds the redirects of others that are kept.
     std::uint32_t redirects_kept = 65536;
     // Flows without any packet for so long are closed.
@@ -44,8 +46,8 @@
     // With work waiting and none answered for so long, an upstream counts as
     // stalled.
     duration stall_after = std::chrono::seconds(2);
-    // The sharing of decisions into the log: every one, or none.
-    bool log_decisions = true;
+    // How long leave to shed lasts without renewal.
+    duration shed_lifetime = std::chrono::seconds(5);
 
     friend auto operator<=>(const agent_settings&,
                             const agent_settings&) = default;
--- a/packages/agent/include/crowlink/agent/refusal.hpp
+++ b/packages/agent/include/crowlink/agent/flow_refusal.hpp
@@ -48,14 +48,14 @@
 }
 
 // What a caller is told when its flow can't go on.
-struct refusal
+struct flow_refusal
 {
     verdict outcome = verdict::not_run;
     refusal_reason reason = refusal_reason::full;
     // When to come back; zero: at once, with a new flow.
     duration retry_after{};
 
-    friend auto operator<=>(const refusal&, const refusal&) = default;
+    friend auto operator<=>(const flow_refusal&, const flow_refusal&) = default;
 };
 
 } // namespace crowlink
--- a/packages/agent/include/crowlink/agent/load_notice.hpp
+++ b/packages/agent/include/crowlink/agent/load_notice.hpp
@@ -13,6 +13,8 @@
 struct load_notice
 {
     service_id service;
+    // The agent that is meant; another one drops the notice.
+    upstream_tag receiver = 0;
     upstream_tag sender = 0;
     // In millionths of what the upstream can take.
     std::uint32_t load = 0;
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/forwarding_table.hpp"
+#include "crowlink/forwarding/packet_header.hpp"
+#include "crowlink/model/service_view.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// What an agent knows of the service's members: the view, its table, and the
+// tables that it replaced within the settling time.
+class member_tables
+{
+public:
+    // What a new view changed.
+    struct change
+    {
+        bool accepted = false;
+        bool table = false;
+        // Members whose agent announced itself anew: they may have restarted.
+        std::vector<upstream_tag> renewed;
+    };
+
+    member_tables(duration settle, time_point started);
+
+    // Takes a view unless it is older than the held one.
+    change accept(time_point now, std::shared_ptr<const service_view> view);
+
+    // Null before the first view.
+    const service_view* view() const { return m_view.get(); }
+    std::uint64_t digest() const { return m_table ? m_table->digest() : 0; }
+    // Rises with each accepted view.
+    std::uint32_t generation() const { return m_generation; }
+
+    candidate_chain chain(const flow_key& flow) const;
+
+    // Whether a packet by this table may belong to a flow whose owner this
+    // agent hasn't been told.
+    bool may_be_owned_elsewhere(time_point now, std::uint64_t table) const;
+
+    // Adds to the header's previous chain what this agent's own tables, the
+    // present one and those of the settling time, know beyond it.
+    void widen(packet_header& header, time_point now) const;
+
+    // Whether a member with this tag was known and has left.
+    bool is_gone(upstream_tag tag) const;
+    // Whether a balancer is among the living; true as long as none is known.
+    bool is_living_balancer(const endpoint& balancer) const;
+
+private:
+    struct replaced_table
+    {
+        std::shared_ptr<const forwarding_table> table;
+        time_point until;
+    };
+
+    void note_members(const service_view& next, change& found);
+    void note_gone(upstream_tag tag);
+    void replace_table(time_point now,
+                       std::shared_ptr<const forwarding_table> next);
+
+    duration m_settle;
+    time_point m_unsettled_until;
+    std::shared_ptr<const service_view> m_view;
+    std::shared_ptr<const forwarding_table> m_table;
+    // Oldest first.
+    std::deque<replaced_table> m_replaced;
+    std::vector<upstream_tag> m_gone;
+    std::uint32_t m_generation = 0;
+};
+
+} // namespace crowlink::internal
--- a/packages/agent/include/crowlink/agent/redirect_notice.hpp
+++ b/packages/agent/include/crowlink/agent/redirect_notice.hpp
@@ -30,6 +30,8 @@
     static constexpr std::size_t most_flows = 20;
 
     service_id service;
+    // The agent that is meant; another one drops the notice.
+    upstream_tag receiver = 0;
     candidate owner;
     // Zero withdraws: the owner no longer has these flows.
     duration lifetime{};
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/redirect_table.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "crowlink/base/flow_key.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/candidate.hpp"
+
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/member.hpp>
+#include <boost/multi_index/ordered_index.hpp>
+#include <boost/multi_index_container.hpp>
+#include <cstddef>
+#include <cstdint>
+
+namespace crowlink::internal
+{
+
+// Where to ask for a flow that this agent does not own.
+struct redirect_entry
+{
+    flow_key flow;
+    candidate to;
+    // False for a published redirect. True while the flow is being placed:
+    // whoever asks here is to ask there, so that one agent decides.
+    bool placing = false;
+    time_point expires{};
+};
+
+// The redirects of others and the marks of flows that are being placed. Soft
+// state with a bound: at the bound, what expires first is forgotten first.
+class redirect_table
+{
+public:
+    explicit redirect_table(std::size_t limit) : m_limit(limit) {}
+
+    // The entry of a flow that has not expired, or null.
+    const redirect_entry* find(const flow_key& flow, time_point now);
+
+    void put(const redirect_entry& entry);
+    void erase(const flow_key& flow);
+    // Erases only a published redirect to this owner.
+    void withdraw(const flow_key& flow, const candidate& owner);
+
+    // Forgets what has expired, a bounded number at a time.
+    void expire(time_point now);
+
+    std::size_t size() const { return m_entries.size(); }
+    std::uint64_t evicted() const { return m_evicted; }
+
+private:
+    struct by_flow
+    {
+    };
+    struct by_expiry
+    {
+    };
+    using container = boost::multi_index_container<
+        redirect_entry,
+        boost::multi_index::indexed_by<
+            boost::multi_index::hashed_unique<
+                boost::multi_index::tag<by_flow>,
+                boost::multi_index::member<redirect_entry, flow_key,
+                                           &redirect_entry::flow>,
+                std::hash<flow_key>>,
+            boost::multi_index::ordered_non_unique<
+                boost::multi_index::tag<by_expiry>,
+                boost::multi_index::member<redirect_entry, time_point,
+                                           &redirect_entry::expires>>>>;
+
+    container m_entries;
+    std::size_t m_limit;
+    std::uint64_t m_evicted = 0;
+};
+
+} // namespace crowlink::internal
--- a/packages/agent/include/crowlink/agent/shed_notice.hpp
+++ b/packages/agent/include/crowlink/agent/shed_notice.hpp
@@ -16,6 +16,8 @@
 struct shed_request
 {
     service_id service;
+    // The agent that is meant; another one drops the request.
+    upstream_tag receiver = 0;
     candidate sender;
 
     friend auto operator<=>(const shed_request&, const shed_request&) = default;
--- /dev/null
+++ b/packages/agent/src/member_tables.cpp
@@ -0,0 +1,161 @@
+#include "crowlink/agent/member_tables.hpp"
+
+#include "crowlink/agent/chain_walk.hpp"
+
+#include <algorithm>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// Tables kept from within the settling time, and tags of those who left.
+constexpr std::size_t tables_kept = 8;
+constexpr std::size_t gone_kept = 128;
+
+upstream_tag tag_of(const upstream_record& member)
+{
+    return crowlink::tag_of(member.id, member.started);
+}
+
+const upstream_record* find_member(const service_view& view,
+                                   const upstream_id& id)
+{
+    const auto found = std::lower_bound(
+        view.members.begin(), view.members.end(), id,
+        [](const upstream_record& member, const upstream_id& wanted)
+        { return member.id < wanted; });
+    const bool known = found != view.members.end() && found->id == id;
+    return known ? &*found : nullptr;
+}
+
+} // namespace
+
+member_tables::member_tables(duration settle, time_point started)
+    : m_settle(settle), m_unsettled_until(started + settle)
+{
+}
+
+member_tables::change
+member_tables::accept(time_point now, std::shared_ptr<const service_view> view)
+{
+    change found;
+    if (m_view && view->version < m_view->version)
+    {
+        return found;
+    }
+    found.accepted = true;
+    ++m_generation;
+    note_members(*view, found);
+    auto table = forwarding_table::build(*view);
+    found.table = !m_table || table->digest() != m_table->digest();
+    if (found.table)
+    {
+        replace_table(now, std::move(table));
+    }
+    m_view = std::move(view);
+    return found;
+}
+
+void member_tables::note_members(const service_view& next, change& found)
+{
+    if (!m_view)
+    {
+        return;
+    }
+    for (const upstream_record& before : m_view->members)
+    {
+        const upstream_record* after = find_member(next, before.id);
+        if (after == nullptr || after->started != before.started)
+        {
+            note_gone(tag_of(before));
+        }
+    }
+    for (const upstream_record& after : next.members)
+    {
+        const upstream_record* before = find_member(*m_view, after.id);
+        if (before == nullptr || newer(after, *before))
+        {
+            const upstream_tag tag = tag_of(after);
+            found.renewed.push_back(tag);
+            m_gone.erase(std::remove(m_gone.begin(), m_gone.end(), tag),
+                         m_gone.end());
+        }
+    }
+}
+
+void member_tables::note_gone(upstream_tag tag)
+{
+    if (m_gone.size() == gone_kept)
+    {
+        m_gone.erase(m_gone.begin());
+    }
+    m_gone.push_back(tag);
+}
+
+void member_tables::replace_table(time_point now,
+                                  std::shared_ptr<const forwarding_table> next)
+{
+    if (m_table)
+    {
+        m_replaced.push_back(replaced_table{m_table, now + m_settle});
+    }
+    if (m_replaced.size() > tables_kept)
+    {
+        m_replaced.pop_front();
+    }
+    m_table = std::move(next);
+    m_unsettled_until = std::max(m_unsettled_until, now + m_settle);
+}
+
+candidate_chain member_tables::chain(const flow_key& flow) const
+{
+    return m_table ? m_table->chain(stable_hash(flow)) : candidate_chain();
+}
+
+bool member_tables::may_be_owned_elsewhere(time_point now,
+                                           std::uint64_t table) const
+{
+    return now < m_unsettled_until || table != digest();
+}
+
+void member_tables::widen(packet_header& header, time_point now) const
+{
+    const std::uint64_t hash = stable_hash(header.flow);
+    const auto add_chain = [&](const forwarding_table& table)
+    {
+        for (const candidate& next : table.chain(hash))
+        {
+            add_unseen(header, next);
+        }
+    };
+    if (m_table)
+    {
+        add_chain(*m_table);
+    }
+    for (const replaced_table& past : m_replaced)
+    {
+        if (now < past.until)
+        {
+            add_chain(*past.table);
+        }
+    }
+}
+
+bool member_tables::is_gone(upstream_tag tag) const
+{
+    return std::find(m_gone.begin(), m_gone.end(), tag) != m_gone.end();
+}
+
+bool member_tables::is_living_balancer(const endpoint& balancer) const
+{
+    if (!m_view || m_view->balancers.empty())
+    {
+        return true;
+    }
+    return std::binary_search(m_view->balancers.begin(),
+                              m_view->balancers.end(), balancer);
+}
+
+} // namespace crowlink::internal
