--- /dev/null
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -0,0 +1,136 @@
+#include "crowlink/forwarding/forwarding_set.hpp"
+
+#include "sample_views.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink
+{
+namespace
+{
+
+using set_pointer = std::shared_ptr<const forwarding_set>;
+
+set_pointer with(const set_pointer& prior, const service_view& view)
+{
+    return forwarding_set::changed(prior, std::span(&view, 1), {});
+}
+
+set_pointer without(const set_pointer& prior, std::uint32_t service,
+                    std::uint64_t version)
+{
+    const removed_service gone{service_id(service), config_version(version)};
+    return forwarding_set::changed(prior, {}, std::span(&gone, 1));
+}
+
+const service_tables* find(const set_pointer& set, std::uint32_t service)
+{
+    return set->find(transport::udp, sample::address_of(service));
+}
+
+set_pointer three_services()
+{
+    const std::vector<service_view> views{
+        sample::view(3, 5), sample::view(1, 3), sample::view(2, 4)};
+    return forwarding_set::changed(forwarding_set::empty(), views, {});
+}
+
+TEST(forwarding_set, finds_services_by_address_and_protocol)
+{
+    const auto set = three_services();
+    for (std::uint32_t id = 1; id <= 3; ++id)
+    {
+        ASSERT_NE(find(set, id), nullptr);
+        EXPECT_EQ(find(set, id)->service(), service_id(id));
+        EXPECT_EQ(set->find(service_id(id)), find(set, id));
+        EXPECT_EQ(set->find(transport::tcp, sample::address_of(id)), nullptr);
+    }
+    EXPECT_EQ(find(set, 4), nullptr);
+}
+
+TEST(forwarding_set, keeps_the_previous_table_and_shares_the_others)
+{
+    const auto before = three_services();
+    const auto after = with(before, sample::view(2, 9));
+    EXPECT_EQ(find(after, 2)->previous, find(before, 2)->current);
+    EXPECT_EQ(find(after, 1), find(before, 1));
+    EXPECT_NE(after->digest(), before->digest());
+    const auto again = with(after, sample::view(2, 2));
+    EXPECT_EQ(find(again, 2)->previous, find(after, 2)->current);
+}
+
+TEST(forwarding_set, a_view_that_leaves_the_table_alone_keeps_both_tables)
+{
+    const auto first = with(three_services(), sample::view(2, 9));
+    service_view renewed = sample::view(2, 9);
+    renewed.members[0].sequence = 2;
+    const auto second = with(first, renewed);
+    EXPECT_NE(second, first);
+    EXPECT_EQ(find(second, 2)->current, find(first, 2)->current);
+    EXPECT_EQ(find(second, 2)->previous, find(first, 2)->previous);
+    EXPECT_EQ(with(second, renewed), second);
+}
+
+TEST(forwarding_set, an_older_document_never_replaces_a_newer_one)
+{
+    service_view newer_view = sample::view(2, 2);
+    newer_view.version = config_version(5);
+    const auto set = with(three_services(), newer_view);
+    EXPECT_EQ(with(set, sample::view(2, 9)), set);
+    EXPECT_EQ(without(set, 2, 4), set);
+    const auto removed = without(set, 2, 5);
+    EXPECT_EQ(find(removed, 2), nullptr);
+    EXPECT_EQ(with(removed, newer_view), removed);
+    newer_view.version = config_version(6);
+    EXPECT_NE(find(with(removed, newer_view), 2), nullptr);
+}
+
+TEST(forwarding_set, a_removal_that_comes_first_keeps_late_views_out)
+{
+    const auto removed = without(forwarding_set::empty(), 1, 3);
+    EXPECT_EQ(find(with(removed, sample::view(1, 3)), 1), nullptr);
+    EXPECT_EQ(without(removed, 1, 3), removed);
+}
+
+TEST(forwarding_set, an_older_record_never_replaces_a_newer_one)
+{
+    service_view draining = sample::view(1, 3);
+    draining.members[0].sequence = 7;
+    draining.members[0].state = upstream_state::draining;
+    const auto set = with(forwarding_set::empty(), draining);
+    EXPECT_EQ(with(set, sample::view(1, 3)), set);
+    // It left; a late view still has it as ready.
+    service_view left = sample::view(1, 3);
+    left.members.erase(left.members.begin());
+    const auto gone = with(set, left);
+    EXPECT_EQ(with(gone, sample::view(1, 3)), gone);
+    // It is there again under a new incarnation.
+    service_view back = sample::view(1, 3);
+    back.members[0].started = incarnation(2);
+    EXPECT_EQ(find(with(gone, back), 1)->current->size(), 3U);
+}
+
+TEST(forwarding_set, a_moved_address_leads_to_the_newer_document)
+{
+    service_view taker = sample::view(2, 4);
+    taker.version = config_version(2);
+    taker.declared.addresses.push_back(sample::address_of(1));
+    service_view loser = sample::view(1, 3);
+    const std::vector<service_view> orders{loser, taker};
+    const auto set =
+        forwarding_set::changed(forwarding_set::empty(), orders, {});
+    EXPECT_EQ(find(set, 1)->service(), service_id(2));
+}
+
+TEST(forwarding_set, the_order_of_arrival_does_not_matter)
+{
+    const auto first = three_services();
+    auto second = with(forwarding_set::empty(), sample::view(2, 4));
+    second = with(second, sample::view(3, 5));
+    second = with(second, sample::view(1, 3));
+    EXPECT_EQ(first->digest(), second->digest());
+    EXPECT_GT(first->memory(), sizeof(forwarding_set));
+}
+
+} // namespace
+} // namespace crowlink
--- a/packages/wire/src/datagram_decode.cpp
+++ b/packages/wire/src/datagram_decode.cpp
@@ -102,6 +102,19 @@
     }
 }
 
+// A verdict travels as its number and one, so that zero is none.
+verdict read_outcome(message_reader& in)
+{
+    const std::uint32_t number = in.varint();
+    if (number == 0 ||
+        number > static_cast<std::uint32_t>(verdict::may_have_run) + 1)
+    {
+        in.fail(datagram_drop::out_of_range);
+        return verdict::may_have_run;
+    }
+    return static_cast<verdict>(number - 1);
+}
+
 void read_field(message_reader& in, std::uint32_t found, notice_datagram& value)
 {
     namespace tags = internal::notice_tag;
@@ -111,7 +124,7 @@
         value.flow = in.read_flow();
         break;
     case tags::outcome:
-        value.outcome = read_enumerator(in, verdict::may_have_run);
+        value.outcome = read_outcome(in);
         break;
     case tags::reason:
         value.reason = read_enumerator(in, notice_reason::no_service);
--- a/packages/wire/src/datagram_encode.cpp
+++ b/packages/wire/src/datagram_encode.cpp
@@ -100,7 +100,8 @@
 {
     namespace tags = internal::notice_tag;
     out.put_flow(tags::flow, value.flow);
-    out.put_varint(tags::outcome, static_cast<std::uint32_t>(value.outcome));
+    out.put_varint(tags::outcome,
+                   static_cast<std::uint32_t>(value.outcome) + 1);
     out.put_varint(tags::reason, static_cast<std::uint32_t>(value.reason));
     out.put_varint(tags::retry_after, to_wire(value.retry_after));
     out.put_fixed32(tags::sequence, value.sequence);
