--- /dev/null
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -0,0 +1,298 @@
+#include "crowlink/balancer.hpp"
+
+#include "counting_allocator.hpp"
+
+#include "crowlink/base/log_line.hpp"
+#include "crowlink/base/metrics.hpp"
+#include "crowlink/packet.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+
+namespace crowlink
+{
+namespace
+{
+
+using bytes = std::vector<std::uint8_t>;
+
+constexpr std::uint64_t seed = 20261202;
+
+endpoint at(const std::string& text)
+{
+    return *endpoint::parse(text);
+}
+
+const endpoint service_address = at("192.0.2.1:53");
+const endpoint return_to = at("10.0.0.1:7001");
+
+key_ring keys()
+{
+    key_ring ring;
+    ring.signing.bytes.fill(5);
+    return ring;
+}
+
+service_view view(std::uint64_t version, std::uint32_t members)
+{
+    service_view value;
+    value.version = config_version(version);
+    value.declared.id = service_id(4);
+    value.declared.addresses = {service_address};
+    for (std::uint32_t i = 0; i < members; ++i)
+    {
+        upstream_record record;
+        record.id = upstream_id(fmt::format("u{}", i));
+        record.service = value.declared.id;
+        record.agent = at(fmt::format("10.1.0.{}:7000", i + 1));
+        value.members.push_back(record);
+    }
+    return value;
+}
+
+flow_key flow(std::uint32_t number)
+{
+    return flow_key{
+        at(fmt::format("203.0.113.{}:{}", number % 250 + 1, 10000 + number)),
+        service_address, transport::udp};
+}
+
+// One balancer as its shell would hold it: control side and a traffic thread.
+class node
+{
+public:
+    node() : m_path(keys(), return_to) {}
+
+    void learn(const service_view& value)
+    {
+        m_control.handle(time_point(), views_changed{{value}, {}});
+    }
+
+    // The header that an agent would see, and where the packet goes.
+    std::pair<packet_header, endpoint> route(const flow_key& key)
+    {
+        const bytes payload{1, 2, 3};
+        bytes buffer(1000);
+        const auto sent =
+            m_path.route(*m_control.snapshot(),
+                         caller_packet{key, packet_role::any, payload}, buffer);
+        const datagram_codec codec(keys());
+        const auto value = codec.decode(std::span(buffer).first(sent->size));
+        return {std::get<forward_datagram>(*value).header, sent->destination};
+    }
+
+    traffic_path& path() { return m_path; }
+    const forwarding_set& set() const { return *m_control.snapshot(); }
+
+private:
+    balancer m_control;
+    traffic_path m_path;
+};
+
+TEST(traffic_path, sprayed_packets_of_a_flow_get_one_chain)
+{
+    std::mt19937_64 random(seed);
+    std::vector<node> balancers(3);
+    for (node& balancer : balancers)
+    {
+        balancer.learn(view(1, 7));
+    }
+    std::map<flow_key, candidate_chain> chains;
+    for (int packet = 0; packet < 10000; ++packet)
+    {
+        if (packet == 5000)
+        {
+            // One dies; another takes its place and learns the members from
+            // a view in another order.
+            balancers.erase(balancers.begin());
+            service_view shuffled = view(1, 7);
+            std::reverse(shuffled.members.begin(), shuffled.members.end());
+            balancers.emplace_back().learn(shuffled);
+        }
+        const flow_key key = flow(random() % 500);
+        const auto [header, to] =
+            balancers[random() % balancers.size()].route(key);
+        ASSERT_EQ(header.flow, key);
+        ASSERT_EQ(to, header.current[0].agent);
+        ASSERT_TRUE(header.previous.empty());
+        const auto known = chains.emplace(key, header.current).first;
+        ASSERT_EQ(known->second, header.current);
+    }
+    EXPECT_EQ(chains.size(), 500U);
+}
+
+bool names(const packet_header& header, const candidate& wanted)
+{
+    const auto is_wanted = [&wanted](const candidate& next)
+    {
+        return next == wanted;
+    };
+    return std::any_of(header.current.begin(), header.current.end(),
+                       is_wanted) ||
+           std::any_of(header.previous.begin(), header.previous.end(),
+                       is_wanted);
+}
+
+TEST(traffic_path, the_previous_chain_names_the_owner_after_an_uneven_change)
+{
+    node behind;
+    node ahead;
+    behind.learn(view(1, 4));
+    ahead.learn(view(1, 4));
+    // Every member of the old table is replaced in the new one.
+    service_view changed = view(2, 8);
+    changed.members.erase(changed.members.begin(), changed.members.begin() + 4);
+    ahead.learn(changed);
+    for (std::uint32_t number = 0; number < 500; ++number)
+    {
+        const packet_header old = behind.route(flow(number)).first;
+        const packet_header next = ahead.route(flow(number)).first;
+        ASSERT_NE(old.table, next.table);
+        ASSERT_FALSE(names(behind.route(flow(number)).first, next.current[0]));
+        ASSERT_EQ(next.previous, old.current);
+        ASSERT_TRUE(names(next, old.current[0]));
+    }
+}
+
+TEST(traffic_path, without_a_ready_member_packets_go_by_the_table_before)
+{
+    node balancer;
+    balancer.learn(view(1, 1));
+    service_view drained = view(1, 1);
+    drained.members[0].sequence = 2;
+    drained.members[0].state = upstream_state::draining;
+    balancer.learn(drained);
+    const auto [header, to] = balancer.route(flow(1));
+    EXPECT_TRUE(header.current.empty());
+    EXPECT_EQ(to, drained.members[0].agent);
+    EXPECT_EQ(explain(balancer.set(), flow(1)).reason,
+              route_reason::previous_chain);
+}
+
+TEST(traffic_path, drops_are_typed_and_counted)
+{
+    node balancer;
+    balancer.learn(view(1, 0));
+    bytes buffer(1000);
+    const auto route = [&](const flow_key& key, std::size_t room)
+    {
+        const caller_packet packet{key, packet_role::any, {}};
+        return balancer.path().route(balancer.set(), packet,
+                                     std::span(buffer).first(room));
+    };
+    flow_key other = flow(1);
+    other.protocol = transport::tcp;
+    EXPECT_EQ(route(other, 1000).error(), route_drop::no_service);
+    EXPECT_EQ(route(flow(1), 1000).error(), route_drop::no_candidate);
+    balancer.learn(view(2, 1));
+    EXPECT_EQ(route(flow(1), 10).error(), route_drop::too_large);
+    EXPECT_TRUE(route(flow(1), 1000).has_value());
+    const auto& counts = balancer.path().counts();
+    EXPECT_EQ(counts.route_drops,
+              (std::array<std::uint64_t, route_drop_count>{1, 1, 1}));
+    EXPECT_EQ(counts.forwarded, 1U);
+    metrics target;
+    add_to(target, counts);
+    EXPECT_EQ(
+        target.counter("crowlink_balancer_caller_dropped_no_service_total"),
+        1U);
+}
+
+TEST(traffic_path, answers_and_notices_come_through_and_the_rest_is_counted)
+{
+    node balancer;
+    const datagram_codec codec(keys());
+    bytes buffer(1000);
+    const auto answer = [&](const datagram& value)
+    {
+        const std::size_t size = codec.encode(value, buffer);
+        return balancer.path().answer(std::span(buffer).first(size));
+    };
+    const bytes payload{4, 5};
+    const auto answered = answer(answer_datagram{flow(1), payload});
+    ASSERT_TRUE(answered.has_value());
+    EXPECT_EQ(std::get<answer_datagram>(*answered).flow, flow(1));
+    notice_datagram notice;
+    notice.flow = flow(2);
+    EXPECT_EQ(std::get<notice_datagram>(*answer(notice)), notice);
+    EXPECT_FALSE(answer(redirect_datagram{}).has_value());
+    buffer[0] ^= 1U;
+    EXPECT_FALSE(balancer.path().answer(buffer).has_value());
+    const auto& counts = balancer.path().counts();
+    EXPECT_EQ(counts.answers, 1U);
+    EXPECT_EQ(counts.notices, 1U);
+    EXPECT_EQ(counts.misdirected, 1U);
+    EXPECT_EQ(counts.datagram_drops[static_cast<std::size_t>(
+                  datagram_drop::unknown_version)],
+              1U);
+}
+
+TEST(traffic_path, the_hot_path_does_not_allocate)
+{
+    node balancer;
+    service_view weighted = view(1, 9);
+    weighted.members[3].weight = 7;
+    balancer.learn(weighted);
+    balancer.learn(view(2, 8));
+    const datagram_codec codec(keys());
+    const bytes payload(1200, std::uint8_t{1});
+    bytes buffer(2000);
+    bytes from_agent(2000);
+    from_agent.resize(
+        codec.encode(answer_datagram{flow(1), payload}, from_agent));
+    const flow_key key = flow(1);
+    const datagram_port port;
+    const std::uint64_t before = allocations();
+    for (int i = 0; i < 100; ++i)
+    {
+        const auto packet =
+            port.parse(received_datagram{key.caller, key.service, payload});
+        const auto sent =
+            balancer.path().route(balancer.set(), *packet, buffer);
+        const auto header = codec.decode(std::span(buffer).first(sent->size));
+        const auto answer = balancer.path().answer(from_agent);
+        ASSERT_TRUE(header.has_value() && answer.has_value());
+    }
+    EXPECT_EQ(allocations(), before);
+    const auto counted = std::make_unique<int>(1);
+    EXPECT_EQ(allocations(), before + 1);
+}
+
+TEST(explain, says_what_route_does_and_why)
+{
+    node balancer;
+    balancer.learn(view(1, 5));
+    balancer.learn(view(2, 4));
+    const auto [header, to] = balancer.route(flow(3));
+    const route_decision decision = explain(balancer.set(), flow(3));
+    EXPECT_EQ(decision.chosen.agent, to);
+    EXPECT_EQ(decision.current, header.current);
+    EXPECT_EQ(decision.previous, header.previous);
+    EXPECT_EQ(decision.table, header.table);
+    EXPECT_EQ(decision.reason, route_reason::head_of_chain);
+    const std::string line =
+        to_log_line(decision).render(log_format::key_value);
+    EXPECT_NE(line.find("chosen=" + to.to_string()), std::string::npos);
+    EXPECT_NE(line.find("reason=head_of_chain"), std::string::npos);
+    EXPECT_EQ(explain(forwarding_set::empty().operator*(), flow(3)).reason,
+              route_reason::no_service);
+}
+
+TEST(balancer, yields_a_set_only_when_something_changed)
+{
+    balancer control;
+    const views_changed event{{view(3, 2)}, {}};
+    const auto first = control.handle(time_point(), event);
+    ASSERT_NE(first, nullptr);
+    EXPECT_EQ(first, control.snapshot());
+    EXPECT_EQ(control.handle(time_point(), event), nullptr);
+    const views_changed older{{view(2, 5)},
+                              {{service_id(4), config_version(2)}}};
+    EXPECT_EQ(control.handle(time_point(), older), nullptr);
+    EXPECT_EQ(control.snapshot(), first);
+}
+
+} // namespace
+} // namespace crowlink
--- a/packages/packet/test/caller_port_test.cpp
+++ b/packages/packet/test/caller_port_test.cpp
@@ -112,7 +112,8 @@
     {
         for (std::size_t size = 0; size < whole.size(); ++size)
         {
-            const bytes cut(whole.begin(), whole.begin() + std::ptrdiff_t(size));
+            const bytes cut(whole.begin(),
+                            whole.begin() + std::ptrdiff_t(size));
             ASSERT_EQ(parse(cut).error(), packet_drop::truncated) << size;
         }
     }
@@ -178,9 +179,8 @@
             ASSERT_TRUE(sent.has_value());
             EXPECT_EQ(sent->from, local);
             EXPECT_EQ(sent->to, gateway);
-            EXPECT_EQ(
-                copy(sent->bytes),
-                sample::udp_packet(flow.service, flow.caller, payload));
+            EXPECT_EQ(copy(sent->bytes),
+                      sample::udp_packet(flow.service, flow.caller, payload));
         }
         bytes small(27 + ip_size(flow) - 20);
         EXPECT_EQ(tunnel.answer(flow, {}, small).error(),
@@ -221,8 +221,7 @@
         EXPECT_EQ(*reset_answering(data), (tcp_reset{0x200, 0x104}));
         EXPECT_FALSE(reset_answering(tcp_request(flow, rst)).has_value());
         bytes buffer(100);
-        const auto sent = tunnel.refuse(
-            refusal{flow, 0x200, 0x104}, buffer);
+        const auto sent = tunnel.refuse(refusal{flow, 0x200, 0x104}, buffer);
         ASSERT_TRUE(sent.has_value());
         const auto read = parse(copy(sent->bytes));
         ASSERT_TRUE(read.has_value());
@@ -261,8 +260,8 @@
                   0);
         const bytes quoted(message.begin() + 8, message.end());
         const bytes asked = udp_request(flow, {});
-        EXPECT_TRUE(std::equal(quoted.begin(), quoted.end() - 2,
-                               asked.begin(), asked.end() - 2));
+        EXPECT_TRUE(std::equal(quoted.begin(), quoted.end() - 2, asked.begin(),
+                               asked.end() - 2));
     }
 }
 
--- a/packages/packet/test/packet_builder.hpp
+++ b/packages/packet/test/packet_builder.hpp
@@ -10,7 +10,10 @@
 
 using bytes = std::vector<std::uint8_t>;
 
-inline endpoint at(const char* text) { return *endpoint::parse(text); }
+inline endpoint at(const char* text)
+{
+    return *endpoint::parse(text);
+}
 
 inline flow_key v4_flow(transport protocol)
 {
@@ -113,8 +116,7 @@
     bytes segment;
     append_u16(segment, source.port);
     append_u16(segment, target.port);
-    const bytes rest{0, 0, 1, 0,     0,    0, 2, 0,
-                     0x50, flags, 0x20, 0, 0, 0, 0, 0};
+    const bytes rest{0, 0, 1, 0, 0, 0, 2, 0, 0x50, flags, 0x20, 0, 0, 0, 0, 0};
     segment.insert(segment.end(), rest.begin(), rest.end());
     segment.insert(segment.end(), payload.begin(), payload.end());
     set_u16(segment, 16,
--- a/packages/wire/test/datagram_codec_test.cpp
+++ b/packages/wire/test/datagram_codec_test.cpp
@@ -303,7 +303,8 @@
         sign(frame, prefix_size + body - random() % (body + 1) / 4);
         const auto value = codec.decode(frame);
         const std::size_t reason =
-            value ? datagram_drop_count : static_cast<std::size_t>(value.error());
+            value ? datagram_drop_count
+                  : static_cast<std::size_t>(value.error());
         ++seen[reason];
     }
     EXPECT_GT(seen[static_cast<std::size_t>(datagram_drop::malformed)], 0U);
