--- a/packages/wire/include/crowlink/wire.hpp
+++ b/packages/wire/include/crowlink/wire.hpp
@@ -10,6 +10,7 @@
 //   forward_datagram.hpp     a caller's packet on its way to the flow's owner
 //   key_ring.hpp             the keys that authenticate datagrams
 //   notice_datagram.hpp      a refusal or reset on its way to the caller
+//   peer_datagram.hpp        what agents tell each other
 //   redirect_datagram.hpp    where the owner of a flow is
 //   withdrawal_datagram.hpp  the early end of a redirect
 //
@@ -24,5 +25,6 @@
 #include "crowlink/wire/forward_datagram.hpp"
 #include "crowlink/wire/key_ring.hpp"
 #include "crowlink/wire/notice_datagram.hpp"
+#include "crowlink/wire/peer_datagram.hpp"
 #include "crowlink/wire/redirect_datagram.hpp"
 #include "crowlink/wire/withdrawal_datagram.hpp"
--- a/packages/wire/include/crowlink/wire/datagram_codec.hpp
+++ b/packages/wire/include/crowlink/wire/datagram_codec.hpp
@@ -28,6 +28,9 @@
     static constexpr std::size_t overhead_limit = 384;
     // The most that an IP packet holds.
     static constexpr std::size_t payload_limit = 65535;
+    // The most that an agent's message to another agent holds, so that it fits
+    // an Ethernet frame.
+    static constexpr std::size_t peer_limit = 1400;
     // Enough for any datagram.
     static constexpr std::size_t buffer_size = payload_limit + overhead_limit;
 
@@ -46,6 +49,8 @@
                        std::span<std::uint8_t> out) const;
     std::size_t encode(const withdrawal_datagram& value,
                        std::span<std::uint8_t> out) const;
+    std::size_t encode(const peer_datagram& value,
+                       std::span<std::uint8_t> out) const;
     std::size_t encode(const datagram& value,
                        std::span<std::uint8_t> out) const;
 
--- a/packages/wire/src/datagram_decode.cpp
+++ b/packages/wire/src/datagram_decode.cpp
@@ -42,6 +42,14 @@
         in.varint(static_cast<std::uint32_t>(last)));
 }
 
+// A position as it travels: one more, so that zero stands for none.
+std::uint8_t read_best(message_reader& in)
+{
+    const std::uint32_t found = in.varint(2 * candidate_chain::capacity);
+    return found == 0 ? packet_header::no_position
+                      : static_cast<std::uint8_t>(found - 1);
+}
+
 void read_field(message_reader& in, std::uint32_t found,
                 forward_datagram& value)
 {
@@ -62,7 +70,7 @@
         header.role = read_enumerator(in, packet_role::resets);
         break;
     case tags::pass:
-        header.pass = read_enumerator(in, packet_pass::admit);
+        header.pass = read_enumerator(in, packet_pass::place);
         break;
     case tags::position:
         header.position = static_cast<std::uint8_t>(in.varint(UINT8_MAX));
@@ -79,6 +87,12 @@
     case tags::return_to:
         header.return_to = in.read_endpoint();
         break;
+    case tags::best:
+        header.best = read_best(in);
+        break;
+    case tags::best_load:
+        header.best_load = in.varint();
+        break;
     case internal::payload_tag:
         value.payload = in.bytes();
         break;
@@ -184,12 +198,24 @@
     read_owner_field(in, found, value);
 }
 
+void read_field(message_reader& in, std::uint32_t found, peer_datagram& value)
+{
+    if (found == internal::peer_tag::message)
+    {
+        value.message = in.bytes();
+        return;
+    }
+    in.skip(found);
+}
+
 // The tag of the field that every host sends in each message.
 template <class Value>
 constexpr std::uint32_t flow_field = internal::answer_tag::flow;
 template <>
 constexpr std::uint32_t flow_field<forward_datagram> =
     internal::forward_tag::flow;
+template <>
+constexpr std::uint32_t flow_field<peer_datagram> = internal::peer_tag::message;
 
 bool plausible(const forward_datagram& value)
 {
@@ -239,6 +265,8 @@
         return read_message<redirect_datagram>(message);
     case datagram_kind::withdrawal:
         return read_message<withdrawal_datagram>(message);
+    case datagram_kind::peer:
+        return read_message<peer_datagram>(message);
     }
     return drop(datagram_drop::malformed);
 }
--- a/packages/wire/src/datagram_encode.cpp
+++ b/packages/wire/src/datagram_encode.cpp
@@ -48,6 +48,11 @@
     return datagram_kind::withdrawal;
 }
 
+datagram_kind kind_of(const peer_datagram&)
+{
+    return datagram_kind::peer;
+}
+
 payload_view payload_of(const forward_datagram& value)
 {
     return value.payload;
@@ -69,6 +74,22 @@
     return {};
 }
 
+payload_view payload_of(const peer_datagram&)
+{
+    return {};
+}
+
+// The bytes that are authenticated beside the fields of bounded size.
+template <class Value>
+std::size_t extra_size(const Value&)
+{
+    return 0;
+}
+std::size_t extra_size(const peer_datagram& value)
+{
+    return value.message.size();
+}
+
 void put(message_writer& out, const forward_datagram& value)
 {
     namespace tags = internal::forward_tag;
@@ -89,6 +110,11 @@
         out.put_candidate(tags::previous, next);
     }
     out.put_endpoint(tags::return_to, header.return_to);
+    if (header.best != packet_header::no_position)
+    {
+        out.put_varint(tags::best, header.best + 1U);
+    }
+    out.put_varint(tags::best_load, header.best_load);
 }
 
 void put(message_writer& out, const answer_datagram& value)
@@ -127,6 +153,11 @@
     out.put_candidate(tags::owner, value.owner);
 }
 
+void put(message_writer& out, const peer_datagram& value)
+{
+    out.put_bytes(internal::peer_tag::message, value.message);
+}
+
 void put_prefix(std::span<std::uint8_t> out, std::uint8_t key,
                 datagram_kind kind, std::size_t authenticated)
 {
@@ -142,8 +173,10 @@
                          std::span<std::uint8_t> out)
 {
     const payload_view payload = payload_of(value);
+    const std::size_t extra = extra_size(value);
     if (payload.size() > datagram_codec::payload_limit ||
-        out.size() < payload.size() + datagram_codec::overhead_limit)
+        extra > datagram_codec::peer_limit ||
+        out.size() < payload.size() + extra + datagram_codec::overhead_limit)
     {
         return 0;
     }
@@ -192,6 +225,12 @@
     return encode_value(m_keys.signing, value, out);
 }
 
+std::size_t datagram_codec::encode(const peer_datagram& value,
+                                   std::span<std::uint8_t> out) const
+{
+    return encode_value(m_keys.signing, value, out);
+}
+
 std::size_t datagram_codec::encode(const datagram& value,
                                    std::span<std::uint8_t> out) const
 {
--- a/packages/wire/src/message_writer.cpp
+++ b/packages/wire/src/message_writer.cpp
@@ -75,6 +75,15 @@
     end_nested(length);
 }
 
+void message_writer::put_bytes(std::uint32_t tag,
+                               std::span<const std::uint8_t> value)
+{
+    m_out = output::WriteTagToArray(tag, m_out);
+    m_out = output::WriteVarint32ToArray(
+        static_cast<std::uint32_t>(value.size()), m_out);
+    m_out = std::copy(value.begin(), value.end(), m_out);
+}
+
 void message_writer::put_payload_head(std::size_t size)
 {
     if (size == 0)
--- a/packages/wire/src/message_writer.hpp
+++ b/packages/wire/src/message_writer.hpp
@@ -25,6 +25,7 @@
     void put_endpoint(std::uint32_t tag, const endpoint& value);
     void put_flow(std::uint32_t tag, const flow_key& value);
     void put_candidate(std::uint32_t tag, const candidate& value);
+    void put_bytes(std::uint32_t tag, std::span<const std::uint8_t> value);
     // The tag and length of a payload, without the payload itself.
     void put_payload_head(std::size_t size);
 
--- a/packages/wire/src/packet_fields.hpp
+++ b/packages/wire/src/packet_fields.hpp
@@ -28,6 +28,7 @@
     notice = 3,
     redirect = 4,
     withdrawal = 5,
+    peer = 6,
 };
 
 // The prefix of a datagram: one byte each for version, key and kind, and two
@@ -70,6 +71,8 @@
 constexpr auto current = tag(8, wire_type::bytes);
 constexpr auto previous = tag(9, wire_type::bytes);
 constexpr auto return_to = tag(10, wire_type::bytes);
+constexpr auto best = tag(11, wire_type::varint);
+constexpr auto best_load = tag(12, wire_type::varint);
 } // namespace forward_tag
 
 namespace answer_tag
@@ -96,6 +99,11 @@
 constexpr auto lifetime = tag(5, wire_type::varint);
 } // namespace redirect_tag
 
+namespace peer_tag
+{
+constexpr auto message = tag(1, wire_type::bytes);
+} // namespace peer_tag
+
 // The payload is the last field of the messages that have one.
 constexpr auto payload_tag = tag(15, wire_type::bytes);
 
--- a/packages/wire/test/datagram_codec_test.cpp
+++ b/packages/wire/test/datagram_codec_test.cpp
@@ -64,7 +64,7 @@
     header.table = random() % 5 == 0 ? 0 : random();
     header.flow = random_flow(random);
     header.role = static_cast<packet_role>(random() % 4);
-    header.pass = static_cast<packet_pass>(random() % 2);
+    header.pass = static_cast<packet_pass>(random() % 3);
     const std::size_t current = 1 + random() % candidate_chain::capacity;
     for (std::size_t i = 0; i < current; ++i)
     {
@@ -76,6 +76,11 @@
     }
     header.position = static_cast<std::uint8_t>(random() % current);
     header.hops = static_cast<std::uint8_t>(random());
+    if (random() % 2 == 0)
+    {
+        header.best = static_cast<std::uint8_t>(random() % current);
+        header.best_load = static_cast<std::uint32_t>(random());
+    }
     header.return_to = random_endpoint(random);
     value.payload = payload;
     return value;
@@ -189,6 +194,16 @@
         ASSERT_EQ(std::get<redirect_datagram>(*codec.decode(redirected)),
                   redirect);
 
+        const bytes message(1 + random() % 20, std::uint8_t{8});
+        const peer_datagram told{message};
+        const bytes telling = encode(codec, told);
+        ASSERT_EQ(reframed<messages::Peer>(telling), telling);
+        const auto told_back = codec.decode(telling);
+        ASSERT_TRUE(told_back.has_value());
+        const auto& heard = std::get<peer_datagram>(*told_back).message;
+        ASSERT_TRUE(std::equal(heard.begin(), heard.end(), message.begin(),
+                               message.end()));
+
         const withdrawal_datagram withdrawal{redirect.flow, redirect.service,
                                              redirect.receiver, redirect.owner};
         const bytes withdrawn = encode(codec, withdrawal);
