--- /dev/null
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "crowlink/agent/load_board.hpp"
+#include "crowlink/agent/progress_judge.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/model/service.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace crowlink::internal
+{
+
+// Whether a new flow may come in, by what the agent itself counts exactly:
+// open flows and work in progress, against what the operators declared and
+// what the upstream's progress shows.
+class admission
+{
+public:
+    admission(duration stall_after, time_point started)
+        : m_judge(stall_after, started)
+    {
+    }
+
+    void declare(const service& declared, std::uint32_t weight);
+    void set_draining(bool draining) { m_draining = draining; }
+    bool is_draining() const { return m_draining; }
+    void permit_shedding(time_point until) { m_shed_until = until; }
+
+    void started(std::uint32_t weight) { m_work += weight; }
+    void ended(time_point now, std::uint32_t weight, bool completed);
+
+    progress_judge& judge() { return m_judge; }
+    const progress_judge& judge() const { return m_judge; }
+    const sharing_policy& sharing() const { return m_sharing; }
+    // Whether it takes no new flow, by its own judgement and with leave.
+    bool is_shedding(time_point now) const;
+    load_board& peers() { return m_peers; }
+
+    void assess(time_point now);
+
+    // In millionths of what the upstream can take: the fuller of flows and
+    // work, against its share.
+    std::uint32_t load(std::size_t flows) const;
+
+    // Whether one more flow is within the limits. While shedding, one flow now
+    // and then is, as a trial.
+    bool can_admit(time_point now, std::size_t flows) const;
+    // Whether a shedding upstream is due for a trial.
+    bool wants_trial(time_point now) const;
+    // Whether the head should take the flow without asking others.
+    bool admits_at_once(time_point now, std::size_t flows) const;
+    // Notes that a flow was admitted.
+    void admitted(time_point now);
+
+    const target_limits& limits() const { return m_limits; }
+
+private:
+    std::uint32_t share(time_point now) const;
+
+    target_limits m_limits;
+    sharing_policy m_sharing;
+    std::uint32_t m_weight = 100;
+    bool m_draining = false;
+    std::uint64_t m_work = 0;
+    progress_judge m_judge;
+    load_board m_peers;
+    time_point m_now{};
+    time_point m_shed_until{};
+    time_point m_next_trial{};
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -0,0 +1,213 @@
+#pragma once
+
+#include "crowlink/agent/admission.hpp"
+#include "crowlink/agent/agent_counts.hpp"
+#include "crowlink/agent/agent_effects.hpp"
+#include "crowlink/agent/agent_events.hpp"
+#include "crowlink/agent/agent_settings.hpp"
+#include "crowlink/agent/deadline_queue.hpp"
+#include "crowlink/agent/effect_queue.hpp"
+#include "crowlink/agent/flow_table.hpp"
+#include "crowlink/agent/member_tables.hpp"
+#include "crowlink/agent/redirect_batch.hpp"
+#include "crowlink/agent/redirect_table.hpp"
+#include "crowlink/agent/shed_warden.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace crowlink
+{
+
+// The agent of one upstream: the authority on the flows that it owns. See
+// docs/design/flows.md for how flows are found, placed and kept. Not
+// thread-safe; each event's effects are carried out before handle returns.
+//
+//   agent keeper(settings, now);
+//   keeper.handle(now, view_changed{view}, effects);
+//   keeper.handle(now, packet_arrived{header, payload}, effects);
+class agent
+{
+public:
+    agent(const agent_settings& settings, time_point now);
+
+    // Takes any event of agent_events.hpp.
+    template <class Event, agent_effects Effects>
+    void handle(time_point now, const Event& event, Effects& effects)
+    {
+        on(now, event);
+        m_effects.flush(effects);
+    }
+
+    template <agent_effects Effects>
+    void handle(time_point now, const packet_arrived& event, Effects& effects)
+    {
+        const route found = route_of(now, event);
+        if (found == route::deliver)
+        {
+            effects.deliver(event.header.flow, event.payload);
+            return;
+        }
+        m_effects.flush(effects);
+    }
+
+    template <agent_effects Effects>
+    void handle(time_point now, const upstream_answered& event,
+                Effects& effects)
+    {
+        const endpoint* to = answered(now, event);
+        if (to != nullptr)
+        {
+            effects.answer(*to, event.flow, event.payload);
+        }
+    }
+
+    bool owns(const flow_key& flow) { return m_flows.find(flow) != nullptr; }
+    std::size_t flows() const { return m_flows.size(); }
+    std::size_t redirects() const { return m_redirects.size(); }
+    // In millionths of what the upstream can take.
+    std::uint32_t load() const { return m_admission.load(m_flows.size()); }
+    // Whether it stalls and takes no new flow for it.
+    bool sheds(time_point now) const;
+    upstream_tag tag() const { return m_tag; }
+    const upstream_record& record() const { return m_record; }
+    const agent_counts& counts() const { return m_counts; }
+
+private:
+    enum class route : std::uint8_t
+    {
+        deliver,
+        elsewhere,
+    };
+
+    // Packets.
+    route route_of(time_point now, const packet_arrived& event);
+    bool is_for_this(const packet_arrived& event);
+    void deliver_known(time_point now, internal::flow_entry& entry,
+                       const packet_arrived& event);
+    void end_by_caller(time_point now, internal::flow_entry& entry,
+                       const packet_arrived& event);
+    void find_or_place(time_point now, const packet_arrived& event);
+    bool follow_redirect(const packet_arrived& event,
+                         const internal::redirect_entry& known);
+    bool follow_mark(const packet_arrived& event,
+                     const internal::redirect_entry& mark);
+    void look_up(time_point now, const packet_arrived& event);
+    void walk_on(time_point now, packet_header header,
+                 const packet_arrived& event);
+    void end_walk(time_point now, packet_header header,
+                  const packet_arrived& event);
+    void ask_to_admit(time_point now, packet_header header,
+                      const packet_arrived& event);
+    void ask_next(time_point now, packet_header header,
+                  const packet_arrived& event);
+    void place(time_point now, const packet_header& header,
+               const packet_arrived& event);
+    void refuse(const packet_header& header, const packet_arrived& event);
+    void take(time_point now, const packet_header& header,
+              const packet_arrived& event, flow_action how,
+              std::string_view reason);
+    bool may_adopt(time_point now, packet_role role) const;
+    void forward(packet_header header, const packet_arrived& event,
+                 flow_action how, std::string_view reason);
+    void mark_placing(time_point now, const flow_key& flow,
+                      const candidate& to);
+    std::size_t next_position(const packet_header& header,
+                              std::size_t limit) const;
+
+    // Flows.
+    const endpoint* answered(time_point now, const upstream_answered& event);
+    void note_caller_packet(time_point now, internal::flow_entry& entry,
+                            answer_need need);
+    void end_flow(const flow_key& flow, std::string_view reason);
+    void end_and_tell(const flow_key& flow, refusal_reason reason,
+                      bool tell_upstream);
+    void close_idle(time_point now);
+    void close_finished(time_point now);
+    void find_silent(time_point now);
+    bool is_silent(time_point now, const internal::flow_entry& entry) const;
+    time_point others_answered(const flow_key& flow) const;
+    void note_finished(time_point now, const internal::flow_entry& entry);
+    duration idle_limit(const internal::flow_entry& entry) const;
+    void choose_balancer(internal::flow_entry& entry);
+
+    // Redirects.
+    void check_redirects(time_point now, internal::flow_entry& entry,
+                         bool renew);
+    candidate_chain agents_to_tell(const flow_key& flow) const;
+    void publish(time_point now, internal::flow_entry& entry,
+                 const candidate& to);
+    void publish_opened(time_point now, internal::flow_entry& entry,
+                        const packet_header& header);
+    void withdraw(const internal::flow_entry& entry);
+    void continue_check(time_point now);
+    void renew_due(time_point now);
+    void send(const endpoint& to, peer_message message);
+
+    // Other events.
+    void on(time_point now, const upstream_closed& event);
+    void on(time_point now, const upstream_failed& event);
+    void on(time_point now, const upstream_lived_on& event);
+    void on(time_point now, const message_arrived& event);
+    void on(time_point now, const view_changed& event);
+    void on(time_point now, const leave_requested& event);
+    void on(time_point now, const work_started& event);
+    void on(time_point now, const work_ended& event);
+    void on(time_point now, const tick& event);
+    void take_in(time_point now, const endpoint& from,
+                 const redirect_notice& message);
+    void take_in(time_point now, const endpoint& from,
+                 const load_notice& message);
+    void take_in(time_point now, const endpoint& from,
+                 const shed_request& message);
+    void take_in(time_point now, const endpoint& from,
+                 const shed_grant& message);
+    void take_redirect(time_point now, const redirect_notice& message,
+                       const owned_flow& owned);
+    void set_state(upstream_state state);
+    void assess(time_point now);
+    void tell_load(time_point now);
+    void ask_to_shed(time_point now);
+    const candidate* warden(candidate_chain& chain) const;
+    void send_batch();
+
+    void decide(flow_action action, const flow_key& flow, std::uint64_t table,
+                const candidate& chosen, std::string_view reason);
+
+    agent_settings m_settings;
+    upstream_record m_record;
+    upstream_tag m_tag;
+    candidate m_self;
+    internal::flow_table m_flows;
+    internal::redirect_table m_redirects;
+    internal::member_tables m_members;
+    internal::admission m_admission;
+    internal::shed_warden m_warden;
+    internal::effect_queue m_effects;
+    internal::redirect_batch m_batch;
+    internal::deadline_queue m_renewals;
+    internal::deadline_queue m_watched;
+    internal::deadline_queue m_lingering;
+    agent_counts m_counts;
+
+    // A generation of tables that redirects are checked against, and the
+    // members that are to be told again in it.
+    std::uint32_t m_check = 1;
+    bool m_checking = false;
+    std::uint32_t m_redirects_left = 0;
+    std::vector<upstream_tag> m_renewed;
+
+    bool m_announced = false;
+    bool m_leaving = false;
+    time_point m_adopt_until{};
+    time_point m_next_assessment{};
+    std::size_t m_next_peer = 0;
+    // The latest answer, and the latest of another flow than that one's.
+    time_point m_answered_at{};
+    time_point m_answered_other_at{};
+    flow_key m_answered_flow;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/load_board.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/candidate.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace crowlink::internal
+{
+
+// The latest loads that peers told. A service with more members than there are
+// slots is known by a sample of them.
+class load_board
+{
+public:
+    static constexpr std::size_t slots = 64;
+
+    void note(time_point now, upstream_tag peer, std::uint32_t load);
+
+    // The mean of the peers' recent loads; nothing without a recent one.
+    std::optional<std::uint32_t> mean(time_point now) const;
+
+private:
+    struct sample
+    {
+        upstream_tag peer = 0;
+        std::uint32_t load = 0;
+        time_point until{};
+    };
+
+    std::array<sample, slots> m_samples{};
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/load_units.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+
+namespace crowlink::internal
+{
+
+// Loads and shares are counted in millionths.
+inline constexpr std::uint32_t full_share = 1'000'000;
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/redirect_batch.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "crowlink/agent/redirect_notice.hpp"
+#include "crowlink/base/endpoint.hpp"
+
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// Redirects on their way, gathered so that many flows share a message.
+class redirect_batch
+{
+public:
+    struct open_notice
+    {
+        endpoint to;
+        redirect_notice notice;
+    };
+
+    // Adds a flow to a notice for this agent and lifetime that has room, or to
+    // a new one like `empty`.
+    void add(const redirect_notice& empty, const endpoint& to,
+             const owned_flow& flow);
+
+    // The notices so far; what is sent is taken out.
+    std::vector<open_notice>& notices() { return m_notices; }
+
+private:
+    std::vector<open_notice> m_notices;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/shed_warden.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/candidate.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// Grants leave to shed to at most a third of a service's upstreams. A warden
+// that has just become one waits until the grants of the one before ran out.
+class shed_warden
+{
+public:
+    explicit shed_warden(duration lifetime) : m_lifetime(lifetime) {}
+
+    // Says whether this agent is the warden now.
+    void appoint(time_point now, bool is_warden);
+
+    // Whether the asker may shed for the lifetime of a grant; `upstreams` is
+    // the number of those that take flows.
+    bool grant(time_point now, upstream_tag asker, std::size_t upstreams);
+
+private:
+    struct holder
+    {
+        upstream_tag tag = 0;
+        time_point until{};
+    };
+
+    duration m_lifetime;
+    bool m_is_warden = false;
+    time_point m_grants_from{};
+    std::vector<holder> m_holders;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/src/admission.cpp
@@ -0,0 +1,114 @@
+#include "crowlink/agent/admission.hpp"
+
+#include "crowlink/agent/load_units.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+constexpr std::uint32_t default_weight = 100;
+// Without leave to shed, a judgement takes at most half of the share.
+constexpr std::uint32_t least_share_unpermitted = full_share / 2;
+constexpr duration trial_interval = std::chrono::seconds(1);
+// Where continuity comes first, a head this far above the mean keeps the flow.
+constexpr std::uint32_t continuity_excess_percent = 25;
+
+std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
+{
+    return used * full_share / std::max<std::uint64_t>(limit, 1);
+}
+
+} // namespace
+
+void admission::declare(const service& declared, std::uint32_t weight)
+{
+    m_limits = declared.limits;
+    m_sharing = declared.sharing;
+    m_weight = std::max(weight, 1U);
+}
+
+void admission::ended(time_point now, std::uint32_t weight, bool completed)
+{
+    m_work -= std::min<std::uint64_t>(m_work, weight);
+    if (completed)
+    {
+        m_judge.progressed(now);
+    }
+}
+
+void admission::assess(time_point now)
+{
+    m_now = now;
+    m_judge.assess(now, m_work > 0, m_sharing.cold_start);
+}
+
+std::uint32_t admission::load(std::size_t flows) const
+{
+    const std::uint64_t used = std::max(millionths(flows, m_limits.connections),
+                                        millionths(m_work, m_limits.slots));
+    const std::uint64_t capacity =
+        static_cast<std::uint64_t>(m_weight) * share(m_now) / default_weight;
+    const std::uint64_t load = millionths(used, capacity);
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        load, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::uint32_t admission::share(time_point now) const
+{
+    const std::uint32_t judged = std::max(m_judge.share(), 1U);
+    if (now < m_shed_until || !m_judge.wants_to_shed())
+    {
+        return judged;
+    }
+    return std::max(judged, least_share_unpermitted);
+}
+
+bool admission::is_shedding(time_point now) const
+{
+    return m_judge.wants_to_shed() && now < m_shed_until;
+}
+
+bool admission::can_admit(time_point now, std::size_t flows) const
+{
+    if (m_draining || flows >= m_limits.connections)
+    {
+        return false;
+    }
+    return !is_shedding(now) || now >= m_next_trial;
+}
+
+bool admission::wants_trial(time_point now) const
+{
+    return is_shedding(now) && now >= m_next_trial;
+}
+
+bool admission::admits_at_once(time_point now, std::size_t flows) const
+{
+    const auto mean = m_peers.mean(now);
+    const std::uint64_t own = load(flows);
+    if (m_sharing.goal == service_goal::balance)
+    {
+        return mean && own <= *mean;
+    }
+    if (!mean)
+    {
+        return true;
+    }
+    return own * 100 <= static_cast<std::uint64_t>(*mean) *
+                            (100 + continuity_excess_percent);
+}
+
+void admission::admitted(time_point now)
+{
+    if (is_shedding(now))
+    {
+        m_next_trial = now + trial_interval;
+    }
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/src/agent.cpp
@@ -0,0 +1,276 @@
+#include "crowlink/agent/agent.hpp"
+
+#include <algorithm>
+
+namespace crowlink
+{
+
+namespace
+{
+
+// Peers that are told the load at each assessment.
+constexpr std::size_t peers_at_once = 2;
+
+std::size_t ready_members(const service_view& view)
+{
+    return static_cast<std::size_t>(
+        std::count_if(view.members.begin(), view.members.end(),
+                      [](const upstream_record& member)
+                      { return member.state == upstream_state::ready; }));
+}
+
+} // namespace
+
+agent::agent(const agent_settings& settings, time_point now)
+    : m_settings(settings)
+    , m_record(settings.self)
+    , m_tag(tag_of(settings.self.id, settings.self.started))
+    , m_self{settings.self.agent, m_tag}
+    , m_redirects(settings.redirects_kept)
+    , m_members(settings.settle, now)
+    , m_admission(settings.stall_after, now)
+    , m_warden(settings.shed_lifetime)
+    , m_redirects_left(settings.redirects_per_tick)
+{
+}
+
+bool agent::sheds(time_point now) const
+{
+    return m_admission.is_shedding(now);
+}
+
+void agent::on(time_point, const upstream_closed& event)
+{
+    if (m_flows.find(event.flow) == nullptr)
+    {
+        return;
+    }
+    if (event.failed)
+    {
+        end_and_tell(event.flow, refusal_reason::upstream_failed, false);
+    }
+    else
+    {
+        end_flow(event.flow, "upstream_closed");
+    }
+    send_batch();
+}
+
+void agent::on(time_point, const upstream_failed&)
+{
+    ++m_counts.upstream_failed;
+    while (const internal::flow_entry* entry = m_flows.least_recent())
+    {
+        const flow_key flow = entry->key;
+        end_and_tell(flow, refusal_reason::upstream_failed, false);
+    }
+    send_batch();
+    m_admission.set_draining(true);
+    set_state(upstream_state::gone);
+}
+
+void agent::on(time_point now, const upstream_lived_on&)
+{
+    m_adopt_until = now + m_settings.settle;
+    m_admission.judge().assume_warm();
+}
+
+void agent::on(time_point now, const message_arrived& event)
+{
+    std::visit(
+        [&](const auto& message)
+        {
+            if (message.service != m_record.service)
+            {
+                ++m_counts.wrong_service;
+                return;
+            }
+            if (message.receiver != m_tag)
+            {
+                ++m_counts.wrong_tag;
+                return;
+            }
+            take_in(now, event.from, message);
+        },
+        event.message);
+    send_batch();
+}
+
+void agent::on(time_point now, const view_changed& event)
+{
+    const auto change = m_members.accept(now, event.view);
+    if (!change.accepted)
+    {
+        return;
+    }
+    const service_view& view = *m_members.view();
+    const auto own = std::find_if(view.members.begin(), view.members.end(),
+                                  [this](const upstream_record& member)
+                                  { return member.id == m_record.id; });
+    const bool is_listed = own != view.members.end();
+    const bool drained = is_listed && own->state == upstream_state::draining;
+    m_admission.declare(view.declared,
+                        is_listed ? own->weight : m_record.weight);
+    m_admission.set_draining(m_leaving || drained);
+    if (change.table || !change.renewed.empty())
+    {
+        m_renewed.insert(m_renewed.end(), change.renewed.begin(),
+                         change.renewed.end());
+        ++m_check;
+        m_checking = true;
+        m_flows.rewind();
+    }
+}
+
+void agent::on(time_point, const leave_requested&)
+{
+    m_leaving = true;
+    m_admission.set_draining(true);
+    set_state(upstream_state::draining);
+}
+
+void agent::on(time_point, const work_started& event)
+{
+    m_admission.started(event.weight);
+}
+
+void agent::on(time_point now, const work_ended& event)
+{
+    m_admission.ended(now, event.weight, event.completed);
+}
+
+void agent::on(time_point now, const tick&)
+{
+    if (!m_announced)
+    {
+        m_announced = true;
+        m_effects.add(m_record);
+    }
+    m_redirects_left = m_settings.redirects_per_tick;
+    m_redirects.expire(now);
+    m_counts.redirects_evicted = m_redirects.evicted();
+    continue_check(now);
+    renew_due(now);
+    find_silent(now);
+    close_finished(now);
+    close_idle(now);
+    if (now >= m_next_assessment)
+    {
+        assess(now);
+    }
+    send_batch();
+}
+
+void agent::set_state(upstream_state state)
+{
+    if (m_record.state == state)
+    {
+        return;
+    }
+    m_record.state = state;
+    ++m_record.sequence;
+    m_announced = true;
+    m_effects.add(m_record);
+}
+
+void agent::assess(time_point now)
+{
+    m_next_assessment = now + m_settings.assess;
+    m_admission.assess(now);
+    candidate_chain chain;
+    const candidate* warden_now = warden(chain);
+    m_warden.appoint(now, warden_now != nullptr && *warden_now == m_self);
+    if (m_admission.judge().wants_to_shed())
+    {
+        ask_to_shed(now);
+    }
+    tell_load(now);
+}
+
+const candidate* agent::warden(candidate_chain& chain) const
+{
+    // The candidates of a flow that can't be.
+    chain = m_members.chain(flow_key());
+    return chain.empty() ? nullptr : chain.begin();
+}
+
+void agent::ask_to_shed(time_point now)
+{
+    candidate_chain chain;
+    const candidate* asked = warden(chain);
+    if (asked == nullptr)
+    {
+        return;
+    }
+    if (*asked != m_self)
+    {
+        send(asked->agent, shed_request{m_record.service, asked->tag, m_self});
+        return;
+    }
+    if (m_warden.grant(now, m_tag, ready_members(*m_members.view())))
+    {
+        m_admission.permit_shedding(now + m_settings.shed_lifetime);
+    }
+}
+
+void agent::tell_load(time_point now)
+{
+    if (m_members.view() == nullptr || m_admission.is_draining())
+    {
+        return;
+    }
+    const auto& members = m_members.view()->members;
+    const std::uint32_t own = load();
+    std::size_t told = 0;
+    for (std::size_t i = 0; i < members.size() && told < peers_at_once; ++i)
+    {
+        m_next_peer = (m_next_peer + 1) % members.size();
+        const upstream_record& peer = members[m_next_peer];
+        if (peer.id == m_record.id || peer.state != upstream_state::ready)
+        {
+            continue;
+        }
+        send(peer.agent,
+             load_notice{m_record.service, tag_of(peer.id, peer.started), m_tag,
+                         own});
+        ++m_counts.loads_sent;
+        ++told;
+    }
+    (void)now;
+}
+
+void agent::take_in(time_point now, const endpoint&, const load_notice& message)
+{
+    m_admission.peers().note(now, message.sender, message.load);
+}
+
+void agent::take_in(time_point now, const endpoint&,
+                    const shed_request& message)
+{
+    if (m_members.view() == nullptr)
+    {
+        return;
+    }
+    const std::size_t upstreams = ready_members(*m_members.view());
+    if (m_warden.grant(now, message.sender.tag, upstreams))
+    {
+        send(message.sender.agent,
+             shed_grant{m_record.service, message.sender.tag,
+                        m_settings.shed_lifetime});
+    }
+}
+
+void agent::take_in(time_point now, const endpoint&, const shed_grant& message)
+{
+    m_admission.permit_shedding(now + message.lifetime);
+}
+
+void agent::decide(flow_action action, const flow_key& flow,
+                   std::uint64_t table, const candidate& chosen,
+                   std::string_view reason)
+{
+    m_effects.add(flow_decision{action, m_record.service, flow, table, chosen,
+                                m_admission.load(m_flows.size()), reason});
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/src/agent_packets.cpp
@@ -0,0 +1,447 @@
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
+
+namespace crowlink
+{
+
+namespace
+{
+
+// More agents than a packet meets in a walk over two chains, an admission over
+// one, and a few detours.
+constexpr std::uint8_t hop_limit = 20;
+
+bool may_open(packet_role role)
+{
+    return role == packet_role::any || role == packet_role::opens;
+}
+
+} // namespace
+
+agent::route agent::route_of(time_point now, const packet_arrived& event)
+{
+    if (!is_for_this(event))
+    {
+        return route::elsewhere;
+    }
+    internal::flow_entry* entry = m_flows.find(event.header.flow);
+    if (entry == nullptr)
+    {
+        find_or_place(now, event);
+        send_batch();
+        return route::elsewhere;
+    }
+    deliver_known(now, *entry, event);
+    if (event.header.role == packet_role::resets)
+    {
+        end_by_caller(now, *entry, event);
+        return route::elsewhere;
+    }
+    return route::deliver;
+}
+
+bool agent::is_for_this(const packet_arrived& event)
+{
+    const packet_header& header = event.header;
+    if (header.service != m_record.service)
+    {
+        ++m_counts.wrong_service;
+        decide(flow_action::dropped, header.flow, header.table, candidate(),
+               "wrong_service");
+        return false;
+    }
+    const candidate* addressed =
+        internal::candidate_at(header, header.position);
+    if (addressed == nullptr || addressed->tag != m_tag)
+    {
+        ++m_counts.wrong_tag;
+        decide(flow_action::dropped, header.flow, header.table, candidate(),
+               "wrong_tag");
+        return false;
+    }
+    return true;
+}
+
+void agent::deliver_known(time_point now, internal::flow_entry& entry,
+                          const packet_arrived& event)
+{
+    ++m_counts.delivered;
+    const bool unchecked = entry.checked != m_check;
+    if (unchecked && m_redirects_left > 0)
+    {
+        check_redirects(now, entry, false);
+        send_batch();
+    }
+    // The walk over flows that have not been checked must still meet this one.
+    if (entry.checked == m_check)
+    {
+        m_flows.touch(entry, now);
+    }
+    if (entry.return_to != event.header.return_to)
+    {
+        entry.return_to = event.header.return_to;
+        entry.return_checked = 0;
+    }
+    note_caller_packet(now, entry, event.need);
+    if (event.finishes && !entry.caller_finished)
+    {
+        entry.caller_finished = true;
+        note_finished(now, entry);
+    }
+}
+
+void agent::end_by_caller(time_point now, internal::flow_entry& entry,
+                          const packet_arrived& event)
+{
+    entry.active = now;
+    m_effects.add(internal::deliver_effect{entry.key, event.payload});
+    end_flow(event.header.flow, "caller_reset");
+    send_batch();
+}
+
+void agent::find_or_place(time_point now, const packet_arrived& event)
+{
+    const packet_header& header = event.header;
+    const internal::redirect_entry* known = m_redirects.find(header.flow, now);
+    if (header.hops >= hop_limit)
+    {
+        ++m_counts.too_many_hops;
+        // Whatever is known here led nowhere.
+        m_redirects.erase(header.flow);
+        decide(flow_action::dropped, header.flow, header.table, candidate(),
+               "too_many_hops");
+        return;
+    }
+    if (known != nullptr)
+    {
+        const bool sent = known->placing ? follow_mark(event, *known)
+                                         : follow_redirect(event, *known);
+        if (sent)
+        {
+            return;
+        }
+    }
+    switch (header.pass)
+    {
+    case packet_pass::lookup:
+        look_up(now, event);
+        break;
+    case packet_pass::admit:
+        ask_to_admit(now, header, event);
+        break;
+    case packet_pass::place:
+        place(now, header, event);
+        break;
+    }
+}
+
+bool agent::follow_redirect(const packet_arrived& event,
+                            const internal::redirect_entry& known)
+{
+    const packet_header& header = event.header;
+    const candidate to = known.to;
+    const bool came_back = header.pass == packet_pass::admit &&
+                           header.previous.size() == 1 &&
+                           header.previous[0] == to;
+    if (came_back || m_members.is_gone(to.tag) || to == m_self)
+    {
+        m_redirects.erase(header.flow);
+        return false;
+    }
+    packet_header sent = header;
+    internal::address_to(sent, to);
+    sent.pass = packet_pass::lookup;
+    ++m_counts.redirected;
+    forward(sent, event, flow_action::redirected, "owner_published");
+    return true;
+}
+
+bool agent::follow_mark(const packet_arrived& event,
+                        const internal::redirect_entry& mark)
+{
+    const packet_header& header = event.header;
+    const candidate to = mark.to;
+    const bool same_head = !header.current.empty() && header.current[0] == to;
+    const bool is_head = to == m_self;
+    if (same_head || is_head || header.pass == packet_pass::place ||
+        m_members.is_gone(to.tag))
+    {
+        return false;
+    }
+    if (!may_open(header.role) && header.pass == packet_pass::lookup)
+    {
+        return false;
+    }
+    packet_header sent = header;
+    for (std::size_t i = 0; i < header.current.size(); ++i)
+    {
+        const bool is_asked_next = header.current[i] == to;
+        if (is_asked_next && header.pass == packet_pass::admit)
+        {
+            sent.position = static_cast<std::uint8_t>(i);
+            ++m_counts.diverted;
+            forward(sent, event, flow_action::looked_up, "being_placed");
+            return true;
+        }
+    }
+    internal::address_to(sent, to);
+    sent.pass = packet_pass::lookup;
+    ++m_counts.diverted;
+    forward(sent, event, flow_action::looked_up, "being_placed");
+    return true;
+}
+
+void agent::look_up(time_point now, const packet_arrived& event)
+{
+    packet_header header = event.header;
+    const bool opens = may_open(header.role);
+    const bool is_head = header.position == 0;
+    if (!is_head)
+    {
+        if (opens && !header.current.empty())
+        {
+            mark_placing(now, header.flow, header.current[0]);
+        }
+        walk_on(now, header, event);
+        return;
+    }
+    if (opens && !m_members.may_be_owned_elsewhere(now, header.table))
+    {
+        header.pass = packet_pass::admit;
+        ask_to_admit(now, header, event);
+        return;
+    }
+    m_members.widen(header, now);
+    if (opens)
+    {
+        mark_placing(now, header.flow, m_self);
+    }
+    walk_on(now, header, event);
+}
+
+void agent::walk_on(time_point now, packet_header header,
+                    const packet_arrived& event)
+{
+    const bool is_likely_owner =
+        header.role == packet_role::continues || header.position == 0 ||
+        (header.previous.size() == 1 && header.previous[0] == m_self);
+    if (header.best == packet_header::no_position && is_likely_owner &&
+        may_adopt(now, header.role))
+    {
+        header.best = header.position;
+    }
+    const std::size_t count = header.current.size() + header.previous.size();
+    const std::size_t next = next_position(header, count);
+    if (next == count)
+    {
+        end_walk(now, header, event);
+        return;
+    }
+    header.position = static_cast<std::uint8_t>(next);
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "owner_unknown");
+}
+
+void agent::end_walk(time_point now, packet_header header,
+                     const packet_arrived& event)
+{
+    if (header.best != packet_header::no_position)
+    {
+        header.position = header.best;
+        header.pass = packet_pass::place;
+        if (*internal::candidate_at(header, header.best) == m_self)
+        {
+            place(now, header, event);
+            return;
+        }
+        forward(header, event, flow_action::looked_up, "may_adopt");
+        return;
+    }
+    if (header.role == packet_role::resets)
+    {
+        return;
+    }
+    if (header.role == packet_role::continues)
+    {
+        ++m_counts.unknown_flows;
+        const flow_refusal told{verdict::may_have_run,
+                                refusal_reason::unknown_flow, duration::zero()};
+        m_effects.add(
+            internal::reset_caller_effect{header.return_to, header.flow, told});
+        decide(flow_action::reset, header.flow, header.table, candidate(),
+               to_string(told.reason));
+        return;
+    }
+    header.pass = packet_pass::admit;
+    header.position = 0;
+    const bool head_is_usable =
+        !header.current.empty() && !m_members.is_gone(header.current[0].tag);
+    if (!head_is_usable)
+    {
+        ask_next(now, header, event);
+        return;
+    }
+    if (header.current[0] == m_self)
+    {
+        ask_to_admit(now, header, event);
+        return;
+    }
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "no_owner");
+}
+
+void agent::ask_to_admit(time_point now, packet_header header,
+                         const packet_arrived& event)
+{
+    const std::size_t flows = m_flows.size();
+    if (m_admission.can_admit(now, flows))
+    {
+        const bool is_head = header.position == 0;
+        const bool any_will_do =
+            m_admission.sharing().goal == service_goal::continuity;
+        const bool at_once = m_admission.admits_at_once(now, flows);
+        if (m_admission.wants_trial(now) ||
+            (at_once && (is_head || any_will_do)))
+        {
+            take(now, header, event, flow_action::admitted, "low_load");
+            return;
+        }
+        const std::uint32_t own = m_admission.load(flows);
+        if (header.best == packet_header::no_position || own < header.best_load)
+        {
+            header.best = header.position;
+            header.best_load = own;
+        }
+    }
+    ask_next(now, header, event);
+}
+
+void agent::ask_next(time_point now, packet_header header,
+                     const packet_arrived& event)
+{
+    const std::size_t count = header.current.size();
+    const std::size_t next = next_position(header, count);
+    if (next < count)
+    {
+        header.position = static_cast<std::uint8_t>(next);
+        mark_placing(now, header.flow, header.current[next]);
+        ++m_counts.handed_off;
+        forward(header, event, flow_action::handed_off, "compare_load");
+        return;
+    }
+    if (header.best == packet_header::no_position)
+    {
+        refuse(header, event);
+        return;
+    }
+    header.position = header.best;
+    header.pass = packet_pass::place;
+    const candidate chosen = *internal::candidate_at(header, header.best);
+    if (chosen == m_self)
+    {
+        take(now, header, event, flow_action::admitted, "least_load");
+        return;
+    }
+    mark_placing(now, header.flow, chosen);
+    ++m_counts.handed_off;
+    forward(header, event, flow_action::handed_off, "least_load");
+}
+
+void agent::place(time_point now, const packet_header& header,
+                  const packet_arrived& event)
+{
+    if (may_adopt(now, header.role))
+    {
+        take(now, header, event, flow_action::adopted, "upstream_lived_on");
+        return;
+    }
+    if (!may_open(header.role) || !m_admission.can_admit(now, m_flows.size()))
+    {
+        refuse(header, event);
+        return;
+    }
+    take(now, header, event, flow_action::admitted, "least_load");
+}
+
+void agent::refuse(const packet_header& header, const packet_arrived& event)
+{
+    const refusal_reason reason = m_admission.is_draining()
+                                      ? refusal_reason::leaving
+                                      : refusal_reason::full;
+    const flow_refusal told{verdict::not_run, reason, m_settings.retry_after};
+    ++m_counts.refused;
+    m_effects.add(internal::refuse_effect{header.return_to, header.flow,
+                                          event.payload, told});
+    decide(flow_action::refused, header.flow, header.table, candidate(),
+           to_string(reason));
+}
+
+void agent::take(time_point now, const packet_header& header,
+                 const packet_arrived& event, flow_action how,
+                 std::string_view reason)
+{
+    m_redirects.erase(header.flow);
+    internal::flow_entry& entry = m_flows.open(header.flow, now);
+    entry.return_to = header.return_to;
+    entry.checked = m_check;
+    const bool adopted = how == flow_action::adopted;
+    ++(adopted ? m_counts.adopted : m_counts.admitted);
+    m_admission.admitted(now);
+    note_caller_packet(now, entry, event.need);
+    m_effects.add(internal::deliver_effect{header.flow, event.payload});
+    decide(how, header.flow, header.table, m_self, reason);
+    publish_opened(now, entry, header);
+}
+
+bool agent::may_adopt(time_point now, packet_role role) const
+{
+    if (now >= m_adopt_until)
+    {
+        return false;
+    }
+    // Whether a datagram opens a flow can't be told: an upstream that leaves
+    // must not get new ones.
+    const bool has_room =
+        m_flows.size() < 2 * std::size_t{m_admission.limits().connections};
+    return has_room &&
+           (role == packet_role::continues || !m_admission.is_draining());
+}
+
+void agent::forward(packet_header header, const packet_arrived& event,
+                    flow_action how, std::string_view reason)
+{
+    ++header.hops;
+    const candidate to = *internal::candidate_at(header, header.position);
+    m_effects.add(internal::forward_effect{to.agent, header, event.payload});
+    decide(how, header.flow, header.table, to, reason);
+}
+
+void agent::mark_placing(time_point now, const flow_key& flow,
+                         const candidate& to)
+{
+    const internal::redirect_entry* known = m_redirects.find(flow, now);
+    if (known != nullptr && !known->placing)
+    {
+        return;
+    }
+    m_redirects.put(internal::redirect_entry{
+        flow, to, true, now + m_settings.placing_lifetime});
+}
+
+std::size_t agent::next_position(const packet_header& header,
+                                 std::size_t limit) const
+{
+    for (std::size_t next = header.position + std::size_t{1}; next < limit;
+         ++next)
+    {
+        const candidate& asked = *internal::candidate_at(header, next);
+        if (!internal::seen_before(header, next) && asked != m_self &&
+            !m_members.is_gone(asked.tag))
+        {
+            return next;
+        }
+    }
+    return limit;
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/src/agent_redirects.cpp
@@ -0,0 +1,252 @@
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
+
+#include <algorithm>
+
+namespace crowlink
+{
+
+namespace
+{
+
+// Owners renew a redirect this many times in its lifetime.
+constexpr int renewals_in_lifetime = 3;
+
+std::uint32_t identity_of(const candidate_chain& agents)
+{
+    std::uint64_t hash = agents.size();
+    for (const candidate& next : agents)
+    {
+        hash = combine_hash(hash, next.tag);
+    }
+    return agents.empty() ? 0 : static_cast<std::uint32_t>(hash) | 1U;
+}
+
+bool holds(const candidate_chain& agents, const candidate& wanted)
+{
+    return std::find(agents.begin(), agents.end(), wanted) != agents.end();
+}
+
+} // namespace
+
+candidate_chain agent::agents_to_tell(const flow_key& flow) const
+{
+    candidate_chain told;
+    for (const candidate& next : m_members.chain(flow))
+    {
+        if (next.tag == m_tag || told.size() == m_settings.redirect_copies)
+        {
+            break;
+        }
+        told.push_back(next);
+    }
+    return told;
+}
+
+void agent::check_redirects(time_point now, internal::flow_entry& entry,
+                            bool renew)
+{
+    entry.checked = m_check;
+    const candidate_chain agents = agents_to_tell(entry.key);
+    const std::uint32_t identity = identity_of(agents);
+    const bool is_new = identity != entry.told;
+    entry.told = identity;
+    if (agents.empty())
+    {
+        return;
+    }
+    bool any = false;
+    for (const candidate& next : agents)
+    {
+        const bool restarted = std::find(m_renewed.begin(), m_renewed.end(),
+                                         next.tag) != m_renewed.end();
+        if (is_new || renew || restarted)
+        {
+            publish(now, entry, next);
+            any = true;
+        }
+    }
+    if (!any)
+    {
+        return;
+    }
+    const duration interval =
+        m_settings.redirect_lifetime / renewals_in_lifetime;
+    entry.renew_at = now + interval;
+    if (!entry.renewing)
+    {
+        entry.renewing = true;
+        m_renewals.push(entry.renew_at, entry.key);
+    }
+}
+
+void agent::publish(time_point now, internal::flow_entry& entry,
+                    const candidate& to)
+{
+    const redirect_notice empty{
+        m_record.service, to.tag, m_self, m_settings.redirect_lifetime, {}};
+    m_batch.add(empty, to.agent, owned_flow{entry.key, now - entry.opened});
+    ++m_counts.redirects_published;
+    m_redirects_left -= std::min(m_redirects_left, 1U);
+}
+
+void agent::publish_opened(time_point now, internal::flow_entry& entry,
+                           const packet_header& header)
+{
+    check_redirects(now, entry, false);
+    const candidate_chain told = agents_to_tell(entry.key);
+    const auto tell_too = [&](const candidate_chain& chain)
+    {
+        const bool is_other = !chain.empty() && chain[0] != m_self;
+        if (is_other && !holds(told, chain[0]))
+        {
+            publish(now, entry, chain[0]);
+        }
+    };
+    // Heads by other tables, which balancers may still use.
+    tell_too(header.current);
+    if (header.previous.empty() || header.current.empty() ||
+        header.previous[0] != header.current[0])
+    {
+        tell_too(header.previous);
+    }
+}
+
+void agent::withdraw(const internal::flow_entry& entry)
+{
+    if (entry.told == 0)
+    {
+        return;
+    }
+    for (const candidate& next : agents_to_tell(entry.key))
+    {
+        const redirect_notice empty{
+            m_record.service, next.tag, m_self, duration::zero(), {}};
+        m_batch.add(empty, next.agent, owned_flow{entry.key, duration::zero()});
+        ++m_counts.redirects_withdrawn;
+    }
+}
+
+void agent::continue_check(time_point now)
+{
+    std::uint32_t left = m_settings.checks_per_tick;
+    while (m_checking && m_redirects_left > 0 && left > 0)
+    {
+        internal::flow_entry* entry = m_flows.next();
+        if (entry == nullptr)
+        {
+            m_checking = false;
+            m_renewed.clear();
+            return;
+        }
+        if (entry->checked != m_check)
+        {
+            check_redirects(now, *entry, false);
+        }
+        --left;
+    }
+}
+
+void agent::renew_due(time_point now)
+{
+    while (m_redirects_left > 0)
+    {
+        const auto due = m_renewals.pop(now);
+        if (!due)
+        {
+            return;
+        }
+        internal::flow_entry* entry = m_flows.find(*due);
+        if (entry == nullptr)
+        {
+            continue;
+        }
+        entry->renewing = false;
+        if (entry->told == 0)
+        {
+            continue;
+        }
+        if (entry->renew_at > now)
+        {
+            entry->renewing = true;
+            m_renewals.push(entry->renew_at, *due);
+            continue;
+        }
+        check_redirects(now, *entry, true);
+    }
+}
+
+void agent::take_in(time_point now, const endpoint& from,
+                    const redirect_notice& message)
+{
+    if (message.owner == m_self)
+    {
+        return;
+    }
+    for (const owned_flow& owned : message.flows)
+    {
+        if (message.lifetime <= duration::zero())
+        {
+            m_redirects.withdraw(owned.flow, message.owner);
+            continue;
+        }
+        take_redirect(now, message, owned);
+    }
+    (void)from;
+}
+
+void agent::take_redirect(time_point now, const redirect_notice& message,
+                          const owned_flow& owned)
+{
+    internal::flow_entry* entry = m_flows.find(owned.flow);
+    if (entry != nullptr)
+    {
+        ++m_counts.duplicate_owners;
+        const duration age = now - entry->opened;
+        const bool yields =
+            owned.age != age ? owned.age > age : message.owner.tag < m_tag;
+        if (!yields)
+        {
+            publish(now, *entry, message.owner);
+            return;
+        }
+        decide(flow_action::yielded, owned.flow, m_members.digest(),
+               message.owner, "longer_owner");
+        m_effects.add(internal::reset_upstream_effect{
+            owned.flow, refusal_reason::duplicate});
+        end_flow(owned.flow, "yielded");
+    }
+    const internal::redirect_entry* known = m_redirects.find(owned.flow, now);
+    const bool differs = known != nullptr && !known->placing &&
+                         known->to != message.owner &&
+                         !m_members.is_gone(known->to.tag);
+    if (differs)
+    {
+        // Should the former owner still have the flow, the two settle it.
+        redirect_notice passed_on{message.service,
+                                  known->to.tag,
+                                  message.owner,
+                                  message.lifetime,
+                                  {}};
+        m_batch.add(passed_on, known->to.agent, owned);
+    }
+    m_redirects.put(internal::redirect_entry{owned.flow, message.owner, false,
+                                             now + message.lifetime});
+}
+
+void agent::send(const endpoint& to, peer_message message)
+{
+    ++m_counts.notices_sent;
+    m_effects.add(internal::send_effect{to, std::move(message)});
+}
+
+void agent::send_batch()
+{
+    for (auto& open : m_batch.notices())
+    {
+        send(open.to, std::move(open.notice));
+    }
+    m_batch.notices().clear();
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/agent/src/load_board.cpp
@@ -0,0 +1,38 @@
+#include "crowlink/agent/load_board.hpp"
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// Longer than it takes to hear again from a peer of a service of many members.
+constexpr duration recent = std::chrono::seconds(10);
+
+} // namespace
+
+void load_board::note(time_point now, upstream_tag peer, std::uint32_t load)
+{
+    m_samples[peer % slots] = sample{peer, load, now + recent};
+}
+
+std::optional<std::uint32_t> load_board::mean(time_point now) const
+{
+    std::uint64_t sum = 0;
+    std::uint64_t count = 0;
+    for (const sample& next : m_samples)
+    {
+        if (next.until > now)
+        {
+            sum += next.load;
+            ++count;
+        }
+    }
+    if (count == 0)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(sum / count);
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/agent/src/shed_warden.cpp
@@ -0,0 +1,53 @@
+#include "crowlink/agent/shed_warden.hpp"
+
+#include <algorithm>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+constexpr std::size_t share_of_upstreams = 3;
+
+} // namespace
+
+void shed_warden::appoint(time_point now, bool is_warden)
+{
+    if (is_warden && !m_is_warden)
+    {
+        m_holders.clear();
+        // The former warden may hear of it as much later as a grant lasts.
+        m_grants_from = now + 2 * m_lifetime;
+    }
+    m_is_warden = is_warden;
+}
+
+bool shed_warden::grant(time_point now, upstream_tag asker,
+                        std::size_t upstreams)
+{
+    if (!m_is_warden || now < m_grants_from)
+    {
+        return false;
+    }
+    m_holders.erase(std::remove_if(m_holders.begin(), m_holders.end(),
+                                   [now](const holder& held)
+                                   { return held.until <= now; }),
+                    m_holders.end());
+    const auto found =
+        std::find_if(m_holders.begin(), m_holders.end(),
+                     [asker](const holder& held) { return held.tag == asker; });
+    if (found != m_holders.end())
+    {
+        found->until = now + m_lifetime;
+        return true;
+    }
+    if (m_holders.size() >= upstreams / share_of_upstreams)
+    {
+        return false;
+    }
+    m_holders.push_back(holder{asker, now + m_lifetime});
+    return true;
+}
+
+} // namespace crowlink::internal
