--- /dev/null
+++ b/packages/document/src/schema_check.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "crowlink/document/document_error.hpp"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// Every place where the value breaks the document's schema.
+std::vector<document_error> check_schema(const nlohmann::json& value);
+
+} // namespace crowlink::internal
