--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -143,7 +143,10 @@
                         const packet_header& header);
     void withdraw(const internal::flow_entry& entry);
     void continue_check(time_point now);
+    void schedule_renewal(time_point now, internal::flow_entry& entry,
+                          bool repeat);
     void renew_due(time_point now);
+    void repeat_due(time_point now);
     void send(const endpoint& to, peer_message message);
 
     // Other events.
@@ -168,7 +171,7 @@
                        const owned_flow& owned);
     void set_state(upstream_state state);
     void assess(time_point now);
-    void tell_load(time_point now);
+    void tell_load();
     void ask_to_shed(time_point now);
     const candidate* warden(candidate_chain& chain) const;
     void send_batch();
@@ -188,6 +191,7 @@
     internal::effect_queue m_effects;
     internal::redirect_batch m_batch;
     internal::deadline_queue m_renewals;
+    internal::deadline_queue m_repeats;
     internal::deadline_queue m_watched;
     internal::deadline_queue m_lingering;
     agent_counts m_counts;
--- a/packages/agent/include/crowlink/agent/flow_entry.hpp
+++ b/packages/agent/include/crowlink/agent/flow_entry.hpp
@@ -32,6 +32,8 @@
     // Whether the flow is in the queue of renewals, and when it is due.
     bool renewing = false;
     time_point renew_at{};
+    // Whether the flow is in the queue of redirects to send once more.
+    bool repeating = false;
     // The generation of tables that the redirects were checked against.
     std::uint32_t checked = 0;
     // Identifies the agents that were told of the flow; zero if none was.
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -150,6 +150,7 @@
     m_redirects.expire(now);
     m_counts.redirects_evicted = m_redirects.evicted();
     continue_check(now);
+    repeat_due(now);
     renew_due(now);
     find_silent(now);
     close_finished(now);
@@ -184,7 +185,7 @@
     {
         ask_to_shed(now);
     }
-    tell_load(now);
+    tell_load();
 }
 
 const candidate* agent::warden(candidate_chain& chain) const
@@ -213,7 +214,7 @@
     }
 }
 
-void agent::tell_load(time_point now)
+void agent::tell_load()
 {
     if (m_members.view() == nullptr || m_admission.is_draining())
     {
@@ -236,7 +237,6 @@
         ++m_counts.loads_sent;
         ++told;
     }
-    (void)now;
 }
 
 void agent::take_in(time_point now, const endpoint&, const load_notice& message)
--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -11,6 +11,9 @@
 
 // Owners renew a redirect this many times in its lifetime.
 constexpr int renewals_in_lifetime = 3;
+// A new redirect is sent once more within the settling time, since a notice
+// may be lost.
+constexpr int repeat_in_settling = 3;
 
 std::uint32_t identity_of(const candidate_chain& agents)
 {
@@ -66,18 +69,28 @@
             any = true;
         }
     }
-    if (!any)
+    if (any)
     {
-        return;
+        schedule_renewal(now, entry, !renew);
     }
-    const duration interval =
-        m_settings.redirect_lifetime / renewals_in_lifetime;
-    entry.renew_at = now + interval;
+}
+
+void agent::schedule_renewal(time_point now, internal::flow_entry& entry,
+                             bool repeat)
+{
+    entry.renew_at =
+        now + m_settings.redirect_lifetime / renewals_in_lifetime;
     if (!entry.renewing)
     {
         entry.renewing = true;
         m_renewals.push(entry.renew_at, entry.key);
     }
+    if (repeat && !entry.repeating)
+    {
+        entry.repeating = true;
+        m_repeats.push(now + m_settings.settle / repeat_in_settling,
+                       entry.key);
+    }
 }
 
 void agent::publish(time_point now, internal::flow_entry& entry,
@@ -176,7 +189,26 @@
     }
 }
 
-void agent::take_in(time_point now, const endpoint& from,
+void agent::repeat_due(time_point now)
+{
+    while (m_redirects_left > 0)
+    {
+        const auto due = m_repeats.pop(now);
+        if (!due)
+        {
+            return;
+        }
+        internal::flow_entry* entry = m_flows.find(*due);
+        if (entry == nullptr)
+        {
+            continue;
+        }
+        entry->repeating = false;
+        check_redirects(now, *entry, true);
+    }
+}
+
+void agent::take_in(time_point now, const endpoint&,
                     const redirect_notice& message)
 {
     if (message.owner == m_self)
@@ -192,7 +224,6 @@
         }
         take_redirect(now, message, owned);
     }
-    (void)from;
 }
 
 void agent::take_redirect(time_point now, const redirect_notice& message,
