--- a/packages/requests/src/caller_send.cpp
+++ b/packages/requests/src/caller_send.cpp
@@ -46,7 +46,12 @@
     {
         finish_without_answer(request, *reason, effects);
     }
-    else if (!place(now, request, effects))
+    else if (place(now, request, effects))
+    {
+        // Load spreads over all paths, so each is opened before it is needed.
+        open_one(now, request, effects);
+    }
+    else
     {
         refuse_waiting(now, effects);
     }
--- /dev/null
+++ b/packages/requests/test/history.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "crowlink/requests/request_admission.hpp"
+#include "crowlink/requests/request_caller.hpp"
+#include "fake_upstream.hpp"
+#include "history_settings.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crowlink::test
+{
+
+// One caller, several agents with an upstream each, and a network between
+// them that loses, repeats, delays and misleads, all from one seed.
+class history
+{
+public:
+    explicit history(const history_settings& settings);
+
+    // Runs to the end; yields what went wrong, or an empty text.
+    std::string run();
+
+    int ran() const { return m_ran; }
+    int not_run() const { return m_not_run; }
+    int may_have_run() const { return m_may_have_run; }
+
+private:
+    struct host
+    {
+        request_admission agent;
+        fake_upstream upstream;
+        std::uint64_t weight = 0;
+    };
+
+    struct submitted
+    {
+        outgoing_request wanted;
+        time_point deadline;
+        std::vector<request_outcome> outcomes;
+        int sends = 0;
+    };
+
+    static admission_settings admission(int sessions);
+    static caller_settings calling();
+    bool chance(int percent);
+    duration delay(int longest);
+    void at(time_point when, std::function<void()> what);
+    void plan();
+    void submit(std::uint64_t number);
+    void fault();
+    void restart(std::size_t index);
+    void kill_upstream(std::size_t index);
+    void step();
+    time_point next_time() const;
+    void carry_out_caller();
+    void carry_out_agent(std::size_t index);
+    void deliver(path_index path, const std::string& bytes);
+    void note_send(const std::string& bytes);
+    void travel(std::function<void()> arrive);
+    void expect(bool holds, const std::string& what, std::uint64_t number);
+    void check();
+    void check_one(std::uint64_t number, const submitted& of);
+
+    history_settings m_settings;
+    seeded_random m_random;
+    time_point m_now{};
+    std::uint64_t m_last_event = 0;
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>>
+        m_events;
+    run_record m_record;
+    std::vector<host> m_hosts;
+    std::vector<std::size_t> m_owners;
+    std::uint64_t m_last_incarnation = 0;
+    request_caller m_caller;
+    caller_effects m_caller_effects;
+    admission_effects m_agent_effects;
+    std::map<std::uint64_t, submitted> m_submitted;
+    std::string m_wrong;
+    int m_ran = 0;
+    int m_not_run = 0;
+    int m_may_have_run = 0;
+};
+
+} // namespace crowlink::test
