--- a/packages/requests/include/crowlink/requests.hpp
+++ b/packages/requests/include/crowlink/requests.hpp
@@ -26,3 +26,4 @@
 #include "crowlink/requests/message_codec.hpp"
 #include "crowlink/requests/request_admission.hpp"
 #include "crowlink/requests/request_caller.hpp"
+#include "crowlink/requests/udp_request_client.hpp"
--- /dev/null
+++ b/packages/requests/src/udp_request_client.cpp
@@ -0,0 +1,180 @@
+#include "crowlink/requests/udp_request_client.hpp"
+
+#include "crowlink/requests/request_caller.hpp"
+#include "udp_socket.hpp"
+
+#include <algorithm>
+#include <poll.h>
+#include <random>
+
+namespace crowlink
+{
+
+namespace
+{
+
+// Datagrams taken from one socket before the others have their turn.
+constexpr int receive_batch = 64;
+
+seeded_random seeded_by_system()
+{
+    std::random_device device;
+    std::seed_seq seed{device(), device(), device(), device(),
+                       device(), device(), device(), device()};
+    return seeded_random(seed);
+}
+
+} // namespace
+
+class udp_request_client::shell
+{
+public:
+    shell(const caller_settings& settings,
+          std::vector<internal::udp_socket> sockets)
+        : m_caller(settings, seeded_by_system()), m_sockets(std::move(sockets))
+    {
+    }
+
+    request_id send(outgoing_request request)
+    {
+        const request_id id =
+            m_caller.submit(m_clock.now(), std::move(request), m_effects);
+        carry_out();
+        return id;
+    }
+
+    void cancel(request_id id)
+    {
+        m_caller.cancel(m_clock.now(), id, m_effects);
+        carry_out();
+    }
+
+    std::vector<request_outcome> poll(duration longest_wait)
+    {
+        const time_point until = m_clock.now() + longest_wait;
+        do
+        {
+            receive_all();
+            m_caller.advance(m_clock.now(), m_effects);
+            carry_out();
+        } while (m_effects.outcomes.empty() && wait(until));
+        std::vector<request_outcome> outcomes;
+        std::swap(outcomes, m_effects.outcomes);
+        return outcomes;
+    }
+
+    std::size_t outstanding() const { return m_caller.outstanding(); }
+
+private:
+    // Waits for a datagram or for what is due; false once it is `until`.
+    bool wait(time_point until)
+    {
+        const time_point now = m_clock.now();
+        if (now >= until)
+        {
+            return false;
+        }
+        const time_point wake = std::min(until, m_caller.next_wakeup());
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            std::max(duration::zero(), wake - now));
+        std::vector<pollfd> waited;
+        waited.reserve(m_sockets.size());
+        for (const internal::udp_socket& socket : m_sockets)
+        {
+            waited.push_back({socket.descriptor(), POLLIN, 0});
+        }
+        ::poll(waited.data(), waited.size(), static_cast<int>(left.count()));
+        return true;
+    }
+
+    void receive_all()
+    {
+        for (path_index path = 0; path < m_sockets.size(); ++path)
+        {
+            receive_batch_of(path);
+        }
+    }
+
+    void receive_batch_of(path_index path)
+    {
+        for (int taken = 0; taken < receive_batch; ++taken)
+        {
+            const auto datagram = m_sockets[path].receive();
+            if (!datagram)
+            {
+                return;
+            }
+            m_caller.receive(m_clock.now(), path, *datagram, m_effects);
+        }
+    }
+
+    void carry_out()
+    {
+        for (const caller_datagram& datagram : m_effects.datagrams)
+        {
+            m_sockets[datagram.path].send(datagram.bytes);
+        }
+        m_effects.datagrams.clear();
+    }
+
+    steady_clock_source m_clock;
+    request_caller m_caller;
+    std::vector<internal::udp_socket> m_sockets;
+    caller_effects m_effects;
+};
+
+result<udp_request_client>
+udp_request_client::open(const caller_settings& settings,
+                         const std::vector<endpoint>& services)
+{
+    if (services.empty() || settings.paths == 0)
+    {
+        return fail(error_kind::invalid, "services",
+                    "needs an address and a path");
+    }
+    std::vector<internal::udp_socket> sockets;
+    for (path_index path = 0; path < settings.paths; ++path)
+    {
+        auto socket =
+            internal::udp_socket::connect(services[path % services.size()]);
+        if (!socket)
+        {
+            return tl::unexpected<error>(socket.error());
+        }
+        sockets.push_back(std::move(*socket));
+    }
+    return udp_request_client(
+        std::make_unique<shell>(settings, std::move(sockets)));
+}
+
+udp_request_client::udp_request_client(std::unique_ptr<shell> opened)
+    : m_shell(std::move(opened))
+{
+}
+
+udp_request_client::udp_request_client(udp_request_client&&) noexcept = default;
+udp_request_client&
+udp_request_client::operator=(udp_request_client&&) noexcept = default;
+udp_request_client::~udp_request_client() = default;
+
+request_id udp_request_client::send(outgoing_request request)
+{
+    return m_shell->send(std::move(request));
+}
+
+void udp_request_client::cancel(request_id id)
+{
+    m_shell->cancel(id);
+}
+
+std::vector<request_outcome> udp_request_client::poll(duration longest_wait)
+{
+    return m_shell->poll(longest_wait);
+}
+
+std::size_t udp_request_client::outstanding() const
+{
+    return m_shell->outstanding();
+}
+
+} // namespace crowlink
