--- a/packages/requests/include/crowlink/requests/caller_settings.hpp
+++ b/packages/requests/include/crowlink/requests/caller_settings.hpp
@@ -26,6 +26,7 @@
     // Sends of one attempt. An idempotent request goes elsewhere after two.
     std::uint32_t send_limit = 6;
     // Unanswered for this long, an attempt is sent again; doubles each time.
+    // Longer where answers were observed to take longer.
     duration resend_after = std::chrono::milliseconds(50);
     // The least wait after a refusal; doubles with each attempt.
     duration backoff = std::chrono::milliseconds(5);
--- a/packages/requests/src/caller_core.hpp
+++ b/packages/requests/src/caller_core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answer_time.hpp"
 #include "caller_path.hpp"
 #include "caller_request.hpp"
 #include "crowlink/base/random.hpp"
@@ -86,6 +87,7 @@
     std::uint64_t m_caller = 0;
     std::uint64_t m_last_number = 0;
     retry_budget m_budget;
+    answer_time m_answer_time;
     std::vector<caller_path> m_paths;
     path_index m_next_path = 0;
     std::unordered_map<std::uint64_t, caller_request> m_requests;
--- a/packages/requests/src/caller_receive.cpp
+++ b/packages/requests/src/caller_receive.cpp
@@ -118,6 +118,11 @@
     attempt.answer.add(message.part, message.parts, message.body);
     if (attempt.answer.whole())
     {
+        // After a resend it is not known which send was answered.
+        if (attempt.sends == 1)
+        {
+            m_answer_time.observe(now - attempt.first_sent);
+        }
         attempt.standing = attempt_standing::unknown;
         finish(request,
                request_answer{verdict::ran,
--- a/packages/requests/src/caller_request.hpp
+++ b/packages/requests/src/caller_request.hpp
@@ -30,6 +30,7 @@
     ticket under;
     std::uint64_t sequence = 0;
     std::uint32_t sends = 0;
+    time_point first_sent{};
     attempt_standing standing = attempt_standing::outstanding;
     part_assembly answer;
 };
--- a/packages/requests/src/caller_send.cpp
+++ b/packages/requests/src/caller_send.cpp
@@ -172,7 +172,9 @@
 duration caller_core::resend_time(const caller_attempt& attempt) const
 {
     const std::uint32_t doublings = std::min(attempt.sends, longest_doubling);
-    return m_settings.resend_after * (1U << doublings);
+    const duration first =
+        std::max(m_settings.resend_after, m_answer_time.timeout());
+    return first * (1U << doublings);
 }
 
 bool caller_core::place(time_point now, caller_request& request,
@@ -255,6 +257,7 @@
     attempt.path = path;
     attempt.under = *m_paths[path].granted();
     attempt.sequence = m_paths[path].take_sequence();
+    attempt.first_sent = now;
     request.attempts.push_back(std::move(attempt));
     send_attempt(now, request, request.attempts.size() - 1, effects);
 }
--- a/packages/requests/test/request_admission_test.cpp
+++ b/packages/requests/test/request_admission_test.cpp
@@ -153,6 +153,17 @@
     EXPECT_EQ(m_agent.counts().queued, 0U);
 }
 
+TEST_F(request_admission_test, work_that_expired_in_the_queue_does_not_start)
+{
+    send(part(1));
+    send(part(2, "hold", milliseconds(50)));
+    // The slot becomes free before anybody looked at the time.
+    end_run(verdict::ran, milliseconds(50));
+    EXPECT_EQ(last_answer().reason, answer_reason::expired);
+    EXPECT_EQ(last_answer().outcome, verdict::not_run);
+    EXPECT_EQ(m_effects.to_upstream.size(), 1U);
+}
+
 TEST_F(request_admission_test, queued_work_is_cancelled_and_running_is_stopped)
 {
     send(part(1));
--- a/packages/requests/test/request_caller_test.cpp
+++ b/packages/requests/test/request_caller_test.cpp
@@ -188,6 +188,37 @@
     EXPECT_EQ(m_sent[1], again);
 }
 
+TEST_F(request_caller_test, slow_answers_put_resends_off)
+{
+    submit(false, milliseconds(1000));
+    m_now += milliseconds(40);
+    receive(0, answer_part{m_sent[0].id,
+                           1,
+                           verdict::ran,
+                           answer_reason::answered,
+                           {},
+                           0,
+                           1,
+                           ""});
+    submit(false, milliseconds(1000));
+    // 40 ms and four times half of that.
+    wait(milliseconds(119));
+    EXPECT_EQ(m_sent.size(), 2U);
+    wait(milliseconds(1));
+    EXPECT_EQ(m_sent.size(), 3U);
+}
+
+TEST_F(request_caller_test, a_late_refusal_is_not_taken_for_the_next_attempts)
+{
+    submit(false, milliseconds(500));
+    refuse(m_sent.at(0), verdict::not_run, answer_reason::overloaded);
+    wait(milliseconds(20));
+    ASSERT_EQ(m_sent.size(), 2U);
+    refuse(m_sent.at(0), verdict::not_run, answer_reason::wrong_kind);
+    EXPECT_TRUE(m_effects.outcomes.empty());
+    EXPECT_EQ(m_caller.ignored(), 1U);
+}
+
 TEST_F(request_caller_test, an_unanswered_request_ends_at_its_deadline)
 {
     submit(false, milliseconds(100));
