--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -66,7 +66,6 @@
         std::size_t settled = 0;
         std::size_t own = 0;
         std::size_t own_silent = 0;
-        std::size_t own_settled = 0;
     };
     // What holds for all records of one home during one judgement.
     struct home_status
@@ -115,6 +114,7 @@
                     observer_output& out);
     void expire_silent(time_point now, observer_output& out);
     bool may_expire(time_point now, const internal::observed_record& held);
+    bool may_be_whole_place(time_point now, const place_id& where) const;
     bool within_cap(time_point now, const internal::observed_record& held,
                     home_status& status) const;
     bool settled(time_point now, const internal::observed_record& held) const;
--- a/packages/membership/include/crowlink/membership/observer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/observer_settings.hpp
@@ -44,7 +44,7 @@
     // at least half of the own region's observers are heard.
     duration confirm_after = std::chrono::seconds(10);
     // A home that reports a place as lost gives the others this long to agree.
-    duration report_wait = std::chrono::seconds(3);
+    duration report_wait = std::chrono::seconds(4);
     duration judge_every = std::chrono::milliseconds(500);
     // A started observer may publish once a peer's digest equalled its own, or
     // after this time if it heard no peer at all.
--- a/packages/membership/src/observer_judgement.cpp
+++ b/packages/membership/src/observer_judgement.cpp
@@ -116,7 +116,6 @@
     place.settled += acted_on ? 1 : 0;
     place.own += home.own ? 1 : 0;
     place.own_silent += home.own && silent ? 1 : 0;
-    place.own_settled += home.own && acted_on ? 1 : 0;
 }
 
 bool observer::settled(time_point now, const observed_record& held) const
@@ -134,7 +133,7 @@
         const double least =
             m_settings.place_share * static_cast<double>(place.own);
         const bool lost =
-            place.own > 0 && static_cast<double>(place.own_settled) >= least;
+            place.own > 0 && static_cast<double>(place.own_silent) >= least;
         if (lost)
         {
             m_own_reports.emplace(each.first, now);
@@ -257,17 +256,30 @@
     {
         return false;
     }
-    const auto report = m_own_reports.find(held.record.where);
-    const bool may_be_place =
-        m_counts[held.record.where].living >= m_settings.place_members;
-    if (may_be_place && report != m_own_reports.end() &&
-        now - report->second < m_settings.report_wait)
+    if (may_be_whole_place(now, held.record.where))
     {
         return false;
     }
     return within_cap(now, held, home);
 }
 
+// Whether a place that this home reports may yet turn out to be lost: the other
+// homes get some time to report it too, and twice as long once half of it is
+// silent.
+bool observer::may_be_whole_place(time_point now, const place_id& where) const
+{
+    const auto report = m_own_reports.find(where);
+    const auto place = m_counts.find(where);
+    if (report == m_own_reports.end() || place == m_counts.end() ||
+        place->second.living < m_settings.place_members)
+    {
+        return false;
+    }
+    const bool half = place->second.silent * 2 >= place->second.living;
+    const duration wait = m_settings.report_wait * (half ? 2 : 1);
+    return now - report->second < wait;
+}
+
 bool observer::within_cap(time_point now, const observed_record& held,
                           home_status& status) const
 {
--- /dev/null
+++ b/packages/membership/test/fake_network.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "crowlink/membership.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crowlink::test
+{
+
+// Carries encoded messages between cores with loss, doubling, delay and cuts,
+// all drawn from one seed.
+class fake_network
+{
+public:
+    using receiver = std::function<void(const host_id& from, const host_id& to,
+                                        const wire::membership_message&)>;
+    using filter = std::function<bool(const host_id& from, const host_id& to,
+                                      const wire::membership_message&)>;
+
+    explicit fake_network(std::uint64_t seed) : m_random(seed) {}
+
+    // Chances out of 100, and the longest extra delay.
+    int loss = 0;
+    int doubling = 0;
+    duration reorder{};
+    // Messages for which this yields true are dropped.
+    filter drop;
+
+    void send(time_point now, const host_id& from,
+              std::vector<membership_send> sends)
+    {
+        for (membership_send& each : sends)
+        {
+            if (drop && drop(from, each.to, each.message))
+            {
+                continue;
+            }
+            const int copies = chance(doubling) ? 2 : 1;
+            for (int copy = 0; copy < copies; ++copy)
+            {
+                if (!chance(loss))
+                {
+                    enqueue(now, from, each);
+                }
+            }
+        }
+    }
+
+    void deliver(time_point now, const receiver& to)
+    {
+        while (!m_flying.empty() && m_flying.begin()->first.first <= now)
+        {
+            const flight next = std::move(m_flying.begin()->second);
+            m_flying.erase(m_flying.begin());
+            wire::membership_message message;
+            message.ParseFromString(next.bytes);
+            to(next.from, next.to, message);
+        }
+    }
+
+    std::size_t sent() const { return m_order; }
+
+private:
+    struct flight
+    {
+        host_id from;
+        host_id to;
+        std::string bytes;
+    };
+
+    bool chance(int percent)
+    {
+        return static_cast<int>(m_random() % 100) < percent;
+    }
+
+    void enqueue(time_point now, const host_id& from,
+                 const membership_send& each)
+    {
+        time_point at = now + std::chrono::milliseconds(1);
+        if (reorder.count() > 0)
+        {
+            at += duration(static_cast<duration::rep>(
+                m_random() % static_cast<std::uint64_t>(reorder.count())));
+        }
+        m_flying.emplace(
+            std::make_pair(at, ++m_order),
+            flight{from, each.to, each.message.SerializeAsString()});
+    }
+
+    seeded_random m_random;
+    std::size_t m_order = 0;
+    std::map<std::pair<time_point, std::size_t>, flight> m_flying;
+};
+
+} // namespace crowlink::test
