--- /dev/null
+++ b/packages/replication/test/fake_cluster.cpp
@@ -0,0 +1,335 @@
+#include "fake_cluster.hpp"
+
+#include <algorithm>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+// Within max_clock_ratio of each other.
+constexpr double slowest_clock = 0.96;
+constexpr double clock_rate_step = 0.02;
+constexpr unsigned clock_rates = 5;
+constexpr std::uint64_t longest_delay = 3;
+
+replica_settings test_settings(std::size_t voters, std::size_t hosts)
+{
+    replica_settings settings;
+    for (std::size_t i = 0; i < hosts; ++i)
+    {
+        settings.peers.push_back(fake_cluster::name(i));
+    }
+    settings.founding_voters.assign(settings.peers.begin(),
+                                    settings.peers.begin() +
+                                        static_cast<std::ptrdiff_t>(voters));
+    // Small, so that short runs see snapshots in several parts.
+    settings.compact_after_entries = 8;
+    settings.keep_entries = 2;
+    settings.snapshot_chunk_bytes = 200;
+    settings.max_append_bytes = 400;
+    return settings;
+}
+
+} // namespace
+
+host_id fake_cluster::name(std::size_t host)
+{
+    return host_id("h" + std::to_string(host));
+}
+
+fake_cluster::fake_cluster(std::size_t voters, std::size_t spares,
+                           std::uint64_t seed, cluster_rules rules)
+    : m_rules(rules)
+    , m_random(seed)
+    , m_settings(test_settings(voters, voters + spares))
+    , m_hosts(voters + spares)
+{
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+    {
+        m_hosts[i].clock_rate =
+            slowest_clock +
+            clock_rate_step * static_cast<double>(m_random() % clock_rates);
+        restart(i);
+    }
+}
+
+time_point fake_cluster::now(const fake_host& host) const
+{
+    const auto passed =
+        static_cast<double>(m_step * step_length.count()) * host.clock_rate;
+    return time_point(duration(static_cast<duration::rep>(passed)));
+}
+
+void fake_cluster::step()
+{
+    ++m_step;
+    deliver();
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+    {
+        write(i);
+        event(i, tick{});
+    }
+    check();
+}
+
+void fake_cluster::run(std::size_t steps)
+{
+    for (std::size_t i = 0; i < steps; ++i)
+    {
+        step();
+    }
+}
+
+bool fake_cluster::run_until(const std::function<bool()>& reached,
+                             std::size_t steps)
+{
+    for (std::size_t i = 0; i < steps && !reached(); ++i)
+    {
+        step();
+    }
+    return reached();
+}
+
+void fake_cluster::deliver()
+{
+    std::deque<fake_message> waiting;
+    std::vector<replica_message> due;
+    for (fake_message& one : m_network)
+    {
+        if (one.due <= m_step)
+        {
+            due.push_back(std::move(one.message));
+            continue;
+        }
+        waiting.push_back(std::move(one));
+    }
+    m_network = std::move(waiting);
+    std::shuffle(due.begin(), due.end(), m_random);
+    for (const replica_message& one : due)
+    {
+        event(index_of(one.to), message_received{one});
+    }
+}
+
+void fake_cluster::write(std::size_t host)
+{
+    fake_host& at = m_hosts[host];
+    if (!at.document || at.writes.empty() || at.writes.front().first > m_step)
+    {
+        return;
+    }
+    const persist_request request = std::move(at.writes.front().second);
+    at.writes.pop_front();
+    const result<void> done = at.storage->write(request);
+    if (at.disk.halted())
+    {
+        crash(host);
+    }
+    else if (done)
+    {
+        event(host, storage_done{request.sequence});
+    }
+    else
+    {
+        event(host, storage_failed{done.error()});
+    }
+}
+
+void fake_cluster::event(std::size_t host, const document_event& one)
+{
+    fake_host& at = m_hosts[host];
+    if (at.document)
+    {
+        carry_out(host, at.document->handle(now(at), one));
+    }
+}
+
+void fake_cluster::carry_out(std::size_t host,
+                             std::vector<document_effect> effects)
+{
+    for (const document_effect& effect : effects)
+    {
+        if (const auto* sent = std::get_if<send_message>(&effect))
+        {
+            post(sent->message);
+        }
+        else if (const auto* kept = std::get_if<persist>(&effect))
+        {
+            m_hosts[host].writes.emplace_back(m_step + m_random() % 3,
+                                              kept->request);
+        }
+        else if (const auto* reply = std::get_if<change_answered>(&effect))
+        {
+            const operation_id& operation = m_requests.at(reply->request);
+            m_answers[operation.value()] = reply->outcome;
+            m_checker.answered(operation, reply->outcome);
+        }
+        else if (const auto* members =
+                     std::get_if<membership_answered>(&effect))
+        {
+            m_members_answer = members->outcome;
+        }
+    }
+}
+
+void fake_cluster::post(const replica_message& message)
+{
+    const std::pair way(index_of(message.from), index_of(message.to));
+    if (m_blocked.count(way) != 0 || m_random() % 100 < m_loss)
+    {
+        return;
+    }
+    const std::size_t copies = m_random() % 100 < m_doubling ? 2 : 1;
+    for (std::size_t i = 0; i < copies; ++i)
+    {
+        m_network.push_back(
+            fake_message{m_step + 1 + m_random() % longest_delay, message});
+    }
+}
+
+void fake_cluster::check()
+{
+    for (const fake_host& host : m_hosts)
+    {
+        if (host.document)
+        {
+            const time_point at = now(host);
+            m_checker.see(host.document->status(at), host.document->store(),
+                          host.document->can_read(at));
+        }
+    }
+}
+
+std::size_t fake_cluster::index_of(const host_id& host) const
+{
+    std::size_t index = 0;
+    while (name(index) != host)
+    {
+        ++index;
+    }
+    return index;
+}
+
+void fake_cluster::propose(std::size_t host, const std::string& operation,
+                           std::uint64_t base)
+{
+    const document_change change{config_version(base), operation_id(operation),
+                                 "operator", "document of " + operation};
+    m_changes.emplace(operation, change);
+    m_checker.proposed(change);
+    resend(host, operation);
+}
+
+void fake_cluster::resend(std::size_t host, const std::string& operation)
+{
+    const std::uint64_t request = m_next_request++;
+    m_requests.emplace(request, operation);
+    event(host, propose_change{request, m_changes.at(operation)});
+}
+
+const change_outcome* fake_cluster::answer(const std::string& operation) const
+{
+    const auto found = m_answers.find(operation);
+    return found == m_answers.end() ? nullptr : &found->second;
+}
+
+void fake_cluster::change_members(std::size_t host, member_change change)
+{
+    event(host, propose_membership{m_next_request++, std::move(change)});
+}
+
+void fake_cluster::crash(std::size_t host)
+{
+    fake_host& at = m_hosts[host];
+    at.document.reset();
+    at.storage.reset();
+    at.writes.clear();
+    at.disk.crash(m_random);
+}
+
+void fake_cluster::restart(std::size_t host)
+{
+    fake_host& at = m_hosts[host];
+    if (at.document)
+    {
+        return;
+    }
+    storage_settings storage;
+    storage.segment_bytes = 600;
+    storage.sync = m_rules.sync;
+    auto opened =
+        log_storage<fake_disk>::open(at.disk, disk_id(m_random() | 1), storage);
+    if (!opened)
+    {
+        return;
+    }
+    at.storage.emplace(*std::move(opened));
+    replica_settings settings = m_settings;
+    settings.self = name(host);
+    const auto self =
+        std::find(settings.peers.begin(), settings.peers.end(), settings.self);
+    settings.peers.erase(self);
+    store_limits limits;
+    limits.history_versions = 100000;
+    at.document.emplace(settings, at.storage->take_restored(), now(at),
+                        seeded_random(m_random()), limits, m_rules.replica,
+                        m_rules.store);
+    m_checker.restarted(settings.self);
+    carry_out(host, at.document->start());
+}
+
+void fake_cluster::lose_disk(std::size_t host)
+{
+    crash(host);
+    m_hosts[host].disk = fake_disk();
+}
+
+void fake_cluster::isolate(std::size_t host)
+{
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+    {
+        block(host, i);
+        block(i, host);
+    }
+}
+
+void fake_cluster::block(std::size_t from, std::size_t to)
+{
+    m_blocked.emplace(from, to);
+}
+
+void fake_cluster::disturb(unsigned loss, unsigned doubling)
+{
+    m_loss = loss;
+    m_doubling = doubling;
+}
+
+std::optional<std::size_t> fake_cluster::leader() const
+{
+    std::optional<std::size_t> found;
+    term_number newest = 0;
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+    {
+        if (up(i) && status(i).role == replica_role::leader &&
+            status(i).term > newest)
+        {
+            found = i;
+            newest = status(i).term;
+        }
+    }
+    return found;
+}
+
+replica_status fake_cluster::status(std::size_t host) const
+{
+    return m_hosts[host].document->status(now(m_hosts[host]));
+}
+
+std::uint64_t fake_cluster::version(std::size_t host) const
+{
+    return m_hosts[host].document->store().current_version().value();
+}
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/test/fake_cluster.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "fake_disk.hpp"
+#include "history_checker.hpp"
+
+#include "crowlink/replication/log_storage.hpp"
+#include "crowlink/replication/replicated_document.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crowlink::replication
+{
+
+// Which rules the hosts of a fake cluster keep; all, unless a test wants to see
+// that a missing one is noticed.
+struct cluster_rules
+{
+    replica_rules replica;
+    store_rules store;
+    bool sync = true;
+};
+
+// Control hosts over a fake network, fake disks and clocks that run at
+// different rates. Everything random comes from the seed.
+class fake_cluster
+{
+public:
+    static constexpr duration step_length = std::chrono::milliseconds(10);
+
+    // The first `voters` hosts found the log; `spares` more may be admitted.
+    fake_cluster(std::size_t voters, std::size_t spares, std::uint64_t seed,
+                 cluster_rules rules = {});
+
+    void step();
+    void run(std::size_t steps);
+    // Whether it came true within so many steps.
+    bool run_until(const std::function<bool()>& reached,
+                   std::size_t steps = 3000);
+
+    // Sends the host a change from this base; the name is its operation id.
+    void propose(std::size_t host, const std::string& operation,
+                 std::uint64_t base);
+    // The same again, perhaps to another host.
+    void resend(std::size_t host, const std::string& operation);
+    // The newest answer, if there is one.
+    const change_outcome* answer(const std::string& operation) const;
+    void change_members(std::size_t host, member_change change);
+    const result<void>& members_answer() const { return m_members_answer; }
+
+    void crash(std::size_t host);
+    void restart(std::size_t host);
+    void lose_disk(std::size_t host);
+    void isolate(std::size_t host);
+    void block(std::size_t from, std::size_t to);
+    void heal() { m_blocked.clear(); }
+    // Messages are lost and doubled with these chances of 100.
+    void disturb(unsigned loss, unsigned doubling);
+
+    std::optional<std::size_t> leader() const;
+    std::size_t size() const { return m_hosts.size(); }
+    bool up(std::size_t host) const
+    {
+        return m_hosts[host].document.has_value();
+    }
+    fake_disk& disk(std::size_t host) { return m_hosts[host].disk; }
+    replica_status status(std::size_t host) const;
+    std::uint64_t version(std::size_t host) const;
+    const replicated_document& document(std::size_t host) const
+    {
+        return *m_hosts[host].document;
+    }
+    const history_checker& checker() const { return m_checker; }
+    std::string violation() const { return m_checker.violation(); }
+    static host_id name(std::size_t host);
+
+private:
+    struct fake_host
+    {
+        fake_disk disk;
+        std::optional<log_storage<fake_disk>> storage;
+        std::optional<replicated_document> document;
+        // What the disk is to write, and when it comes to it.
+        std::deque<std::pair<std::uint64_t, persist_request>> writes;
+        double clock_rate = 1.0;
+    };
+    struct fake_message
+    {
+        std::uint64_t due = 0;
+        replica_message message;
+    };
+
+    time_point now(const fake_host& host) const;
+    void deliver();
+    void write(std::size_t host);
+    void carry_out(std::size_t host, std::vector<document_effect> effects);
+    void event(std::size_t host, const document_event& one);
+    void post(const replica_message& message);
+    void check();
+    std::size_t index_of(const host_id& host) const;
+
+    cluster_rules m_rules;
+    seeded_random m_random;
+    replica_settings m_settings;
+    std::vector<fake_host> m_hosts;
+    std::deque<fake_message> m_network;
+    std::set<std::pair<std::size_t, std::size_t>> m_blocked;
+    unsigned m_loss = 0;
+    unsigned m_doubling = 0;
+    std::uint64_t m_step = 0;
+    std::uint64_t m_next_request = 1;
+    std::map<std::uint64_t, operation_id> m_requests;
+    std::map<std::string, document_change> m_changes;
+    std::map<std::string, change_outcome> m_answers;
+    result<void> m_members_answer;
+    history_checker m_checker;
+};
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/test/history_checker.cpp
@@ -0,0 +1,121 @@
+#include "history_checker.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace crowlink::replication
+{
+
+void history_checker::report(const std::string& what)
+{
+    if (m_violation.empty())
+    {
+        m_violation = what;
+    }
+}
+
+void history_checker::see(const replica_status& status,
+                          const document_store& store, bool can_read)
+{
+    const std::string& name = status.self.value();
+    if (status.role == replica_role::leader)
+    {
+        const auto [known, fresh] = m_leaders.emplace(status.term, status.self);
+        if (!fresh && known->second != status.self)
+        {
+            report(fmt::format("two leaders in term {}", status.term));
+        }
+    }
+    std::uint64_t& applied = m_applied[status.self];
+    const std::uint64_t current = store.current_version().value();
+    if (current < applied)
+    {
+        report(fmt::format("{} fell from version {} to {}", name, applied,
+                           current));
+    }
+    const auto& history = store.history();
+    for (auto one = history.rbegin();
+         one != history.rend() && one->version.value() > applied; ++one)
+    {
+        see_version(status.self, *one);
+    }
+    applied = current;
+    if (can_read && current < m_acknowledged)
+    {
+        report(fmt::format("{} may be read at version {}, but {} is "
+                           "acknowledged",
+                           name, current, m_acknowledged));
+    }
+}
+
+void history_checker::see_version(const host_id& host,
+                                  const document_version& version)
+{
+    const std::uint64_t number = version.version.value();
+    const auto [known, fresh] = m_naive.emplace(number, version);
+    if (!fresh && known->second != version)
+    {
+        report(fmt::format("version {} is {} at {}, but was {}", number,
+                           version.operation.value(), host.value(),
+                           known->second.operation.value()));
+    }
+    const auto [effect, first] = m_effects.emplace(version.operation, number);
+    if (!first && effect->second != number)
+    {
+        report(fmt::format("operation {} made versions {} and {}",
+                           version.operation.value(), effect->second, number));
+    }
+    const auto change = m_proposed.find(version.operation);
+    if (change == m_proposed.end() ||
+        change->second.base.value() + 1 != number ||
+        change->second.document != version.document)
+    {
+        report(fmt::format("version {} is not what was proposed", number));
+    }
+}
+
+void history_checker::proposed(const document_change& change)
+{
+    m_proposed.emplace(change.operation, change);
+}
+
+void history_checker::answered(const operation_id& operation,
+                               const change_outcome& outcome)
+{
+    const bool certain = outcome.result == change_result::applied ||
+                         outcome.result == change_result::conflict;
+    if (!certain)
+    {
+        return;
+    }
+    const auto [known, fresh] = m_answers.emplace(operation, outcome);
+    if (!fresh && known->second != outcome)
+    {
+        report(fmt::format("operation {} got two different answers",
+                           operation.value()));
+    }
+    if (outcome.result == change_result::conflict)
+    {
+        return;
+    }
+    m_applied_answers += fresh ? 1 : 0;
+    const std::uint64_t version = outcome.version.value();
+    m_acknowledged = std::max(m_acknowledged, version);
+    const auto naive = m_naive.find(version);
+    if (naive != m_naive.end() && naive->second.operation != operation)
+    {
+        report(fmt::format("version {} was acknowledged to {}, but is {}",
+                           version, operation.value(),
+                           naive->second.operation.value()));
+    }
+    if (naive == m_naive.end())
+    {
+        const document_change& change = m_proposed.at(operation);
+        m_naive.emplace(version, document_version{outcome.version, operation,
+                                                  change.operator_name,
+                                                  change.document});
+        m_effects.emplace(operation, version);
+    }
+}
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/test/history_checker.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "crowlink/replication/document_store.hpp"
+#include "crowlink/replication/log_position.hpp"
+#include "crowlink/replication/replica_status.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace crowlink::replication
+{
+
+// Compares what the hosts show with the naive version: one map from version to
+// change, filled in by whoever shows a version first. Keeps the first
+// violation that it sees.
+class history_checker
+{
+public:
+    // Role and term of a running host, and what its store holds.
+    void see(const replica_status& status, const document_store& store,
+             bool can_read);
+    // A host starts anew, and may apply again what it had applied.
+    void restarted(const host_id& host) { m_applied.erase(host); }
+    void proposed(const document_change& change);
+    void answered(const operation_id& operation, const change_outcome& outcome);
+
+    const std::string& violation() const { return m_violation; }
+    std::uint64_t acknowledged() const { return m_acknowledged; }
+    std::size_t applied_answers() const { return m_applied_answers; }
+
+private:
+    void report(const std::string& what);
+    void see_version(const host_id& host, const document_version& version);
+
+    std::map<term_number, host_id> m_leaders;
+    std::map<std::uint64_t, document_version> m_naive;
+    std::map<operation_id, std::uint64_t> m_effects;
+    std::map<operation_id, document_change> m_proposed;
+    std::map<operation_id, change_outcome> m_answers;
+    std::map<host_id, std::uint64_t> m_applied;
+    std::uint64_t m_acknowledged = 0;
+    std::size_t m_applied_answers = 0;
+    std::string m_violation;
+};
+
+} // namespace crowlink::replication
