--- a/cmake/crowlink_package.cmake
+++ b/cmake/crowlink_package.cmake
@@ -1,7 +1,8 @@
 # The flags that every target of ours is built with.
 add_library(crowlink_options INTERFACE)
 target_compile_options(crowlink_options INTERFACE
-  -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor)
+  -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor
+  -Wzero-as-null-pointer-constant)
 # GCC 12 reports false positives of these inside the standard library.
 target_compile_options(crowlink_options INTERFACE
   $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict -Wno-maybe-uninitialized
