--- a/packages/base/include/crowlink/base/metrics.hpp
+++ b/packages/base/include/crowlink/base/metrics.hpp
@@ -41,6 +41,9 @@
 
     std::uint64_t counter(std::string_view name) const;
 
+    // Adds the counters of others; summaries are left out.
+    void add(const metrics& other);
+
     // Prometheus text exposition format, version 0.0.4.
     std::string render() const;
 
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -47,6 +47,14 @@
     return found == m_counters.end() ? 0 : found->second;
 }
 
+void metrics::add(const metrics& other)
+{
+    for (const auto& [name, value] : other.m_counters)
+    {
+        count(name, value);
+    }
+}
+
 std::string metrics::render() const
 {
     std::string text;
--- /dev/null
+++ b/packages/daemon/src/agent_loop.cpp
@@ -0,0 +1,409 @@
+#include "agent_loop.hpp"
+
+#include "agent_report.hpp"
+#include "crowlink/packet/tcp_reset.hpp"
+#include "peer_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// Tokens of the poller; the sockets of flows follow.
+constexpr poller::token control_token = 0;
+constexpr poller::token tunnel_token = 1;
+constexpr poller::token stage_token = 2;
+constexpr poller::token first_flow_token = 3;
+constexpr std::chrono::milliseconds tick_interval(50);
+// Bounds what one round reads from the tunnel before time is looked at.
+constexpr int batches_a_round = 8;
+
+notice_reason to_notice(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::full:
+        return notice_reason::overloaded;
+    case refusal_reason::leaving:
+        return notice_reason::unavailable;
+    case refusal_reason::unknown_flow:
+    case refusal_reason::duplicate:
+        return notice_reason::unknown_flow;
+    case refusal_reason::upstream_failed:
+        return notice_reason::upstream_gone;
+    case refusal_reason::silent:
+        return notice_reason::silent;
+    }
+    return notice_reason::unavailable;
+}
+
+notice_datagram to_notice(const flow_key& flow, const flow_refusal& told)
+{
+    notice_datagram notice;
+    notice.flow = flow;
+    notice.outcome = told.outcome;
+    notice.reason = to_notice(told.reason);
+    notice.retry_after =
+        std::chrono::ceil<std::chrono::milliseconds>(told.retry_after);
+    return notice;
+}
+
+datagram_delivery make_delivery(datagram_delivery*,
+                                const agent_role_settings& own, poller& waiting)
+{
+    return datagram_delivery(own.upstream_address, waiting, first_flow_token);
+}
+
+ip_delivery make_delivery(ip_delivery*, const agent_role_settings& own,
+                          poller& waiting)
+{
+    endpoint any_port = own.tunnel;
+    any_port.port = 0;
+    result<udp_socket> socket = udp_socket::bind(any_port);
+    // The tunnel is bound to the same address already.
+    return ip_delivery(std::move(socket.value()), own.upstream_address, waiting,
+                       first_flow_token);
+}
+
+} // namespace
+
+template <class Delivery>
+agent_loop<Delivery>::agent_loop(const agent_settings& core,
+                                 const agent_role_settings& own,
+                                 udp_socket tunnel, const key_ring& keys,
+                                 agent_exchange& exchange, agent_gauges& gauges,
+                                 log_sink& log, const log_settings& logging)
+    : m_core(core, steady_clock_source().now())
+    , m_self(core.self)
+    , m_tunnel(std::move(tunnel))
+    , m_codec(keys)
+    , m_exchange(exchange)
+    , m_gauges(gauges)
+    , m_log(log)
+    , m_limit(logging.decisions_per_second)
+    , m_delivery(make_delivery(static_cast<Delivery*>(nullptr), own, m_poller))
+    , m_stage(own.upstream_address, m_poller, stage_token, core.self.started)
+{
+    m_poller.add(m_exchange.to_agent.handle(), control_token);
+    m_poller.add(m_tunnel.handle(), tunnel_token);
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::run()
+{
+    m_now = m_clock.now();
+    publish_report();
+    while (!m_gauges.stopping)
+    {
+        const auto ready = m_poller.wait(tick_interval);
+        m_now = m_clock.now();
+        for (const poller::token token : ready)
+        {
+            if (token == control_token)
+            {
+                take_from_control();
+            }
+            else if (token == tunnel_token)
+            {
+                take_from_tunnel();
+            }
+            else
+            {
+                take_from_upstream(token);
+            }
+        }
+        advance();
+        flush();
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_from_control()
+{
+    (void)m_exchange.to_agent.take();
+    if (m_exchange.leave && !m_left)
+    {
+        m_left = true;
+        handle(leave_requested{});
+    }
+    const std::shared_ptr<const service_view> view = m_exchange.view.read();
+    if (view != nullptr && view != m_view)
+    {
+        m_view = view;
+        m_stage.apply(m_now, view->declared);
+        handle(view_changed{view});
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_from_tunnel()
+{
+    for (int round = 0; round < batches_a_round; ++round)
+    {
+        const std::size_t count = m_tunnel.receive(m_received);
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            const auto value = m_codec.decode(m_received.bytes(at));
+            if (!value || m_received.truncated(at))
+            {
+                ++m_undecodable;
+                continue;
+            }
+            take(m_received.peer(at), *value);
+        }
+        if (count < m_received.capacity())
+        {
+            return;
+        }
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take(const endpoint& from, const datagram& value)
+{
+    if (const auto* packet = std::get_if<forward_datagram>(&value))
+    {
+        handle(packet_arrived{packet->header, packet->payload});
+        take_stage_output();
+        return;
+    }
+    const auto* told = std::get_if<peer_datagram>(&value);
+    const auto message =
+        told == nullptr ? std::nullopt : decode_peer_message(told->message);
+    if (!message)
+    {
+        ++m_undecodable;
+        return;
+    }
+    handle(message_arrived{from, *message});
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_from_upstream(poller::token token)
+{
+    if (token == stage_token)
+    {
+        m_stage.receive(m_now, m_received);
+        take_stage_output();
+        return;
+    }
+    const bool refused =
+        m_delivery.receive(token, m_received,
+                           [this](const flow_key& flow, payload_view payload) {
+                               handle(upstream_answered{flow, payload});
+                           });
+    if (refused)
+    {
+        handle(upstream_failed{});
+    }
+}
+
+// What the requests of callers led to: answers, and work begun and ended.
+template <class Delivery>
+void agent_loop<Delivery>::take_stage_output()
+{
+    if (!m_stage.active())
+    {
+        return;
+    }
+    m_stage.send();
+    const admission_effects done = std::exchange(m_stage.effects(), {});
+    for (const std::uint32_t weight : done.work_started)
+    {
+        handle(work_started{weight});
+    }
+    for (const std::uint32_t weight : done.work_ended)
+    {
+        handle(work_ended{weight});
+    }
+    for (const admission_datagram& each : done.to_callers)
+    {
+        const payload_view payload(
+            reinterpret_cast<const std::uint8_t*>(each.bytes.data()),
+            each.bytes.size());
+        handle(upstream_answered{each.flow, payload});
+    }
+    for (const admission_decision& each : done.decisions)
+    {
+        if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+        {
+            m_log.write(to_log_line(m_self, each));
+        }
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::advance()
+{
+    if (m_now >= m_next_tick)
+    {
+        m_next_tick = m_now + tick_interval;
+        handle(tick{});
+    }
+    m_stage.advance(m_now);
+    take_stage_output();
+    m_gauges.flows = m_core.flows();
+    if (m_now >= m_next_report)
+    {
+        publish_report();
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::deliver(const flow_key& flow, payload_view payload)
+{
+    if (m_stage.active())
+    {
+        m_stage.take_from_caller(m_now, flow, payload);
+        return;
+    }
+    m_undelivered += m_delivery.deliver(flow, payload) ? 0 : 1;
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::forward(const endpoint& to,
+                                   const packet_header& header,
+                                   payload_view payload)
+{
+    send_datagram(to, forward_datagram{header, payload});
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::answer(const endpoint& to, const flow_key& flow,
+                                  payload_view payload)
+{
+    send_datagram(to, answer_datagram{flow, payload});
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::refuse(const endpoint& to, const flow_key& flow,
+                                  payload_view payload,
+                                  const flow_refusal& told)
+{
+    notice_datagram notice = to_notice(flow, told);
+    if (flow.protocol == transport::tcp)
+    {
+        const auto numbers = reset_answering(payload);
+        if (!numbers)
+        {
+            // Not a segment that may be answered.
+            return;
+        }
+        notice.sequence = numbers->sequence;
+        notice.acknowledgement = numbers->acknowledgement;
+    }
+    send_datagram(to, notice);
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::reset_caller(const endpoint& to,
+                                        const flow_key& flow,
+                                        const flow_refusal& told)
+{
+    send_datagram(to, to_notice(flow, told));
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::reset_upstream(const flow_key& flow,
+                                          refusal_reason /*reason*/)
+{
+    // A UDP upstream has no reset; its socket closes, which tells it at its
+    // next answer.
+    m_delivery.close(flow);
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::close(const flow_key& flow)
+{
+    m_delivery.close(flow);
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::send(const endpoint& to, const peer_message& message)
+{
+    const std::string text = encode_peer_message(message);
+    send_datagram(to, peer_datagram{std::span(
+                          reinterpret_cast<const std::uint8_t*>(text.data()),
+                          text.size())});
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::announce(const upstream_record& record)
+{
+    m_exchange.wanted.publish(std::make_shared<const upstream_record>(record));
+    const wake_event* control = m_exchange.to_control.load();
+    if (control != nullptr)
+    {
+        control->signal();
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::decide(const flow_decision& decision)
+{
+    if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+    {
+        m_log.write(to_log_line(m_self, decision));
+    }
+}
+
+template <class Delivery>
+template <class Value>
+void agent_loop<Delivery>::send_datagram(const endpoint& to, const Value& value)
+{
+    if (m_to_send.full())
+    {
+        flush();
+    }
+    const std::size_t size = m_codec.encode(value, m_to_send.next());
+    if (size == 0)
+    {
+        ++m_unsent;
+        return;
+    }
+    m_to_send.commit(size, to);
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::flush()
+{
+    if (m_to_send.size() > 0)
+    {
+        m_unsent += m_tunnel.send(m_to_send).dropped;
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::publish_report()
+{
+    m_next_report = m_now + report_interval;
+    const std::uint64_t omitted = m_limit.take_omitted();
+    if (omitted > 0)
+    {
+        m_log.write(log_line(log_level::info, "decisions_omitted")
+                        .field("upstream", m_self.id.value())
+                        .field("lines", omitted));
+    }
+    agent_totals totals;
+    totals.flows = m_core.flows();
+    totals.redirects = m_core.redirects();
+    totals.load = m_core.load();
+    totals.counts = m_core.counts();
+    totals.undecodable = m_undecodable;
+    totals.unsent = m_unsent + m_stage.unsent();
+    totals.undelivered = m_undelivered;
+    m_gauges.report.publish(
+        std::make_shared<const metrics>(to_metrics(m_self, totals)));
+}
+
+template class agent_loop<datagram_delivery>;
+template class agent_loop<ip_delivery>;
+
+static_assert(agent_effects<agent_loop<datagram_delivery>>,
+              "the loop must carry out what the agent asks for");
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/agent_loop.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "agent_thread.hpp"
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/transport/datagram_batch.hpp"
+#include "crowlink/transport/poller.hpp"
+#include "crowlink/wire/datagram_codec.hpp"
+#include "datagram_delivery.hpp"
+#include "decision_limit.hpp"
+#include "ip_delivery.hpp"
+#include "request_stage.hpp"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// Carries out the effects of one agent, and feeds it what arrives. Belongs to
+// the agent's thread. `Delivery` is datagram_delivery or ip_delivery.
+template <class Delivery>
+class agent_loop
+{
+public:
+    agent_loop(const agent_settings& core, const agent_role_settings& own,
+               udp_socket tunnel, const key_ring& keys,
+               agent_exchange& exchange, agent_gauges& gauges, log_sink& log,
+               const log_settings& logging);
+
+    // Runs until the gauges say to stop.
+    void run();
+
+    // The effects of the agent; see agent_effects.
+    void deliver(const flow_key& flow, payload_view payload);
+    void forward(const endpoint& to, const packet_header& header,
+                 payload_view payload);
+    void answer(const endpoint& to, const flow_key& flow, payload_view payload);
+    void refuse(const endpoint& to, const flow_key& flow, payload_view payload,
+                const flow_refusal& told);
+    void reset_caller(const endpoint& to, const flow_key& flow,
+                      const flow_refusal& told);
+    void reset_upstream(const flow_key& flow, refusal_reason reason);
+    void close(const flow_key& flow);
+    void send(const endpoint& to, const peer_message& message);
+    void announce(const upstream_record& record);
+    void decide(const flow_decision& decision);
+
+private:
+    template <class Event>
+    void handle(const Event& event)
+    {
+        m_core.handle(m_now, event, *this);
+    }
+
+    void take_from_control();
+    void take_from_tunnel();
+    void take(const endpoint& from, const datagram& value);
+    void take_from_upstream(poller::token token);
+    void take_stage_output();
+    void advance();
+    template <class Value>
+    void send_datagram(const endpoint& to, const Value& value);
+    void flush();
+    void publish_report();
+
+    agent m_core;
+    upstream_record m_self;
+    udp_socket m_tunnel;
+    datagram_codec m_codec;
+    agent_exchange& m_exchange;
+    agent_gauges& m_gauges;
+    log_sink& m_log;
+    decision_limit m_limit;
+    poller m_poller;
+    Delivery m_delivery;
+    request_stage m_stage;
+    datagram_batch m_received;
+    datagram_batch m_to_send;
+    std::shared_ptr<const service_view> m_view;
+    bool m_left = false;
+    steady_clock_source m_clock;
+    time_point m_now{};
+    time_point m_next_tick{};
+    time_point m_next_report{};
+    std::uint64_t m_undecodable = 0;
+    std::uint64_t m_unsent = 0;
+    std::uint64_t m_undelivered = 0;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/agent_report.cpp
@@ -0,0 +1,98 @@
+#include "agent_report.hpp"
+
+#include "crowlink/requests/answer_reason.hpp"
+
+#include <fmt/format.h>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+std::string_view to_text(admission_step step)
+{
+    switch (step)
+    {
+    case admission_step::queued:
+        return "queued";
+    case admission_step::started:
+        return "started";
+    case admission_step::ended:
+        return "ended";
+    case admission_step::refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+metrics to_metrics(const upstream_record& self, const agent_totals& totals)
+{
+    metrics out;
+    const auto add = [&out, &self](std::string_view name, std::uint64_t value)
+    {
+        out.count(fmt::format("crowlink_agent_{}{{upstream=\"{}\"}}", name,
+                              self.id.value()),
+                  value);
+    };
+    const agent_counts& counts = totals.counts;
+    add("flows", totals.flows);
+    add("redirects", totals.redirects);
+    add("load_millionths", totals.load);
+    add("packets_delivered_total", counts.delivered);
+    add("packets_answered_total", counts.answered);
+    add("flows_admitted_total", counts.admitted);
+    add("flows_adopted_total", counts.adopted);
+    add("flows_closed_total", counts.closed);
+    add("flows_handed_off_total", counts.handed_off);
+    add("flows_refused_total", counts.refused);
+    add("packets_redirected_total", counts.redirected);
+    add("packets_looked_up_total", counts.looked_up);
+    add("packets_diverted_total", counts.diverted);
+    add("flows_silent_total", counts.silent);
+    add("flows_unknown_total", counts.unknown_flows);
+    add("flows_upstream_failed_total", counts.upstream_failed);
+    add("flows_duplicate_owner_total", counts.duplicate_owners);
+    add("flows_idle_closed_total", counts.idle_closed);
+    add("packets_wrong_service_total", counts.wrong_service);
+    add("packets_wrong_tag_total", counts.wrong_tag);
+    add("packets_too_many_hops_total", counts.too_many_hops);
+    add("answers_unknown_total", counts.unknown_answers);
+    add("redirects_published_total", counts.redirects_published);
+    add("redirects_withdrawn_total", counts.redirects_withdrawn);
+    add("redirects_evicted_total", counts.redirects_evicted);
+    add("notices_sent_total", counts.notices_sent);
+    add("loads_sent_total", counts.loads_sent);
+    add("datagrams_undecodable_total", totals.undecodable);
+    add("datagrams_unsent_total", totals.unsent);
+    add("payloads_undelivered_total", totals.undelivered);
+    return out;
+}
+
+log_line to_log_line(const upstream_record& self, const flow_decision& decision)
+{
+    return log_line(log_level::info, "placement")
+        .field("upstream", self.id.value())
+        .field("action", to_string(decision.action))
+        .field("service", decision.service.value())
+        .field("flow", decision.flow.to_string())
+        .field("table", decision.table)
+        .field("chosen", decision.chosen.agent.to_string())
+        .field("load", decision.load)
+        .field("reason", decision.reason);
+}
+
+log_line to_log_line(const upstream_record& self,
+                     const admission_decision& decision)
+{
+    return log_line(log_level::info, "request")
+        .field("upstream", self.id.value())
+        .field("step", to_text(decision.step))
+        .field("flow", decision.flow.to_string())
+        .field("kind", decision.kind)
+        .field("reason", to_string(decision.reason));
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/agent_report.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "crowlink/agent/agent_counts.hpp"
+#include "crowlink/agent/flow_decision.hpp"
+#include "crowlink/base/log_line.hpp"
+#include "crowlink/base/metrics.hpp"
+#include "crowlink/model/upstream_record.hpp"
+#include "crowlink/requests/admission_effects.hpp"
+
+#include <cstdint>
+
+namespace crowlink::internal
+{
+
+// What one agent's thread has counted.
+struct agent_totals
+{
+    std::size_t flows = 0;
+    std::size_t redirects = 0;
+    // In millionths of what the upstream can take.
+    std::uint32_t load = 0;
+    agent_counts counts;
+    // Datagrams that were no message of ours, that the kernel did not take,
+    // and payloads that did not reach the upstream.
+    std::uint64_t undecodable = 0;
+    std::uint64_t unsent = 0;
+    std::uint64_t undelivered = 0;
+};
+
+// As counters named crowlink_agent_*, labelled with the upstream.
+metrics to_metrics(const upstream_record& self, const agent_totals& totals);
+
+// The log line of a decision on a flow, or on a request.
+log_line to_log_line(const upstream_record& self,
+                     const flow_decision& decision);
+log_line to_log_line(const upstream_record& self,
+                     const admission_decision& decision);
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/blackboard.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "board_value.hpp"
+#include "crowlink/base/ids.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/forwarding/forwarding_set.hpp"
+#include "crowlink/model/service_view.hpp"
+#include "crowlink/model/system_document.hpp"
+
+#include <compare>
+#include <map>
+#include <memory>
+
+namespace crowlink::internal
+{
+
+// The document that this control host has applied.
+struct applied_document
+{
+    config_version version;
+    system_document document;
+
+    friend auto operator<=>(const applied_document&,
+                            const applied_document&) = default;
+};
+
+// How far the daemon is on its way to its end.
+enum class stop_phase : std::uint8_t
+{
+    running,
+    // Planned: flows are kept, nothing new is taken.
+    draining,
+    // Records are withdrawn; what is left of the time serves late packets.
+    leaving,
+};
+
+// What one upstream's agent wants announced.
+struct wanted_record
+{
+    upstream_state state = upstream_state::ready;
+    std::uint32_t weight = 0;
+
+    friend auto operator<=>(const wanted_record&,
+                            const wanted_record&) = default;
+};
+
+using service_views = std::map<service_id, std::shared_ptr<const service_view>>;
+using wanted_records = std::map<upstream_id, wanted_record>;
+using forwarding_snapshot = std::shared_ptr<const forwarding_set>;
+
+// What the controllers of one daemon know. It belongs to the control thread:
+// each controller writes the values that are its own, and reads those of the
+// others.
+struct blackboard
+{
+    // Written by the document controller.
+    board_value<applied_document> document;
+    board_value<duration> document_age;
+    // Written by the node controller.
+    board_value<service_views> views;
+    board_value<config_version> node_version;
+    // Written by the agent controller.
+    board_value<wanted_records> wanted;
+    // Written by the balancer controller.
+    board_value<forwarding_snapshot> forwarding;
+    // Written by the control thread itself.
+    board_value<stop_phase> phase;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/control_links.cpp
@@ -0,0 +1,279 @@
+#include "control_links.hpp"
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// More nodes than one control host is meant for; beyond that a new one takes
+// the place of another, which is heard again at its next message.
+constexpr std::size_t most_node_connections = 16384;
+constexpr const char* peer_domain = "control";
+constexpr const char* node_domain = "balancer+agent";
+
+} // namespace
+
+control_links::control_links(const daemon_settings& settings,
+                             const zap_authenticator* authenticator)
+    : m_node_name(internal::node_name(settings)), m_authenticator(authenticator)
+{
+}
+
+result<std::unique_ptr<control_links>>
+control_links::open(zmq::context_t& context, const daemon_settings& settings,
+                    const identity& own, const zap_authenticator* authenticator)
+{
+    std::unique_ptr<control_links> made(
+        new control_links(settings, authenticator));
+    const auto done =
+        made->open_peers(context, own, settings)
+            .and_then([&] { return made->open_nodes(context, own, settings); })
+            .and_then([&]
+                      { return made->open_control(context, own, settings); });
+    if (!done)
+    {
+        return tl::unexpected(done.error());
+    }
+    made->list_sockets();
+    return made;
+}
+
+result<void> control_links::open_peers(zmq::context_t& context,
+                                       const identity& own,
+                                       const daemon_settings& settings)
+{
+    if (!settings.control)
+    {
+        return {};
+    }
+    result<router_socket> router = router_socket::bind(
+        context, settings.control->peer_listen, own.pair, peer_domain);
+    if (!router)
+    {
+        return tl::unexpected(router.error());
+    }
+    m_peer_router.emplace(std::move(*router));
+    for (const control_peer& peer : settings.control->peers)
+    {
+        if (peer.host == settings.host.name)
+        {
+            continue;
+        }
+        result<dealer_socket> dealer =
+            dealer_socket::connect(context, settings.host.name, peer.address,
+                                   own.pair, peer.public_key);
+        if (!dealer)
+        {
+            return tl::unexpected(dealer.error());
+        }
+        m_peers.emplace(peer.host, std::move(*dealer));
+    }
+    return {};
+}
+
+result<void> control_links::open_nodes(zmq::context_t& context,
+                                       const identity& own,
+                                       const daemon_settings& settings)
+{
+    if (!settings.control)
+    {
+        return {};
+    }
+    result<router_socket> router = router_socket::bind(
+        context, settings.control->node_listen, own.pair, node_domain);
+    if (!router)
+    {
+        return tl::unexpected(router.error());
+    }
+    m_node_router.emplace(std::move(*router));
+    return {};
+}
+
+result<void> control_links::open_control(zmq::context_t& context,
+                                         const identity& own,
+                                         const daemon_settings& settings)
+{
+    std::vector<control_endpoint> endpoints = settings.control_endpoints;
+    const bool is_node = settings.balancer || !settings.agents.empty();
+    if (endpoints.empty() && settings.control && is_node)
+    {
+        // The control in this process, reached as any other.
+        endpoints.push_back(control_endpoint{
+            settings.host.name, settings.host.place, settings.host.region,
+            *node_address(), own.pair ? own.pair->public_key : std::string()});
+    }
+    for (const control_endpoint& each : endpoints)
+    {
+        result<dealer_socket> dealer = dealer_socket::connect(
+            context, m_node_name, each.address, own.pair, each.public_key);
+        if (!dealer)
+        {
+            return tl::unexpected(dealer.error());
+        }
+        m_control.emplace(each.host, std::move(*dealer));
+    }
+    return {};
+}
+
+void control_links::list_sockets()
+{
+    const auto add = [this](zmq::socket_ref socket)
+    {
+        m_items.push_back(zmq::pollitem_t{socket.handle(), 0, ZMQ_POLLIN, 0});
+    };
+    if (m_peer_router)
+    {
+        add(m_peer_router->socket());
+        add(m_node_router->socket());
+    }
+    for (auto& [host, dealer] : m_peers)
+    {
+        add(dealer.socket());
+    }
+    for (auto& [host, dealer] : m_control)
+    {
+        add(dealer.socket());
+    }
+    // The last one is the wake event of `wait`.
+    m_items.push_back(zmq::pollitem_t{nullptr, 0, ZMQ_POLLIN, 0});
+}
+
+void control_links::wait(duration longest, const wake_event& wake)
+{
+    m_items.back().fd = wake.handle();
+    try
+    {
+        zmq::poll(m_items.data(), m_items.size(),
+                  std::chrono::ceil<std::chrono::milliseconds>(longest));
+    }
+    catch (const zmq::error_t&)
+    {
+        // Interrupted by a signal: as if the time had passed.
+    }
+    (void)wake.take();
+}
+
+std::optional<inbound_message> control_links::next()
+{
+    if (m_peer_router)
+    {
+        std::optional<inbound_message> found =
+            next_of(*m_peer_router, link_kind::peer);
+        if (!found)
+        {
+            found = next_of(*m_node_router, link_kind::node);
+        }
+        if (found)
+        {
+            return found;
+        }
+    }
+    return next_from_control();
+}
+
+std::optional<inbound_message> control_links::next_of(router_socket& socket,
+                                                      link_kind link)
+{
+    while (true)
+    {
+        std::optional<received_message> received = socket.receive();
+        if (!received)
+        {
+            return std::nullopt;
+        }
+        if (!is_genuine(*received, link))
+        {
+            continue;
+        }
+        if (link == link_kind::node)
+        {
+            if (m_node_connections.size() >= most_node_connections)
+            {
+                m_node_connections.erase(m_node_connections.begin());
+            }
+            m_node_connections[received->sender] = received->connection;
+        }
+        return inbound_message{link, std::move(received->sender),
+                               std::move(received->public_key),
+                               received->channel, std::move(received->bytes)};
+    }
+}
+
+std::optional<inbound_message> control_links::next_from_control()
+{
+    for (auto& [host, dealer] : m_control)
+    {
+        std::optional<dealer_socket::message> received = dealer.receive();
+        if (received)
+        {
+            return inbound_message{link_kind::control, host, std::string(),
+                                   received->channel,
+                                   std::move(received->bytes)};
+        }
+    }
+    return std::nullopt;
+}
+
+// The name must be that of the key's holder, and the key must still be allowed:
+// its connection may be older than the present grants.
+bool control_links::is_genuine(const received_message& message, link_kind link)
+{
+    if (m_authenticator == nullptr)
+    {
+        return true;
+    }
+    const std::shared_ptr<const key_grants> grants = m_authenticator->grants();
+    const key_grant* grant = grants->find(message.public_key);
+    const bool is_allowed =
+        grant != nullptr && grant->holder == host_of(message.sender) &&
+        (link == link_kind::peer ? grant->allows(node_role::control_node)
+                                 : grant->allows(node_role::balancer_node) ||
+                                       grant->allows(node_role::agent_node));
+    if (!is_allowed)
+    {
+        m_metrics.count("crowlink_control_messages_refused_total");
+    }
+    return is_allowed;
+}
+
+bool control_links::send_to_peer(const host_id& to, message_channel channel,
+                                 std::string_view bytes)
+{
+    const auto found = m_peers.find(to);
+    return found != m_peers.end() && found->second.send(channel, bytes);
+}
+
+bool control_links::send_to_node(const host_id& to, std::string_view bytes)
+{
+    const auto found = m_node_connections.find(to);
+    if (found == m_node_connections.end())
+    {
+        return false;
+    }
+    const bool sent =
+        m_node_router->send(found->second, message_channel::membership, bytes);
+    if (!sent)
+    {
+        m_metrics.count("crowlink_control_messages_unsent_total");
+    }
+    return sent;
+}
+
+bool control_links::send_to_control(const host_id& to, std::string_view bytes)
+{
+    const auto found = m_control.find(to);
+    return found != m_control.end() &&
+           found->second.send(message_channel::membership, bytes);
+}
+
+std::optional<endpoint> control_links::node_address() const
+{
+    if (!m_node_router)
+    {
+        return std::nullopt;
+    }
+    return m_node_router->local();
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/control_links.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "crowlink/base/metrics.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/settings/daemon_settings.hpp"
+#include "crowlink/transport/dealer_socket.hpp"
+#include "crowlink/transport/router_socket.hpp"
+#include "crowlink/transport/wake_event.hpp"
+#include "crowlink/transport/zap_authenticator.hpp"
+#include "identity.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+#include <zmq.hpp>
+
+namespace crowlink::internal
+{
+
+// Which kind of peer a message comes from.
+enum class link_kind : std::uint8_t
+{
+    // Another control host.
+    peer,
+    // A node, to this control host.
+    node,
+    // A control host, to this node.
+    control,
+};
+
+// A message from another process whose name was checked against its key.
+struct inbound_message
+{
+    link_kind link = link_kind::peer;
+    host_id sender;
+    std::string public_key;
+    message_channel channel = message_channel::membership;
+    std::string bytes;
+};
+
+// All ZeroMQ sockets of one daemon; belongs to the control thread. Towards each
+// other control host there is one connection for what is sent, and its own
+// connection to this host brings what it sends.
+class control_links
+{
+public:
+    // The bound addresses are in the settings; a null authenticator stands for
+    // a daemon without keys or without the control role.
+    static result<std::unique_ptr<control_links>>
+    open(zmq::context_t& context, const daemon_settings& settings,
+         const identity& own, const zap_authenticator* authenticator);
+
+    // Waits until a message or the event is there, or the time has passed.
+    void wait(duration longest, const wake_event& wake);
+
+    // The next message; empty if there is none.
+    std::optional<inbound_message> next();
+
+    // Sends to another control host; false if it was not queued.
+    bool send_to_peer(const host_id& to, message_channel channel,
+                      std::string_view bytes);
+    bool send_to_node(const host_id& to, std::string_view bytes);
+    bool send_to_control(const host_id& to, std::string_view bytes);
+
+    bool is_peer(const host_id& host) const { return m_peers.count(host) != 0; }
+
+    // Where nodes connect, with the port that was chosen.
+    std::optional<endpoint> node_address() const;
+
+    const metrics& counters() const { return m_metrics; }
+
+private:
+    control_links(const daemon_settings& settings,
+                  const zap_authenticator* authenticator);
+
+    result<void> open_peers(zmq::context_t& context, const identity& own,
+                            const daemon_settings& settings);
+    result<void> open_nodes(zmq::context_t& context, const identity& own,
+                            const daemon_settings& settings);
+    result<void> open_control(zmq::context_t& context, const identity& own,
+                              const daemon_settings& settings);
+    void list_sockets();
+    bool is_genuine(const received_message& message, link_kind link);
+    std::optional<inbound_message> next_of(router_socket& socket,
+                                           link_kind link);
+    std::optional<inbound_message> next_from_control();
+
+    host_id m_node_name;
+    const zap_authenticator* m_authenticator;
+    std::optional<router_socket> m_peer_router;
+    std::optional<router_socket> m_node_router;
+    std::map<host_id, dealer_socket> m_peers;
+    std::map<host_id, dealer_socket> m_control;
+    // The connection over which each node spoke last.
+    std::map<host_id, std::string> m_node_connections;
+    std::vector<zmq::pollitem_t> m_items;
+    metrics m_metrics;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/control_thread.cpp
@@ -0,0 +1,240 @@
+#include "control_thread.hpp"
+
+#include "crowlink/membership/balancer_record.hpp"
+#include "process_identity.hpp"
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+constexpr std::size_t most_commands = 1024;
+constexpr std::size_t most_messages_a_round = 4096;
+// Replicas need time a few times in each heartbeat interval of 200 ms.
+constexpr std::chrono::milliseconds control_tick(25);
+constexpr std::chrono::milliseconds node_tick(50);
+constexpr std::chrono::milliseconds metrics_interval(500);
+
+balancer_record to_record(const daemon_settings& settings,
+                          const balancer_role& balancer)
+{
+    balancer_record record;
+    record.id = settings.host.name;
+    record.started = fresh_incarnation();
+    record.answers = balancer.tunnel();
+    record.where = settings.host.place;
+    return record;
+}
+
+} // namespace
+
+control_thread::control_thread(std::unique_ptr<control_links> links,
+                               log_sink& log, balancer_role* balancer,
+                               std::vector<std::unique_ptr<agent_role>>& agents)
+    : m_log(log)
+    , m_links(std::move(links))
+    , m_balancer(balancer)
+    , m_agents(agents)
+    , m_commands(m_wake, most_commands)
+{
+}
+
+result<std::unique_ptr<control_thread>> control_thread::open(
+    const daemon_settings& settings, const identity& own,
+    zmq::context_t& zmq_context, const zap_authenticator* authenticator,
+    balancer_role* balancer, std::vector<std::unique_ptr<agent_role>>& agents,
+    log_sink& log)
+{
+    auto links = control_links::open(zmq_context, settings, own, authenticator);
+    if (!links)
+    {
+        return tl::unexpected(links.error());
+    }
+    std::unique_ptr<control_thread> made(
+        new control_thread(std::move(*links), log, balancer, agents));
+    if (settings.control)
+    {
+        const result<void> opened = made->open_control(settings, authenticator);
+        if (!opened)
+        {
+            return tl::unexpected(opened.error());
+        }
+    }
+    if (settings.balancer || !settings.agents.empty())
+    {
+        made->open_node(settings);
+    }
+    return made;
+}
+
+result<void>
+control_thread::open_control(const daemon_settings& settings,
+                             const zap_authenticator* authenticator)
+{
+    // Zero is no disk.
+    const replication::disk_id fresh_disk(random_bits() | 1U);
+    auto storage =
+        storage_thread::open(settings.control->data_folder, fresh_disk, m_wake);
+    if (!storage)
+    {
+        return tl::unexpected(storage.error());
+    }
+    m_storage = std::move(*storage);
+    const time_point now = m_clock.now();
+    m_documents.emplace(settings, *m_storage, *m_links, m_log,
+                        seeded_random(random_bits()), now);
+    m_membership.emplace(settings, *m_links, authenticator, m_log,
+                         random_bits(), now);
+    return {};
+}
+
+void control_thread::open_node(const daemon_settings& settings)
+{
+    std::vector<upstream_record> records;
+    if (m_balancer != nullptr)
+    {
+        records.push_back(to_member(to_record(settings, *m_balancer)));
+    }
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        records.push_back(agent->first_record());
+    }
+    m_node.emplace(settings, *m_links, m_log, std::move(records), random_bits(),
+                   m_clock.now());
+}
+
+control_thread::~control_thread()
+{
+    m_stopping = true;
+    m_wake.signal();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
+}
+
+void control_thread::start()
+{
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        agent->wake_on_change(m_wake);
+    }
+    m_thread = std::thread([this] { run(); });
+}
+
+void control_thread::run()
+{
+    m_board.phase.set(stop_phase::running);
+    if (m_documents)
+    {
+        m_documents->start(m_board);
+    }
+    const duration tick = m_documents ? control_tick : node_tick;
+    while (!m_stopping)
+    {
+        m_links->wait(tick, m_wake);
+        const time_point now = m_clock.now();
+        take_messages(now);
+        take_commands(now);
+        advance(now);
+        publish_metrics(now);
+    }
+}
+
+void control_thread::take_messages(time_point now)
+{
+    for (std::size_t taken = 0; taken < most_messages_a_round; ++taken)
+    {
+        const std::optional<inbound_message> message = m_links->next();
+        if (!message)
+        {
+            return;
+        }
+        if (message->link == link_kind::control)
+        {
+            m_node->handle(now, *message, m_board);
+        }
+        else if (message->channel == message_channel::membership)
+        {
+            m_membership->handle(now, *message);
+        }
+        else if (message->link == link_kind::peer)
+        {
+            m_documents->handle(now, *message, m_board);
+        }
+    }
+    // What is left comes in the next round, at once.
+    m_wake.signal();
+}
+
+void control_thread::take_commands(time_point now)
+{
+    while (const std::optional<command> wanted = m_commands.take())
+    {
+        context with{now, m_board, m_documents ? &*m_documents : nullptr,
+                     m_membership ? &*m_membership : nullptr,
+                     m_node ? &*m_node : nullptr};
+        (*wanted)(with);
+    }
+}
+
+// Each controller in the order in which values flow from one to the next.
+void control_thread::advance(time_point now)
+{
+    if (m_documents)
+    {
+        m_documents->advance(now, m_board);
+        m_membership->advance(now, m_board);
+        m_failed = m_documents->has_failed();
+    }
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        agent->read_wanted(m_board);
+    }
+    if (m_node)
+    {
+        m_node->advance(now, m_board);
+        m_settled = m_node->settled();
+    }
+    if (m_balancer != nullptr)
+    {
+        m_balancer->advance(now, m_board);
+    }
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        agent->advance(m_board);
+    }
+}
+
+void control_thread::publish_metrics(time_point now)
+{
+    if (now < m_next_metrics)
+    {
+        return;
+    }
+    m_next_metrics = now + metrics_interval;
+    const auto next = std::make_shared<metrics>(m_links->counters());
+    next->count("crowlink_control_commands_refused_total",
+                m_commands.refused());
+    next->count("crowlink_log_lines_dropped_total", m_log.dropped());
+    if (m_membership)
+    {
+        const membership_host& core = m_membership->core();
+        next->count("crowlink_control_members", core.observing().living());
+        next->count("crowlink_control_nodes", core.publishing().nodes());
+        next->count("crowlink_control_document_version",
+                    m_board.document.get().version.value());
+    }
+    if (m_node)
+    {
+        const subscriber& subscribed = m_node->subscribed();
+        next->count("crowlink_node_document_version",
+                    subscribed.applied_version().value());
+        next->count("crowlink_node_control_bytes_total", subscribed.bytes());
+        next->count("crowlink_node_snapshots_total", subscribed.snapshots());
+    }
+    m_metrics.publish(next);
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/control_thread.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "agent_role.hpp"
+#include "balancer_role.hpp"
+#include "blackboard.hpp"
+#include "control_links.hpp"
+#include "crowlink/base/log_sink.hpp"
+#include "document_controller.hpp"
+#include "mailbox.hpp"
+#include "membership_controller.hpp"
+#include "node_controller.hpp"
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <vector>
+#include <zmq.hpp>
+
+namespace crowlink::internal
+{
+
+// The one thread that owns a daemon's control state: the blackboard, and the
+// controllers that read and write it.
+class control_thread
+{
+public:
+    // What a command may use, on the control thread.
+    struct context
+    {
+        time_point now;
+        blackboard& board;
+        // Null without the control role.
+        document_controller* documents;
+        membership_controller* membership;
+        // Null without a role of a node.
+        node_controller* node;
+    };
+
+    using command = std::function<void(context&)>;
+
+    // Opens sockets and the data folder. The roles must outlive the thread;
+    // `balancer` may be null. A null authenticator stands for no keys.
+    static result<std::unique_ptr<control_thread>>
+    open(const daemon_settings& settings, const identity& own,
+         zmq::context_t& zmq_context, const zap_authenticator* authenticator,
+         balancer_role* balancer,
+         std::vector<std::unique_ptr<agent_role>>& agents, log_sink& log);
+
+    control_thread(const control_thread&) = delete;
+    control_thread& operator=(const control_thread&) = delete;
+    ~control_thread();
+
+    // Begins to run; nothing is lost that arrived before.
+    void start();
+
+    // Runs a command on the control thread; false if too many wait.
+    bool post(command wanted) { return m_commands.post(std::move(wanted)); }
+
+    // Runs a question on the control thread and waits for its answer for a
+    // bounded time; `unavailable` after that.
+    template <class Answer>
+    result<Answer> ask(std::function<Answer(context&)> question);
+
+    // Whether storage has failed: the daemon can't go on.
+    bool has_failed() const { return m_failed; }
+    // Whether all records are announced as they are now.
+    bool settled() const { return m_settled; }
+
+    std::shared_ptr<const metrics> counters() const { return m_metrics.read(); }
+
+private:
+    control_thread(std::unique_ptr<control_links> links, log_sink& log,
+                   balancer_role* balancer,
+                   std::vector<std::unique_ptr<agent_role>>& agents);
+
+    result<void> open_control(const daemon_settings& settings,
+                              const zap_authenticator* authenticator);
+    void open_node(const daemon_settings& settings);
+
+    void run();
+    void take_messages(time_point now);
+    void take_commands(time_point now);
+    void advance(time_point now);
+    void publish_metrics(time_point now);
+
+    log_sink& m_log;
+    std::unique_ptr<control_links> m_links;
+    balancer_role* m_balancer;
+    std::vector<std::unique_ptr<agent_role>>& m_agents;
+    wake_event m_wake;
+    mailbox<command> m_commands;
+    blackboard m_board;
+    std::unique_ptr<storage_thread> m_storage;
+    std::optional<document_controller> m_documents;
+    std::optional<membership_controller> m_membership;
+    std::optional<node_controller> m_node;
+    steady_clock_source m_clock;
+    snapshot_slot<metrics> m_metrics;
+    time_point m_next_metrics{};
+    std::atomic<bool> m_failed{false};
+    std::atomic<bool> m_settled{false};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+template <class Answer>
+result<Answer> control_thread::ask(std::function<Answer(context&)> question)
+{
+    constexpr std::chrono::seconds patience(5);
+    const auto answer = std::make_shared<std::promise<Answer>>();
+    std::future<Answer> waiting = answer->get_future();
+    const bool posted =
+        post([answer, asked = std::move(question)](context& with)
+             { answer->set_value(asked(with)); });
+    if (!posted || waiting.wait_for(patience) != std::future_status::ready)
+    {
+        return fail(error_kind::unavailable, "", "control is busy");
+    }
+    return waiting.get();
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/document_controller.cpp
@@ -0,0 +1,193 @@
+#include "document_controller.hpp"
+
+#include "crowlink/document/document_reader.hpp"
+#include "crowlink/replication/message_codec.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+replication::replica_settings to_core(const daemon_settings& settings)
+{
+    replication::replica_settings core;
+    core.self = settings.host.name;
+    for (const control_peer& peer : settings.control->peers)
+    {
+        if (peer.host != settings.host.name)
+        {
+            core.peers.push_back(peer.host);
+        }
+        if (peer.voter)
+        {
+            core.founding_voters.push_back(peer.host);
+        }
+    }
+    return core;
+}
+
+} // namespace
+
+document_controller::document_controller(const daemon_settings& settings,
+                                         storage_thread& storage,
+                                         control_links& links, log_sink& log,
+                                         seeded_random random, time_point now)
+    : m_storage(storage)
+    , m_links(links)
+    , m_log(log)
+    , m_core(to_core(settings), storage.take_restored(), now, random)
+{
+}
+
+void document_controller::start(blackboard& board)
+{
+    carry_out(m_core.start(), board);
+}
+
+void document_controller::handle(time_point now, const inbound_message& message,
+                                 blackboard& board)
+{
+    auto decoded = replication::decode_message(message.bytes);
+    if (!decoded || decoded->from != message.sender)
+    {
+        m_log.write(log_line(log_level::warning, "replication_message_refused")
+                        .field("sender", message.sender.value()));
+        return;
+    }
+    carry_out(
+        m_core.handle(now, replication::message_received{std::move(*decoded)}),
+        board);
+}
+
+void document_controller::advance(time_point now, blackboard& board)
+{
+    while (const auto done = m_storage.next())
+    {
+        if (done->failure)
+        {
+            m_failed = true;
+            m_log.write(log_line(log_level::error, "storage_failed")
+                            .field("error", to_string(*done->failure)));
+            carry_out(
+                m_core.handle(now, replication::storage_failed{*done->failure}),
+                board);
+            continue;
+        }
+        carry_out(m_core.handle(now, replication::storage_done{done->sequence}),
+                  board);
+    }
+    carry_out(m_core.handle(now, replication::tick{}), board);
+    board.document_age.set(m_core.status(now).age);
+}
+
+void document_controller::change(time_point now,
+                                 replication::document_change change,
+                                 change_reply reply, blackboard& board)
+{
+    const std::uint64_t request = m_next_request++;
+    m_changes.emplace(request, std::move(reply));
+    carry_out(m_core.handle(
+                  now, replication::propose_change{request, std::move(change)}),
+              board);
+}
+
+void document_controller::change_members(
+    time_point now, const replication::member_change& change,
+    member_reply reply, blackboard& board)
+{
+    const std::uint64_t request = m_next_request++;
+    m_member_changes.emplace(request, std::move(reply));
+    carry_out(
+        m_core.handle(now, replication::propose_membership{request, change}),
+        board);
+}
+
+void document_controller::carry_out(const effects& wanted, blackboard& board)
+{
+    for (const replication::document_effect& effect : wanted)
+    {
+        std::visit([&](const auto& each) { carry_out_one(each, board); },
+                   effect);
+    }
+}
+
+void document_controller::carry_out_one(const replication::send_message& effect,
+                                        blackboard& /*board*/)
+{
+    // What is not queued is lost, as on any network.
+    (void)m_links.send_to_peer(effect.message.to, message_channel::replication,
+                               replication::encode_message(effect.message));
+}
+
+void document_controller::carry_out_one(const replication::persist& effect,
+                                        blackboard& /*board*/)
+{
+    m_storage.write(effect.request);
+}
+
+void document_controller::carry_out_one(const replication::role_changed& effect,
+                                        blackboard& /*board*/)
+{
+    m_log.write(log_line(log_level::info, "control_role")
+                    .field("role", replication::to_string(effect.role))
+                    .field("term", effect.term)
+                    .field("leader", effect.leader.value())
+                    .field("reason", effect.reason));
+}
+
+void document_controller::carry_out_one(
+    const replication::change_answered& effect, blackboard& /*board*/)
+{
+    const auto found = m_changes.find(effect.request);
+    if (found == m_changes.end())
+    {
+        return;
+    }
+    const change_reply reply = std::move(found->second);
+    m_changes.erase(found);
+    reply(effect.outcome);
+}
+
+void document_controller::carry_out_one(
+    const replication::membership_answered& effect, blackboard& /*board*/)
+{
+    const auto found = m_member_changes.find(effect.request);
+    if (found == m_member_changes.end())
+    {
+        return;
+    }
+    const member_reply reply = std::move(found->second);
+    m_member_changes.erase(found);
+    reply(effect.outcome);
+}
+
+void document_controller::carry_out_one(
+    const replication::version_applied& effect, blackboard& board)
+{
+    const replication::document_version* current = m_core.store().current();
+    if (current == nullptr || current->version <= board.document.get().version)
+    {
+        return;
+    }
+    const checked_document read = read_document(current->document);
+    if (!read)
+    {
+        // Only checked documents enter the log; another program version may
+        // have other rules. The version before stays in force here.
+        m_log.write(log_line(log_level::error, "document_unreadable")
+                        .field("version", effect.version.value())
+                        .field("errors", read.error().to_text()));
+        return;
+    }
+    board.document.set(applied_document{current->version, *read});
+    m_log.write(log_line(log_level::info, "document_applied")
+                    .field("version", current->version.value())
+                    .field("operation", current->operation.value())
+                    .field("operator", current->operator_name));
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/membership_controller.cpp
@@ -0,0 +1,140 @@
+#include "membership_controller.hpp"
+
+#include "crowlink/membership/balancer_record.hpp"
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+observer_settings to_core(const daemon_settings& settings)
+{
+    observer_settings core;
+    core.self = observer_info{settings.host.name, settings.host.place,
+                              settings.host.region};
+    for (const control_peer& peer : settings.control->peers)
+    {
+        if (peer.host != settings.host.name)
+        {
+            core.peers.push_back(
+                observer_info{peer.host, peer.place, peer.region});
+        }
+    }
+    return core;
+}
+
+publisher_settings to_publisher(const daemon_settings& settings)
+{
+    publisher_settings core;
+    core.bytes_a_second = settings.pacing_bytes_per_second;
+    core.burst_bytes = settings.pacing_bytes_per_second;
+    return core;
+}
+
+} // namespace
+
+bool granted_announcements::may_announce(const key_identity& key,
+                                         service_id service) const
+{
+    if (m_authenticator == nullptr)
+    {
+        return true;
+    }
+    const std::shared_ptr<const key_grants> grants = m_authenticator->grants();
+    const key_grant* grant = grants->find(key.value());
+    if (grant == nullptr)
+    {
+        return false;
+    }
+    return is_balancer_group(service) ? grant->allows(node_role::balancer_node)
+                                      : grant->allows(service);
+}
+
+membership_controller::membership_controller(
+    const daemon_settings& settings, control_links& links,
+    const zap_authenticator* authenticator, log_sink& log, std::uint64_t seed,
+    time_point now)
+    : m_links(links)
+    , m_log(log)
+    , m_core(to_core(settings), to_publisher(settings), seed, now)
+    , m_gate(granted_announcements(authenticator))
+{
+}
+
+void membership_controller::handle(time_point now,
+                                   const inbound_message& message)
+{
+    wire::membership_message decoded;
+    if (!decoded.ParseFromString(message.bytes))
+    {
+        m_log.write(log_line(log_level::warning, "membership_message_refused")
+                        .field("sender", message.sender.value()));
+        return;
+    }
+    if (message.link == link_kind::peer)
+    {
+        send(m_core.handle(now, message.sender, decoded));
+        return;
+    }
+    note(now, message.sender, decoded);
+    if (!decoded.has_announce() && !decoded.has_renew())
+    {
+        send(m_core.handle(now, message.sender, decoded));
+        return;
+    }
+    const std::uint64_t refused = m_gate.refused();
+    observer_output out =
+        m_gate.handle(m_core.observing(), now, message.sender,
+                      key_identity(message.public_key), decoded);
+    if (m_gate.refused() != refused)
+    {
+        m_log.write(log_line(log_level::warning, "announcement_refused")
+                        .field("sender", message.sender.value()));
+    }
+    send(m_core.take(now, std::move(out)));
+}
+
+void membership_controller::advance(time_point now, const blackboard& board)
+{
+    if (m_document.changed(board.document))
+    {
+        const applied_document& applied = board.document.get();
+        m_core.document_changed(applied.version, applied.document);
+    }
+    m_core.set_document_age(board.document_age.get());
+    send(m_core.tick(now));
+    m_nodes.purge(now);
+}
+
+// Reads what a node says of the version that is in force there.
+void membership_controller::note(time_point now, const host_id& node,
+                                 const wire::membership_message& message)
+{
+    if (message.has_alive())
+    {
+        m_nodes.heard(now, node, config_version(message.alive().version()));
+    }
+    else if (message.has_attach_request())
+    {
+        m_nodes.heard(now, node,
+                      config_version(message.attach_request().version()));
+    }
+}
+
+void membership_controller::send(const std::vector<membership_send>& sends)
+{
+    for (const membership_send& each : sends)
+    {
+        const std::string bytes = each.message.SerializeAsString();
+        if (m_links.is_peer(each.to))
+        {
+            (void)m_links.send_to_peer(each.to, message_channel::membership,
+                                       bytes);
+            continue;
+        }
+        (void)m_links.send_to_node(each.to, bytes);
+    }
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/node_controller.cpp
@@ -0,0 +1,208 @@
+#include "node_controller.hpp"
+
+#include "crowlink/membership/balancer_record.hpp"
+
+#include <algorithm>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+std::vector<observer_info> control_hosts(const daemon_settings& settings)
+{
+    std::vector<observer_info> hosts;
+    for (const control_endpoint& each : settings.control_endpoints)
+    {
+        hosts.push_back(observer_info{each.host, each.place, each.region});
+    }
+    if (hosts.empty())
+    {
+        hosts.push_back(observer_info{settings.host.name, settings.host.place,
+                                      settings.host.region});
+    }
+    return hosts;
+}
+
+interest wanted_by(const daemon_settings& settings)
+{
+    interest wants;
+    wants.all_services = settings.balancer.has_value();
+    if (!wants.all_services)
+    {
+        for (const agent_role_settings& agent : settings.agents)
+        {
+            wants.services.push_back(agent.service);
+        }
+        std::sort(wants.services.begin(), wants.services.end());
+        wants.services.erase(
+            std::unique(wants.services.begin(), wants.services.end()),
+            wants.services.end());
+    }
+    if (!settings.agents.empty())
+    {
+        wants.balancers_in.push_back(settings.host.place);
+    }
+    return wants;
+}
+
+subscriber_settings to_subscriber(const daemon_settings& settings)
+{
+    subscriber_settings core;
+    core.wants = wanted_by(settings);
+    core.publishers = control_hosts(settings);
+    core.self = node_name(settings);
+    core.region = settings.host.region;
+    return core;
+}
+
+announcer_settings to_announcer(const daemon_settings& settings)
+{
+    announcer_settings core;
+    core.observers = control_hosts(settings);
+    core.region = settings.host.region;
+    return core;
+}
+
+} // namespace
+
+node_controller::node_controller(const daemon_settings& settings,
+                                 control_links& links, log_sink& log,
+                                 std::vector<upstream_record> records,
+                                 std::uint64_t seed, time_point now)
+    : m_links(links)
+    , m_log(log)
+    , m_subscriber(to_subscriber(settings), seed, now)
+{
+    for (upstream_record& record : records)
+    {
+        m_announcers.emplace_back(to_announcer(settings), std::move(record),
+                                  ++seed, now);
+    }
+}
+
+void node_controller::handle(time_point now, const inbound_message& message,
+                             blackboard& board)
+{
+    wire::membership_message decoded;
+    if (!decoded.ParseFromString(message.bytes))
+    {
+        m_log.write(log_line(log_level::warning, "membership_message_refused")
+                        .field("sender", message.sender.value()));
+        return;
+    }
+    if (!decoded.has_answer())
+    {
+        take(m_subscriber.handle(now, message.sender, decoded), board);
+        return;
+    }
+    announcer* asked = find(decoded.answer().service(), decoded.answer().id());
+    if (asked == nullptr)
+    {
+        return;
+    }
+    const bool was_forbidden = asked->forbidden();
+    send(asked->handle(now, message.sender, decoded));
+    if (asked->forbidden() && !was_forbidden)
+    {
+        m_log.write(log_line(log_level::error, "announcement_forbidden")
+                        .field("upstream", asked->record().id.value())
+                        .field("service", asked->record().service.value()));
+    }
+}
+
+void node_controller::advance(time_point now, blackboard& board)
+{
+    if (m_wanted.changed(board.wanted) || m_phase.changed(board.phase))
+    {
+        change_records(now, board);
+    }
+    for (announcer& each : m_announcers)
+    {
+        send(each.tick(now));
+    }
+    take(m_subscriber.tick(now), board);
+    board.node_version.set(m_subscriber.applied_version());
+}
+
+bool node_controller::settled() const
+{
+    return std::all_of(m_announcers.begin(), m_announcers.end(),
+                       [](const announcer& each) { return each.accepted(); });
+}
+
+void node_controller::send(const std::vector<membership_send>& sends)
+{
+    for (const membership_send& each : sends)
+    {
+        (void)m_links.send_to_control(each.to,
+                                      each.message.SerializeAsString());
+    }
+}
+
+void node_controller::take(const subscriber_output& out, blackboard& board)
+{
+    send(out.sends);
+    if (out.changed.empty() && out.removed.empty())
+    {
+        return;
+    }
+    service_views views = board.views.get();
+    for (const service_view& view : out.changed)
+    {
+        views[view.declared.id] = std::make_shared<const service_view>(view);
+        m_log.write(log_line(log_level::debug, "service_view")
+                        .field("service", view.declared.id.value())
+                        .field("version", view.version.value())
+                        .field("members", view.members.size()));
+    }
+    for (const service_id& gone : out.removed)
+    {
+        views.erase(gone);
+    }
+    board.views.set(std::move(views));
+}
+
+void node_controller::change_records(time_point now, const blackboard& board)
+{
+    const stop_phase phase = board.phase.get();
+    for (announcer& each : m_announcers)
+    {
+        upstream_state state = each.record().state;
+        std::uint32_t weight = each.record().weight;
+        const auto wanted = board.wanted.get().find(each.record().id);
+        if (wanted != board.wanted.get().end())
+        {
+            state = wanted->second.state;
+            weight = wanted->second.weight;
+        }
+        // A balancer leaves first and serves on, so that agents find others.
+        const bool leaves = phase == stop_phase::leaving ||
+                            (phase == stop_phase::draining &&
+                             is_balancer_group(each.record().service));
+        if (leaves)
+        {
+            state = upstream_state::gone;
+        }
+        if (state != each.record().state || weight != each.record().weight)
+        {
+            send(each.change(now, state, weight));
+        }
+    }
+}
+
+announcer* node_controller::find(std::uint32_t service, const std::string& id)
+{
+    for (announcer& each : m_announcers)
+    {
+        if (each.record().service.value() == service &&
+            each.record().id.value() == id)
+        {
+            return &each;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/node_controller.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "blackboard.hpp"
+#include "control_links.hpp"
+#include "crowlink/base/log_sink.hpp"
+#include "crowlink/membership/announcer.hpp"
+#include "crowlink/membership/subscriber.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// A node's side of control: keeps the leases of its balancer and upstreams, and
+// puts the views of services on the blackboard.
+class node_controller
+{
+public:
+    // The records are those of the balancer and upstreams of this daemon, as
+    // they are to be announced first.
+    node_controller(const daemon_settings& settings, control_links& links,
+                    log_sink& log, std::vector<upstream_record> records,
+                    std::uint64_t seed, time_point now);
+
+    void handle(time_point now, const inbound_message& message,
+                blackboard& board);
+    void advance(time_point now, blackboard& board);
+
+    const subscriber& subscribed() const { return m_subscriber; }
+    // Whether every record was announced as it is now.
+    bool settled() const;
+
+private:
+    void send(const std::vector<membership_send>& sends);
+    void take(const subscriber_output& out, blackboard& board);
+    void change_records(time_point now, const blackboard& board);
+    announcer* find(std::uint32_t service, const std::string& id);
+
+    control_links& m_links;
+    log_sink& m_log;
+    subscriber m_subscriber;
+    std::vector<announcer> m_announcers;
+    board_reader<wanted_records> m_wanted;
+    board_reader<stop_phase> m_phase;
+};
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/run_daemon.cpp
@@ -0,0 +1,110 @@
+#include "crowlink/daemon/run_daemon.hpp"
+
+#include "command_line.hpp"
+#include "crowlink/settings/load.hpp"
+#include "running_daemon.hpp"
+#include "signals.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace crowlink
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds drain_poll(50);
+constexpr std::chrono::seconds idle_poll(1);
+
+void print(const error& value)
+{
+    fmt::print(stderr, "crowlinkd: {}\n", to_string(value));
+}
+
+// Serves until a signal ends it or storage fails.
+exit_code serve(const internal::signals& signals,
+                internal::running_daemon& daemon)
+{
+    while (!daemon.has_failed())
+    {
+        const std::optional<int> got = signals.wait(idle_poll);
+        if (got == SIGHUP)
+        {
+            daemon.reload_grants();
+        }
+        else if (got)
+        {
+            return exit_code::success;
+        }
+    }
+    return exit_code::failed;
+}
+
+// Waits until something is done; a second signal ends the process at once.
+template <class Done>
+void wait_until(const internal::signals& signals, const Done& done)
+{
+    while (!done())
+    {
+        const std::optional<int> got = signals.wait(drain_poll);
+        if (got == SIGTERM || got == SIGINT)
+        {
+            ::_exit(static_cast<int>(exit_code::cut_short));
+        }
+    }
+}
+
+exit_code run(const daemon_settings& settings)
+{
+    // Before any thread, so that all of them inherit the mask.
+    const internal::signals signals;
+    log_sink log(stderr, settings.log.format, settings.log.level,
+                 settings.log.queue_lines);
+    auto daemon = internal::running_daemon::start(settings, log);
+    if (!daemon)
+    {
+        print(daemon.error());
+        return exit_code::cannot_start;
+    }
+    const exit_code code = serve(signals, **daemon);
+    if (code == exit_code::success)
+    {
+        (*daemon)->drain();
+        wait_until(signals, [&] { return (*daemon)->drained(); });
+        (*daemon)->leave();
+        wait_until(signals, [&] { return (*daemon)->left(); });
+        log.write(log_line(log_level::info, "stopped"));
+    }
+    return code;
+}
+
+} // namespace
+
+exit_code run_daemon(int argc, char** argv)
+{
+    const auto line = internal::read_command_line(argc, argv);
+    if (!line)
+    {
+        return line.error();
+    }
+    const settings_result settings = load_settings(line->settings_file);
+    if (!settings)
+    {
+        for (const error& each : settings.error())
+        {
+            print(each);
+        }
+        return exit_code::invalid_settings;
+    }
+    if (line->check_only)
+    {
+        fmt::print("{}: valid\n", line->settings_file);
+        return exit_code::success;
+    }
+    return run(*settings);
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/daemon/src/running_daemon.cpp
@@ -0,0 +1,240 @@
+#include "running_daemon.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// Withdrawn records are heard within this time, or control can't be reached.
+constexpr std::chrono::seconds leave_patience(3);
+// The fabric may hand packets to a balancer that left for a while.
+constexpr std::chrono::seconds balancer_grace(3);
+
+} // namespace
+
+running_daemon::running_daemon(const daemon_settings& settings, log_sink& log)
+    : m_settings(settings), m_log(log)
+{
+}
+
+result<std::unique_ptr<running_daemon>>
+running_daemon::start(const daemon_settings& settings, log_sink& log)
+{
+    std::unique_ptr<running_daemon> made(new running_daemon(settings, log));
+    const result<void> opened = made->open();
+    if (!opened)
+    {
+        return tl::unexpected(opened.error());
+    }
+    made->log_started();
+    return made;
+}
+
+result<void> running_daemon::open()
+{
+    result<identity> own = load_identity(m_settings);
+    if (!own)
+    {
+        return tl::unexpected(own.error());
+    }
+    m_identity = std::move(*own);
+    if (m_identity.pair && m_settings.control)
+    {
+        m_authenticator =
+            std::make_unique<zap_authenticator>(m_zmq, m_identity.grants);
+    }
+    const result<void> traffic = open_traffic();
+    if (!traffic)
+    {
+        return traffic;
+    }
+    auto control = control_thread::open(m_settings, m_identity, m_zmq,
+                                        m_authenticator.get(), m_balancer.get(),
+                                        m_agents, m_log);
+    if (!control)
+    {
+        return tl::unexpected(control.error());
+    }
+    m_control = std::move(*control);
+    m_control->start();
+    return open_http();
+}
+
+result<void> running_daemon::open_traffic()
+{
+    if (m_settings.balancer)
+    {
+        auto opened =
+            balancer_role::open(m_settings, m_identity.packet_keys, m_log);
+        if (!opened)
+        {
+            return tl::unexpected(opened.error());
+        }
+        m_balancer = std::move(*opened);
+    }
+    for (const agent_role_settings& own : m_settings.agents)
+    {
+        auto opened =
+            agent_role::open(m_settings, own, m_identity.packet_keys, m_log);
+        if (!opened)
+        {
+            return tl::unexpected(opened.error());
+        }
+        m_agents.push_back(std::move(*opened));
+    }
+    return {};
+}
+
+result<void> running_daemon::open_http()
+{
+    if (m_settings.control && m_settings.control->http)
+    {
+        m_backend.emplace(m_settings, *m_control,
+                          [this] { return render_metrics(); });
+        console_settings http;
+        http.listen = *m_settings.control->http;
+        http.tokens = m_settings.control->tokens_file;
+        if (m_settings.control->tls)
+        {
+            http.certificate = m_settings.control->tls->certificate;
+            http.private_key = m_settings.control->tls->key;
+        }
+        m_console = std::make_unique<console>(http, *m_backend);
+        const result<endpoint> bound = m_console->start();
+        if (!bound)
+        {
+            return tl::unexpected(bound.error());
+        }
+        m_log.write(log_line(log_level::info, "http_listening")
+                        .field("address", bound->to_string()));
+    }
+    if (m_settings.health)
+    {
+        auto opened = health_server::start(
+            *m_settings.health, [this] { return render_metrics(); },
+            [this] { return m_control->settled(); });
+        if (!opened)
+        {
+            return tl::unexpected(opened.error());
+        }
+        m_health = std::move(*opened);
+    }
+    return {};
+}
+
+void running_daemon::reload_grants()
+{
+    if (m_authenticator == nullptr)
+    {
+        return;
+    }
+    const result<identity> fresh = load_identity(m_settings);
+    if (!fresh)
+    {
+        m_log.write(log_line(log_level::error, "grants_refused")
+                        .field("error", to_string(fresh.error())));
+        return;
+    }
+    m_authenticator->replace(fresh->grants);
+    m_log.write(log_line(log_level::info, "grants_replaced")
+                    .field("keys", fresh->grants.size()));
+}
+
+void running_daemon::drain()
+{
+    duration longest{};
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        longest = std::max(longest, agent->drain_time());
+    }
+    const time_point now = m_clock.now();
+    m_drain_until = now + longest;
+    m_serve_until = now + (m_balancer ? balancer_grace : duration());
+    m_log.write(log_line(log_level::info, "draining").field("flows", flows()));
+    set_phase(stop_phase::draining);
+}
+
+bool running_daemon::drained() const
+{
+    return flows() == 0 || m_clock.now() >= m_drain_until;
+}
+
+void running_daemon::leave()
+{
+    m_leave_until = m_clock.now() + leave_patience;
+    m_log.write(log_line(log_level::info, "leaving").field("flows", flows()));
+    set_phase(stop_phase::leaving);
+}
+
+bool running_daemon::left() const
+{
+    const time_point now = m_clock.now();
+    const bool withdrawn = m_control->settled() || now >= m_leave_until;
+    return withdrawn && now >= m_serve_until;
+}
+
+void running_daemon::set_phase(stop_phase phase)
+{
+    // The answer says that the control thread has taken it in.
+    (void)m_control->ask<bool>(
+        [phase](control_thread::context& with)
+        {
+            with.board.phase.set(phase);
+            if (with.node != nullptr)
+            {
+                with.node->advance(with.now, with.board);
+            }
+            return true;
+        });
+}
+
+std::size_t running_daemon::flows() const
+{
+    std::size_t open = 0;
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        open += agent->flows();
+    }
+    return open;
+}
+
+std::string running_daemon::render_metrics() const
+{
+    std::string text;
+    if (const auto control = m_control->counters())
+    {
+        text += control->render();
+    }
+    if (m_balancer)
+    {
+        metrics all;
+        for (const metrics_slot::pointer& each : m_balancer->reports())
+        {
+            all.add(*each);
+        }
+        text += all.render();
+    }
+    for (const std::unique_ptr<agent_role>& agent : m_agents)
+    {
+        if (const metrics_slot::pointer report = agent->report())
+        {
+            text += report->render();
+        }
+    }
+    return text;
+}
+
+void running_daemon::log_started() const
+{
+    m_log.write(log_line(log_level::info, "started")
+                    .field("host", m_settings.host.name.value())
+                    .field("control", m_settings.control.has_value())
+                    .field("balancer", m_settings.balancer.has_value())
+                    .field("agents", m_agents.size()));
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/storage_thread.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "crowlink/base/error.hpp"
+#include "crowlink/replication/log_storage.hpp"
+#include "crowlink/replication/posix_file_system.hpp"
+#include "crowlink/transport/wake_event.hpp"
+#include "mailbox.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace crowlink::internal
+{
+
+// Writes what the replica wants held, on a thread of its own, so that a slow
+// disk never holds up the control thread.
+class storage_thread
+{
+public:
+    struct completion
+    {
+        std::uint64_t sequence = 0;
+        // Present if the write failed.
+        std::optional<error> failure;
+    };
+
+    // Opens the data folder and reads what it holds. Completions wake the
+    // event's thread.
+    static result<std::unique_ptr<storage_thread>>
+    open(const std::string& folder, replication::disk_id fresh_disk,
+         const wake_event& wake);
+
+    storage_thread(const storage_thread&) = delete;
+    storage_thread& operator=(const storage_thread&) = delete;
+    // Ends the write that is under way, then stops.
+    ~storage_thread();
+
+    // What the folder held. To be taken once.
+    replication::durable_state take_restored()
+    {
+        return m_storage->take_restored();
+    }
+
+    // The replica has one request out at a time, so this needs no queue.
+    void write(replication::persist_request request);
+    std::optional<completion> next() { return m_done.take(); }
+
+private:
+    using storage_type =
+        replication::log_storage<replication::posix_file_system>;
+
+    storage_thread(replication::posix_file_system files,
+                   const wake_event& wake);
+
+    void run();
+    std::optional<replication::persist_request> wait_for_request();
+
+    replication::posix_file_system m_files;
+    std::optional<storage_type> m_storage;
+    mailbox<completion> m_done;
+    std::mutex m_mutex;
+    std::condition_variable m_wake_writer;
+    std::optional<replication::persist_request> m_request;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace crowlink::internal
--- a/packages/settings/include/crowlink/settings/agent_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/agent_role_settings.hpp
@@ -13,7 +13,7 @@
 enum class delivery_mode : std::uint8_t
 {
     // One connected UDP socket for each flow; the payload alone is delivered.
-    datagram,
+    plain_datagrams,
     // The whole IP packet in UDP, as the kernel's fou module takes it.
     ip_in_udp,
 };
@@ -25,7 +25,7 @@
     service_id service;
     // Where the upstream takes what is delivered.
     endpoint upstream_address;
-    delivery_mode delivery = delivery_mode::datagram;
+    delivery_mode delivery = delivery_mode::plain_datagrams;
     // The upstream's share relative to others of its service, 1 to 1000.
     std::uint32_t weight = 100;
     // Where balancers and other agents send packets.
--- a/packages/settings/include/crowlink/settings/balancer_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/balancer_role_settings.hpp
@@ -13,7 +13,7 @@
 enum class port_mode : std::uint8_t
 {
     // Whole datagrams of UDP services, on the services' own addresses.
-    datagram,
+    plain_datagrams,
     // IP packets in UDP, as the kernel's fou module encapsulates them.
     ip_in_udp,
 };
--- a/packages/settings/include/crowlink/settings/key_grant.hpp
+++ b/packages/settings/include/crowlink/settings/key_grant.hpp
@@ -33,7 +33,7 @@
 
     bool allows(service_id service) const
     {
-        return allows(node_role::agent) &&
+        return allows(node_role::agent_node) &&
                std::find(services.begin(), services.end(), service) !=
                    services.end();
     }
--- a/packages/settings/include/crowlink/settings/node_role.hpp
+++ b/packages/settings/include/crowlink/settings/node_role.hpp
@@ -9,20 +9,20 @@
 // What a process may be towards control.
 enum class node_role : std::uint8_t
 {
-    control,
-    balancer,
-    agent,
+    control_node,
+    balancer_node,
+    agent_node,
 };
 
 constexpr std::string_view to_string(node_role role)
 {
     switch (role)
     {
-    case node_role::control:
+    case node_role::control_node:
         return "control";
-    case node_role::balancer:
+    case node_role::balancer_node:
         return "balancer";
-    case node_role::agent:
+    case node_role::agent_node:
         return "agent";
     }
     return "unknown";
--- a/packages/settings/src/key_grants.cpp
+++ b/packages/settings/src/key_grants.cpp
@@ -12,9 +12,9 @@
 {
 
 constexpr internal::choice<node_role> role_names[] = {
-    {"control", node_role::control},
-    {"balancer", node_role::balancer},
-    {"agent", node_role::agent},
+    {"control", node_role::control_node},
+    {"balancer", node_role::balancer_node},
+    {"agent", node_role::agent_node},
 };
 constexpr std::size_t public_key_length = 40;
 
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -29,11 +29,11 @@
     {"error", log_level::error},
 };
 constexpr choice<port_mode> port_modes[] = {
-    {"datagram", port_mode::datagram},
+    {"datagram", port_mode::plain_datagrams},
     {"ip_in_udp", port_mode::ip_in_udp},
 };
 constexpr choice<delivery_mode> delivery_modes[] = {
-    {"datagram", delivery_mode::datagram},
+    {"datagram", delivery_mode::plain_datagrams},
     {"ip_in_udp", delivery_mode::ip_in_udp},
 };
 
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -48,7 +48,7 @@
     EXPECT_EQ(found->host.place, place_id("quezon"));
     EXPECT_EQ(found->log.format, log_format::json);
     EXPECT_EQ(found->log.level, log_level::debug);
-    EXPECT_EQ(found->balancer->mode, port_mode::datagram);
+    EXPECT_EQ(found->balancer->mode, port_mode::plain_datagrams);
     EXPECT_EQ(found->balancer->threads, 2U);
     EXPECT_EQ(found->agents.front().weight, 50U);
     EXPECT_EQ(found->agents.front().service, service_id(1));
@@ -161,8 +161,8 @@
     EXPECT_EQ(found->find(std::string(40, 'c')), nullptr);
     EXPECT_TRUE(found->find(second)->allows(service_id(7)));
     EXPECT_FALSE(found->find(second)->allows(service_id(8)));
-    EXPECT_FALSE(found->find(second)->allows(node_role::balancer));
-    EXPECT_FALSE(found->find(first)->allows(node_role::balancer));
+    EXPECT_FALSE(found->find(second)->allows(node_role::balancer_node));
+    EXPECT_FALSE(found->find(first)->allows(node_role::balancer_node));
 }
 
 TEST(key_grants, refuse_short_and_doubled_keys_and_unknown_roles)
--- a/packages/transport/test/message_sockets_test.cpp
+++ b/packages/transport/test/message_sockets_test.cpp
@@ -60,8 +60,8 @@
     curve_key_pair m_control = *curve_key_pair::generate();
     zmq::context_t m_context;
     zap_authenticator m_authenticator{
-        m_context, key_grants({grant(m_agent, node_role::agent),
-                               grant(m_control, node_role::control)})};
+        m_context, key_grants({grant(m_agent, node_role::agent_node),
+                               grant(m_control, node_role::control_node)})};
     router_socket m_server = *router_socket::bind(
         m_context, any_port, m_server_pair, "balancer+agent");
 };
@@ -108,7 +108,7 @@
 
 TEST_F(secured, a_revoked_key_is_refused_and_counted)
 {
-    key_grant revoked = grant(m_agent, node_role::agent);
+    key_grant revoked = grant(m_agent, node_role::agent_node);
     revoked.revoked = true;
     m_authenticator.replace(key_grants({revoked}));
     connect(m_agent);
