--- a/packages/document/include/crowlink/document.hpp
+++ b/packages/document/include/crowlink/document.hpp
@@ -9,6 +9,7 @@
 //   document_reader.hpp      text to system_document
 //   document_writer.hpp      system_document to canonical text
 //   document_schema.hpp      the JSON schema
+//   strict_json.hpp          JSON text to a value, as the reader parses it
 //   document_change.hpp      one place where two documents differ
 //   document_difference.hpp  all the places where two documents differ
 
@@ -19,3 +20,4 @@
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/document/document_schema.hpp"
 #include "crowlink/document/document_writer.hpp"
+#include "crowlink/document/strict_json.hpp"
--- a/packages/document/src/reader.cpp
+++ b/packages/document/src/reader.cpp
@@ -1,8 +1,8 @@
 #include "crowlink/document/document_reader.hpp"
 
 #include "cross_rules.hpp"
+#include "crowlink/document/strict_json.hpp"
 #include "document_json.hpp"
-#include "json_text.hpp"
 #include "schema_check.hpp"
 
 #include <fmt/format.h>
@@ -27,7 +27,7 @@
         return refuse({{"", fmt::format("{} bytes", text.size()),
                         fmt::format("at most {} bytes", max_document_bytes)}});
     }
-    const auto parsed = internal::parse_json(text);
+    const auto parsed = parse_strict_json(text);
     if (!parsed)
     {
         return refuse({parsed.error()});
