--- a/packages/console/src/console_server.cpp
+++ b/packages/console/src/console_server.cpp
@@ -5,6 +5,7 @@
 #include "http_status.hpp"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 namespace crowlink::internal
 {
@@ -68,6 +69,13 @@
     {
         return new bounded_task_queue(threads, waiting);
     };
+    // The library's own choice would let two processes share the port.
+    m_server->set_socket_options(
+        [](socket_t socket)
+        {
+            const int on = 1;
+            setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        });
     m_server->set_payload_max_length(m_settings.max_body_bytes);
     m_server->set_read_timeout(to_microseconds(m_settings.timeout));
     m_server->set_write_timeout(to_microseconds(m_settings.timeout));
--- a/packages/console/src/form_view.cpp
+++ b/packages/console/src/form_view.cpp
@@ -78,8 +78,8 @@
     void cell(const std::string& name, std::string_view text)
     {
         m_html +=
-            fmt::format(R"(<td><input type="text" name="{0}" aria-label="{1}" )"
-                        R"(value="{2}"></td>)",
+            fmt::format(R"(<td><input type="text" name="{0}" value="{2}" )"
+                        R"(aria-label="{1}"></td>)",
                         name, text, escape(m_values.get(name)));
     }
 
--- a/packages/console/src/html.cpp
+++ b/packages/console/src/html.cpp
@@ -48,7 +48,10 @@
 border-bottom:1px solid var(--line)}
 th{font-size:.85rem;color:var(--quiet)}
 td{overflow-wrap:anywhere}
-td.wide{width:45%}
+td.wide{width:30%}
+td label.inline{margin:.4rem 0}
+section>form>h2:first-of-type,section>form>label:first-of-type,
+section>form>p:first-of-type{margin-top:0}
 .notice{border-left:5px solid var(--accent);background:#e9f0fb;
 padding:.7rem 1rem;margin:0 0 1.2rem;border-radius:0 4px 4px 0}
 .notice.bad{border-color:var(--bad);background:#fbecea}
