--- /dev/null
+++ b/packages/plan/include/crowlink/plan/limit_use.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace crowlink
+{
+
+// A limit that a deployment may meet.
+enum class limit : std::uint8_t
+{
+    entry_processor,
+    entry_memory,
+    entry_network,
+    node_control_processor,
+    node_control_memory,
+    node_control_network,
+    control_hosts,
+    control_processor,
+    control_memory,
+    control_network,
+    upstream_connections,
+};
+
+std::string_view to_string(limit value);
+
+// How much of one limit a plan uses, in the limit's own unit.
+struct limit_use
+{
+    limit which = limit::entry_processor;
+    double used = 0.0;
+    double allowed = 0.0;
+
+    // 1 is all of it; more cannot be carried.
+    double share() const { return allowed > 0.0 ? used / allowed : 0.0; }
+
+    friend auto operator<=>(const limit_use&, const limit_use&) = default;
+};
+
+} // namespace crowlink
