--- a/packages/plan/include/crowlink/plan/capacity_plan.hpp
+++ b/packages/plan/include/crowlink/plan/capacity_plan.hpp
@@ -3,7 +3,6 @@
 #include "crowlink/plan/limit_use.hpp"
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,8 +35,8 @@
     // Whether no limit is passed.
     bool feasible() const { return limits.front().share() <= 1.0; }
 
-    friend auto operator<=>(const capacity_plan&,
-                            const capacity_plan&) = default;
+    friend bool operator==(const capacity_plan&,
+                           const capacity_plan&) = default;
 };
 
 // Works out the hosts that a deployment needs.
--- a/packages/plan/include/crowlink/plan/cost_line.hpp
+++ b/packages/plan/include/crowlink/plan/cost_line.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <compare>
-
 namespace crowlink
 {
 
@@ -22,7 +20,7 @@
         return value < 0.0 ? 0.0 : value;
     }
 
-    friend auto operator<=>(const cost_line&, const cost_line&) = default;
+    friend bool operator==(const cost_line&, const cost_line&) = default;
 };
 
 } // namespace crowlink
--- a/packages/plan/include/crowlink/plan/deployment.hpp
+++ b/packages/plan/include/crowlink/plan/deployment.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -31,7 +30,7 @@
     double restarts_per_day = 0.0;
     double failures_per_day = 0.0;
 
-    friend auto operator<=>(const deployment&, const deployment&) = default;
+    friend bool operator==(const deployment&, const deployment&) = default;
 };
 
 } // namespace crowlink
--- a/packages/plan/include/crowlink/plan/host_limits.hpp
+++ b/packages/plan/include/crowlink/plan/host_limits.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
 namespace crowlink
@@ -22,7 +21,7 @@
     // Hosts that may be set aside for control.
     std::uint64_t control_hosts = 20;
 
-    friend auto operator<=>(const host_limits&, const host_limits&) = default;
+    friend bool operator==(const host_limits&, const host_limits&) = default;
 };
 
 } // namespace crowlink
--- a/packages/plan/include/crowlink/plan/limit_use.hpp
+++ b/packages/plan/include/crowlink/plan/limit_use.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string_view>
 
@@ -35,7 +34,7 @@
     // 1 is all of it; more cannot be carried.
     double share() const { return allowed > 0.0 ? used / allowed : 0.0; }
 
-    friend auto operator<=>(const limit_use&, const limit_use&) = default;
+    friend bool operator==(const limit_use&, const limit_use&) = default;
 };
 
 } // namespace crowlink
--- a/packages/plan/include/crowlink/plan/measured_costs.hpp
+++ b/packages/plan/include/crowlink/plan/measured_costs.hpp
@@ -24,8 +24,8 @@
         return m_lines[static_cast<std::size_t>(which)];
     }
 
-    friend auto operator<=>(const measured_costs&,
-                            const measured_costs&) = default;
+    friend bool operator==(const measured_costs&,
+                           const measured_costs&) = default;
 
 private:
     lines_type m_lines{};
--- a/packages/plan/include/crowlink/plan/plan_file.hpp
+++ b/packages/plan/include/crowlink/plan/plan_file.hpp
@@ -4,7 +4,6 @@
 #include "crowlink/plan/deployment.hpp"
 #include "crowlink/plan/host_limits.hpp"
 
-#include <compare>
 #include <string_view>
 
 namespace crowlink
@@ -16,7 +15,7 @@
     deployment sizes;
     host_limits host;
 
-    friend auto operator<=>(const plan_file&, const plan_file&) = default;
+    friend bool operator==(const plan_file&, const plan_file&) = default;
 };
 
 // Reads JSON with comments. An unknown name, a missing size or a value that is
--- a/packages/plan/test/plan_test.cpp
+++ b/packages/plan/test/plan_test.cpp
@@ -134,7 +134,7 @@
 
 TEST(plan_file, names_the_place_of_an_error)
 {
-    const auto broken = [](std::string from, const std::string& to)
+    const auto broken = [](const std::string& from, const std::string& to)
     {
         std::string text = plan_text;
         text.replace(text.find(from), from.size(), to);
