--- a/bench/placement/global_policy.cpp
+++ b/bench/placement/global_policy.cpp
@@ -91,7 +91,7 @@
             return;
         }
         ++m_open[chosen];
-        known = m_flows.emplace(text.flow, chosen).first;
+        known = m_flows.emplace(text.flow, placed_flow{chosen, true}).first;
     }
     if (known == m_flows.end())
     {
@@ -100,17 +100,17 @@
     }
     ++m_world.counts().host_datagrams;
     m_world.events().after(m_world.settings().host_delay,
-                           [this, chosen = known->second, text]
+                           [this, chosen = known->second.upstream, text]
                            { m_world.deliver(chosen, text); });
 }
 
 void global_policy::release(std::uint32_t flow)
 {
     const auto known = m_flows.find(flow);
-    if (known != m_flows.end())
+    if (known != m_flows.end() && known->second.open)
     {
-        --m_open[known->second];
-        m_flows.erase(known);
+        --m_open[known->second.upstream];
+        known->second.open = false;
     }
 }
 
@@ -130,6 +130,7 @@
                             const packet_text& text)
 {
     release(text.flow);
+    m_flows.erase(text.flow);
     const auto tell = [this, flow, text]
     {
         if (text.opens)
@@ -147,9 +148,9 @@
 void global_policy::started(std::size_t upstream)
 {
     std::vector<std::uint32_t> lost;
-    for (const auto& [flow, owner] : m_flows)
+    for (const auto& [flow, placed] : m_flows)
     {
-        if (owner == upstream)
+        if (placed.upstream == upstream)
         {
             lost.push_back(flow);
         }
@@ -157,6 +158,7 @@
     for (const std::uint32_t flow : lost)
     {
         release(flow);
+        m_flows.erase(flow);
     }
 }
 
--- a/bench/placement/global_policy.hpp
+++ b/bench/placement/global_policy.hpp
@@ -38,10 +38,18 @@
     std::size_t choose(std::size_t service);
     std::size_t least_loaded(std::size_t service) const;
     std::size_t better_of_two(std::size_t service);
+    // The flow no longer counts as open; where it was stays known, for a
+    // caller that repeats its last request.
     void release(std::uint32_t flow);
 
+    struct placed_flow
+    {
+        std::size_t upstream = 0;
+        bool open = true;
+    };
+
     simulation& m_world;
-    std::unordered_map<std::uint32_t, std::size_t> m_flows;
+    std::unordered_map<std::uint32_t, placed_flow> m_flows;
     std::vector<std::size_t> m_open;
     std::vector<std::size_t> m_reported;
     unsigned m_ticks = 0;
