--- a/bench/capacity/agent_slopes.cpp
+++ b/bench/capacity/agent_slopes.cpp
@@ -4,7 +4,6 @@
 #include "stopwatch.hpp"
 
 #include "crowlink/agent.hpp"
-#include "crowlink/forwarding/forwarding_table.hpp"
 
 #include <array>
 #include <memory>
@@ -42,11 +41,11 @@
     {
     }
     void refuse(const endpoint& /*to*/, const flow_key& /*flow*/,
-                payload_view /*payload*/, const refusal& /*told*/)
+                payload_view /*payload*/, const flow_refusal& /*told*/)
     {
     }
     void reset_caller(const endpoint& /*to*/, const flow_key& /*flow*/,
-                      const refusal& /*told*/)
+                      const flow_refusal& /*told*/)
     {
     }
     void reset_upstream(const flow_key& /*flow*/, refusal_reason /*reason*/) {}
@@ -68,7 +67,7 @@
 class agent_bed
 {
 public:
-    explicit agent_bed(std::size_t flows) : m_agent(settings())
+    explicit agent_bed(std::size_t flows) : m_agent(settings(), m_now)
     {
         m_agent.handle(m_now, view_changed{view(members, flows)}, m_effects);
         // Past the time in which a started agent looks elsewhere first.
@@ -113,7 +112,6 @@
     {
         agent_settings value;
         value.self = sample_record(0, 0);
-        value.log_decisions = false;
         return value;
     }
 
@@ -147,7 +145,7 @@
 
     time_point m_now{std::chrono::hours(1)};
     counting_effects m_effects;
-    agent<forwarding_table> m_agent;
+    agent m_agent;
 };
 
 std::vector<std::size_t> flow_counts(const effort& limit)
--- a/bench/placement/agent_shell.cpp
+++ b/bench/placement/agent_shell.cpp
@@ -14,7 +14,7 @@
     , m_policy(policy)
     , m_upstream(upstream)
     , m_life(settings.self.started)
-    , m_agent(settings)
+    , m_agent(settings, world.events().now())
 {
     m_subscription = policy.control().subscribe(
         [this](const fake_control::view_pointer& view)
@@ -61,7 +61,7 @@
 }
 
 void agent_shell::refuse(const endpoint& to, const flow_key& flow,
-                         payload_view payload, const refusal& told)
+                         payload_view payload, const flow_refusal& told)
 {
     ++m_world.counts().host_datagrams;
     m_world.events().after(m_world.settings().host_delay,
@@ -78,7 +78,7 @@
 }
 
 void agent_shell::reset_caller(const endpoint& to, const flow_key& flow,
-                               const refusal& /*told*/)
+                               const flow_refusal& /*told*/)
 {
     ++m_world.counts().host_datagrams;
     m_world.events().after(m_world.settings().host_delay,
--- a/bench/placement/agent_shell.hpp
+++ b/bench/placement/agent_shell.hpp
@@ -4,7 +4,6 @@
 #include "simulation.hpp"
 
 #include "crowlink/agent.hpp"
-#include "crowlink/forwarding/forwarding_table.hpp"
 
 #include <cstddef>
 #include <memory>
@@ -39,9 +38,9 @@
                  payload_view payload);
     void answer(const endpoint& to, const flow_key& flow, payload_view payload);
     void refuse(const endpoint& to, const flow_key& flow, payload_view payload,
-                const refusal& told);
+                const flow_refusal& told);
     void reset_caller(const endpoint& to, const flow_key& flow,
-                      const refusal& told);
+                      const flow_refusal& told);
     void reset_upstream(const flow_key& flow, refusal_reason reason);
     void close(const flow_key& /*flow*/) {}
     void send(const endpoint& to, const peer_message& message);
@@ -54,7 +53,7 @@
     std::size_t m_upstream;
     std::size_t m_subscription = 0;
     incarnation m_life;
-    agent<forwarding_table> m_agent;
+    agent m_agent;
 };
 
 } // namespace crowlink::placement
--- a/bench/placement/crowlink_policy.cpp
+++ b/bench/placement/crowlink_policy.cpp
@@ -224,7 +224,6 @@
     settings.self.sequence = static_cast<std::uint64_t>(
         1 + m_world.events().now().time_since_epoch().count());
     settings.retry_after = retry_after;
-    settings.log_decisions = false;
     if (m_world.mode() == arm::no_stall_detection)
     {
         settings.stall_after = never;
