--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -78,8 +78,7 @@
 void agent::schedule_renewal(time_point now, internal::flow_entry& entry,
                              bool repeat)
 {
-    entry.renew_at =
-        now + m_settings.redirect_lifetime / renewals_in_lifetime;
+    entry.renew_at = now + m_settings.redirect_lifetime / renewals_in_lifetime;
     if (!entry.renewing)
     {
         entry.renewing = true;
@@ -88,8 +87,7 @@
     if (repeat && !entry.repeating)
     {
         entry.repeating = true;
-        m_repeats.push(now + m_settings.settle / repeat_in_settling,
-                       entry.key);
+        m_repeats.push(now + m_settings.settle / repeat_in_settling, entry.key);
     }
 }
 
