--- /dev/null
+++ b/bench/forwarding/path_bench.cpp
@@ -0,0 +1,261 @@
+// The path of one packet through a balancer, without the socket: each step
+// alone, all together, and a naive balancer that takes a hash modulo a list.
+
+#include "crowlink/balancer.hpp"
+#include "crowlink/packet.hpp"
+
+#include "workload.hpp"
+
+#include <benchmark/benchmark.h>
+#include <sodium/crypto_shorthash.h>
+
+namespace
+{
+
+using namespace crowlink;
+
+using bytes = std::vector<std::uint8_t>;
+
+constexpr std::uint32_t target_services = 9000;
+const endpoint return_to{bench::address(10, 1), 7001};
+const ip_in_udp_port tunnel(return_to, return_to);
+
+// As callers send them: the reply direction, with the ends exchanged.
+std::vector<bytes> packets(const std::vector<flow_key>& keys, std::size_t size)
+{
+    const bytes payload(size, std::uint8_t{0x5a});
+    std::vector<bytes> all;
+    for (const flow_key& key : keys)
+    {
+        bytes buffer(size + 100);
+        const flow_key reversed{key.service, key.caller, key.protocol};
+        const auto sent = tunnel.answer(reversed, payload, buffer);
+        buffer.resize(sent->bytes.size());
+        all.push_back(std::move(buffer));
+    }
+    return all;
+}
+
+std::shared_ptr<const forwarding_set> make_set(std::uint32_t members)
+{
+    std::vector<service_view> views;
+    for (std::uint32_t i = 0; i < target_services; ++i)
+    {
+        views.push_back(bench::view(i, members));
+    }
+    return forwarding_set::changed(forwarding_set::empty(), views, {});
+}
+
+// Every service has an earlier table that differs, as after a rolling restart
+// of all upstreams.
+std::shared_ptr<const forwarding_set> make_changed_set(std::uint32_t members)
+{
+    std::vector<service_view> views;
+    for (std::uint32_t i = 0; i < target_services; ++i)
+    {
+        views.push_back(bench::view(i, members));
+        views.back().members[0].started = incarnation(2);
+    }
+    return forwarding_set::changed(make_set(members), views, {});
+}
+
+caller_packet parse(const bytes& packet)
+{
+    return *tunnel.parse(received_datagram{return_to, return_to, packet});
+}
+
+forward_datagram example(const flow_key& flow, const bytes& payload,
+                         std::uint32_t members)
+{
+    const auto table = forwarding_table::build(bench::view(1, members));
+    forward_datagram value;
+    value.header.service = service_id(1);
+    value.header.table = table->digest();
+    value.header.flow = flow;
+    value.header.current = table->chain(stable_hash(flow));
+    value.header.return_to = return_to;
+    value.payload = payload;
+    return value;
+}
+
+void parse_ip_in_udp(benchmark::State& state)
+{
+    const auto all = packets(bench::flows(target_services),
+                             static_cast<std::size_t>(state.range(0)));
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        benchmark::DoNotOptimize(parse(all[next++ % all.size()]));
+    }
+}
+BENCHMARK(parse_ip_in_udp)->Arg(64)->Arg(1400);
+
+void find_service(benchmark::State& state)
+{
+    const auto set = make_set(3);
+    const auto keys = bench::flows(target_services);
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        const flow_key& key = keys[next++ % keys.size()];
+        benchmark::DoNotOptimize(set->find(key.protocol, key.service));
+    }
+}
+BENCHMARK(find_service);
+
+void look_up(benchmark::State& state)
+{
+    const auto set = make_set(static_cast<std::uint32_t>(state.range(0)));
+    const auto keys = bench::flows(target_services);
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        const flow_key& key = keys[next++ % keys.size()];
+        const auto* tables = set->find(key.protocol, key.service);
+        benchmark::DoNotOptimize(tables->current->chain(stable_hash(key)));
+    }
+}
+BENCHMARK(look_up)->Arg(3)->Arg(7);
+
+void encode(benchmark::State& state)
+{
+    const bytes payload(static_cast<std::size_t>(state.range(0)));
+    const auto keys = bench::flows(1);
+    auto value = example(keys[0], payload, 7);
+    const datagram_codec codec(bench::keys());
+    bytes buffer(4096);
+    std::size_t next = 0;
+    std::size_t size = 0;
+    for (auto _ : state)
+    {
+        value.header.flow = keys[next++ % keys.size()];
+        size = codec.encode(value, buffer);
+        benchmark::DoNotOptimize(buffer.data());
+        benchmark::ClobberMemory();
+    }
+    state.counters["added_bytes"] = double(size - payload.size());
+}
+BENCHMARK(encode)->Arg(64)->Arg(1400);
+
+void decode(benchmark::State& state)
+{
+    const bytes payload(static_cast<std::size_t>(state.range(0)));
+    const auto value = example(bench::flows(1)[0], payload, 7);
+    const datagram_codec codec(bench::keys());
+    bytes buffer(4096);
+    buffer.resize(codec.encode(value, buffer));
+    for (auto _ : state)
+    {
+        benchmark::DoNotOptimize(codec.decode(buffer));
+    }
+}
+BENCHMARK(decode)->Arg(64)->Arg(1400);
+
+// The hash alone: of a header as it is sent, and of a whole large packet.
+void authenticate(benchmark::State& state)
+{
+    const bytes data(static_cast<std::size_t>(state.range(0)), 3);
+    const auto ring = bench::keys();
+    std::array<std::uint8_t, crypto_shorthash_BYTES> hash{};
+    for (auto _ : state)
+    {
+        crypto_shorthash(hash.data(), data.data(), data.size(),
+                         ring.signing.bytes.data());
+        benchmark::DoNotOptimize(hash);
+    }
+}
+BENCHMARK(authenticate)->Arg(112)->Arg(1512);
+
+void whole_path(benchmark::State& state,
+                const std::shared_ptr<const forwarding_set>& set)
+{
+    const auto all = packets(bench::flows(target_services),
+                             static_cast<std::size_t>(state.range(1)));
+    traffic_path path(bench::keys(), return_to);
+    bytes buffer(4096);
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        const caller_packet packet = parse(all[next++ % all.size()]);
+        benchmark::DoNotOptimize(path.route(*set, packet, buffer));
+        benchmark::ClobberMemory();
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+
+void all_together(benchmark::State& state)
+{
+    whole_path(state, make_set(static_cast<std::uint32_t>(state.range(0))));
+}
+BENCHMARK(all_together)->ArgsProduct({{3, 7}, {64, 1400}});
+
+void all_together_after_a_change(benchmark::State& state)
+{
+    whole_path(state,
+               make_changed_set(static_cast<std::uint32_t>(state.range(0))));
+}
+BENCHMARK(all_together_after_a_change)->ArgsProduct({{3, 7}, {64, 1400}});
+
+// A list of agents, and the flow's hash modulo its length.
+using naive_list = std::vector<endpoint>;
+
+std::vector<naive_list> naive_lists(std::uint32_t members)
+{
+    std::vector<naive_list> lists(target_services);
+    for (std::uint32_t service = 0; service < target_services; ++service)
+    {
+        for (const auto& member : bench::view(service, members).members)
+        {
+            lists[service].push_back(member.agent);
+        }
+    }
+    return lists;
+}
+
+// The number of a service is part of its address here, which saves the naive
+// version the search.
+const endpoint& naive_choice(const std::vector<naive_list>& lists,
+                             const flow_key& key)
+{
+    const auto& raw = key.service.address.bytes();
+    const std::size_t service = raw[13] << 16U | raw[14] << 8U | raw[15];
+    const naive_list& list = lists[service];
+    return list[stable_hash(key) % list.size()];
+}
+
+void naive_look_up(benchmark::State& state)
+{
+    const auto lists = naive_lists(static_cast<std::uint32_t>(state.range(0)));
+    const auto keys = bench::flows(target_services);
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        const flow_key& key = keys[next++ % keys.size()];
+        benchmark::DoNotOptimize(naive_choice(lists, key));
+    }
+}
+BENCHMARK(naive_look_up)->Arg(3)->Arg(7);
+
+// Parses, chooses and copies the payload behind the flow key as it lies in
+// memory: neither a chain nor a codec nor a hash.
+void naive_all_together(benchmark::State& state)
+{
+    const auto lists = naive_lists(static_cast<std::uint32_t>(state.range(0)));
+    const auto all = packets(bench::flows(target_services),
+                             static_cast<std::size_t>(state.range(1)));
+    bytes buffer(4096);
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        const caller_packet packet = parse(all[next++ % all.size()]);
+        benchmark::DoNotOptimize(naive_choice(lists, packet.flow));
+        std::memcpy(buffer.data(), &packet.flow, sizeof packet.flow);
+        std::copy(packet.payload.begin(), packet.payload.end(),
+                  buffer.data() + sizeof packet.flow);
+        benchmark::ClobberMemory();
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(naive_all_together)->ArgsProduct({{3, 7}, {64, 1400}});
+
+} // namespace
