--- a/bench/forwarding/maglev_table.hpp
+++ b/bench/forwarding/maglev_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "crowlink/forwarding/forwarding_table.hpp"
+#include "crowlink/base/hash.hpp"
+#include "crowlink/forwarding/candidate.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -15,8 +16,8 @@
 {
 public:
     // The number of slots must be a prime.
-    maglev_table(const forwarding_table& table, std::size_t slots)
-        : m_members(table.members()), m_slots(slots, empty)
+    maglev_table(const std::vector<candidate>& members, std::size_t slots)
+        : m_members(members), m_slots(slots, empty)
     {
         std::vector<std::size_t> next(m_members.size(), 0);
         std::size_t filled = 0;
@@ -35,6 +36,12 @@
         return m_members[m_slots[flow_hash % m_slots.size()]];
     }
 
+    std::size_t memory() const
+    {
+        return m_members.capacity() * sizeof(candidate) +
+               m_slots.capacity() * sizeof(std::uint16_t);
+    }
+
 private:
     static constexpr std::uint16_t empty = UINT16_MAX;
 
--- a/bench/forwarding/path_bench.cpp
+++ b/bench/forwarding/path_bench.cpp
@@ -16,7 +16,9 @@
 
 using bytes = std::vector<std::uint8_t>;
 
-constexpr std::uint32_t target_services = 9000;
+// Today's and the target's number of services.
+constexpr int today = 2;
+constexpr int target = 9000;
 const endpoint return_to{bench::address(10, 1), 7001};
 const ip_in_udp_port tunnel(return_to, return_to);
 
@@ -36,27 +38,42 @@
     return all;
 }
 
-std::shared_ptr<const forwarding_set> make_set(std::uint32_t members)
+// What the benchmarks vary.
+struct setup
+{
+    std::uint32_t services;
+    std::uint32_t members;
+    std::size_t payload;
+};
+
+setup setup_of(const benchmark::State& state)
+{
+    return setup{static_cast<std::uint32_t>(state.range(0)),
+                 static_cast<std::uint32_t>(state.range(1)),
+                 static_cast<std::size_t>(state.range(2))};
+}
+
+std::shared_ptr<const forwarding_set> make_set(const setup& sizes)
 {
     std::vector<service_view> views;
-    for (std::uint32_t i = 0; i < target_services; ++i)
+    for (std::uint32_t i = 0; i < sizes.services; ++i)
     {
-        views.push_back(bench::view(i, members));
+        views.push_back(bench::view(i, sizes.members));
     }
     return forwarding_set::changed(forwarding_set::empty(), views, {});
 }
 
 // Every service has an earlier table that differs, as after a rolling restart
 // of all upstreams.
-std::shared_ptr<const forwarding_set> make_changed_set(std::uint32_t members)
+std::shared_ptr<const forwarding_set> make_changed_set(const setup& sizes)
 {
     std::vector<service_view> views;
-    for (std::uint32_t i = 0; i < target_services; ++i)
+    for (std::uint32_t i = 0; i < sizes.services; ++i)
     {
-        views.push_back(bench::view(i, members));
+        views.push_back(bench::view(i, sizes.members));
         views.back().members[0].started = incarnation(2);
     }
-    return forwarding_set::changed(make_set(members), views, {});
+    return forwarding_set::changed(make_set(sizes), views, {});
 }
 
 caller_packet parse(const bytes& packet)
@@ -80,8 +97,8 @@
 
 void parse_ip_in_udp(benchmark::State& state)
 {
-    const auto all = packets(bench::flows(target_services),
-                             static_cast<std::size_t>(state.range(0)));
+    const auto all =
+        packets(bench::flows(today), static_cast<std::size_t>(state.range(0)));
     std::size_t next = 0;
     for (auto _ : state)
     {
@@ -90,23 +107,11 @@
 }
 BENCHMARK(parse_ip_in_udp)->Arg(64)->Arg(1400);
 
-void find_service(benchmark::State& state)
-{
-    const auto set = make_set(3);
-    const auto keys = bench::flows(target_services);
-    std::size_t next = 0;
-    for (auto _ : state)
-    {
-        const flow_key& key = keys[next++ % keys.size()];
-        benchmark::DoNotOptimize(set->find(key.protocol, key.service));
-    }
-}
-BENCHMARK(find_service);
-
 void look_up(benchmark::State& state)
 {
-    const auto set = make_set(static_cast<std::uint32_t>(state.range(0)));
-    const auto keys = bench::flows(target_services);
+    const setup sizes = setup_of(state);
+    const auto set = make_set(sizes);
+    const auto keys = bench::flows(sizes.services);
     std::size_t next = 0;
     for (auto _ : state)
     {
@@ -115,7 +120,7 @@
         benchmark::DoNotOptimize(tables->current->chain(stable_hash(key)));
     }
 }
-BENCHMARK(look_up)->Arg(3)->Arg(7);
+BENCHMARK(look_up)->ArgsProduct({{today, target}, {3, 7}, {0}});
 
 void encode(benchmark::State& state)
 {
@@ -169,8 +174,8 @@
 void whole_path(benchmark::State& state,
                 const std::shared_ptr<const forwarding_set>& set)
 {
-    const auto all = packets(bench::flows(target_services),
-                             static_cast<std::size_t>(state.range(1)));
+    const setup sizes = setup_of(state);
+    const auto all = packets(bench::flows(sizes.services), sizes.payload);
     traffic_path path(bench::keys(), return_to);
     bytes buffer(4096);
     std::size_t next = 0;
@@ -185,26 +190,27 @@
 
 void all_together(benchmark::State& state)
 {
-    whole_path(state, make_set(static_cast<std::uint32_t>(state.range(0))));
+    whole_path(state, make_set(setup_of(state)));
 }
-BENCHMARK(all_together)->ArgsProduct({{3, 7}, {64, 1400}});
+BENCHMARK(all_together)->ArgsProduct({{today, target}, {3, 7}, {64, 1400}});
 
 void all_together_after_a_change(benchmark::State& state)
 {
-    whole_path(state,
-               make_changed_set(static_cast<std::uint32_t>(state.range(0))));
+    whole_path(state, make_changed_set(setup_of(state)));
 }
-BENCHMARK(all_together_after_a_change)->ArgsProduct({{3, 7}, {64, 1400}});
+BENCHMARK(all_together_after_a_change)
+    ->ArgsProduct({{today, target}, {3, 7}, {64}});
 
 // A list of agents, and the flow's hash modulo its length.
 using naive_list = std::vector<endpoint>;
 
-std::vector<naive_list> naive_lists(std::uint32_t members)
+std::vector<naive_list> naive_lists(const setup& sizes)
 {
-    std::vector<naive_list> lists(target_services);
-    for (std::uint32_t service = 0; service < target_services; ++service)
+    std::vector<naive_list> lists(sizes.services);
+    for (std::uint32_t service = 0; service < sizes.services; ++service)
     {
-        for (const auto& member : bench::view(service, members).members)
+        const auto members = bench::view(service, sizes.members).members;
+        for (const upstream_record& member : members)
         {
             lists[service].push_back(member.agent);
         }
@@ -225,8 +231,9 @@
 
 void naive_look_up(benchmark::State& state)
 {
-    const auto lists = naive_lists(static_cast<std::uint32_t>(state.range(0)));
-    const auto keys = bench::flows(target_services);
+    const setup sizes = setup_of(state);
+    const auto lists = naive_lists(sizes);
+    const auto keys = bench::flows(sizes.services);
     std::size_t next = 0;
     for (auto _ : state)
     {
@@ -234,15 +241,15 @@
         benchmark::DoNotOptimize(naive_choice(lists, key));
     }
 }
-BENCHMARK(naive_look_up)->Arg(3)->Arg(7);
+BENCHMARK(naive_look_up)->ArgsProduct({{today, target}, {3, 7}, {0}});
 
 // Parses, chooses and copies the payload behind the flow key as it lies in
 // memory: neither a chain nor a codec nor a hash.
 void naive_all_together(benchmark::State& state)
 {
-    const auto lists = naive_lists(static_cast<std::uint32_t>(state.range(0)));
-    const auto all = packets(bench::flows(target_services),
-                             static_cast<std::size_t>(state.range(1)));
+    const setup sizes = setup_of(state);
+    const auto lists = naive_lists(sizes);
+    const auto all = packets(bench::flows(sizes.services), sizes.payload);
     bytes buffer(4096);
     std::size_t next = 0;
     for (auto _ : state)
@@ -256,6 +263,7 @@
     }
     state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(naive_all_together)->ArgsProduct({{3, 7}, {64, 1400}});
+BENCHMARK(naive_all_together)
+    ->ArgsProduct({{today, target}, {3, 7}, {64, 1400}});
 
 } // namespace
--- a/bench/forwarding/slot_table.hpp
+++ b/bench/forwarding/slot_table.hpp
@@ -13,8 +13,9 @@
 class slot_table
 {
 public:
-    slot_table(const forwarding_table& table, std::size_t slots)
-        : m_members(table.members()), m_mask(slots - 1), m_places(slots)
+    slot_table(const forwarding_table& table,
+               const std::vector<candidate>& members, std::size_t slots)
+        : m_members(members), m_mask(slots - 1), m_places(slots)
     {
         for (std::size_t slot = 0; slot < slots; ++slot)
         {
--- a/bench/forwarding/table_bench.cpp
+++ b/bench/forwarding/table_bench.cpp
@@ -28,150 +28,169 @@
     return values;
 }
 
-std::shared_ptr<const forwarding_table>
-make_table(const benchmark::State& state, bool weighted)
+service_view make_view(const benchmark::State& state, bool weighted = false)
 {
-    return forwarding_table::build(
-        bench::view(1, static_cast<std::uint32_t>(state.range(0)), weighted));
+    const auto members = static_cast<std::uint32_t>(state.range(0));
+    return bench::view(1, members, weighted);
 }
 
-// The table without its first member.
-std::shared_ptr<const forwarding_table>
-make_smaller(const benchmark::State& state)
+service_view without_first(const service_view& view)
 {
-    auto view =
-        bench::view(1, static_cast<std::uint32_t>(state.range(0)), false);
-    view.members.erase(view.members.begin());
-    return forwarding_table::build(view);
+    service_view smaller = view;
+    smaller.members.erase(smaller.members.begin());
+    return smaller;
 }
 
-template <class Choose>
-void look_up_all(benchmark::State& state, const Choose& choose)
+// The ways, behind one interface.
+class rendezvous
 {
-    const hashes values = flow_hashes(bench::flow_count);
-    std::size_t next = 0;
-    for (auto _ : state)
+public:
+    explicit rendezvous(const service_view& view)
+        : m_table(forwarding_table::build(view))
     {
-        benchmark::DoNotOptimize(choose(values[next++ % values.size()]));
     }
-}
 
-// The largest share of flows over the mean share, and the flows that moved
-// although their member stayed, when the first member leaves.
-template <class Before, class After>
-void report_shares(benchmark::State& state, const Before& before,
-                   const After& after, const candidate& gone)
+    candidate_chain look_up(std::uint64_t hash) const
+    {
+        return m_table->chain(hash);
+    }
+    candidate head(std::uint64_t hash) const { return m_table->chain(hash)[0]; }
+    std::size_t memory() const { return m_table->memory(); }
+
+private:
+    std::shared_ptr<const forwarding_table> m_table;
+};
+
+class slots
 {
-    constexpr std::size_t flows_per_member = 2000;
-    const auto members = static_cast<std::size_t>(state.range(0));
-    const hashes values = flow_hashes(flows_per_member * members);
-    std::map<candidate, std::size_t> share;
-    std::size_t moved = 0;
-    for (const std::uint64_t hash : values)
+public:
+    explicit slots(const service_view& view)
+        : m_table(*forwarding_table::build(view), bench::candidates(view),
+                  slot_count)
     {
-        const candidate old = before(hash);
-        ++share[old];
-        moved += old != gone && after(hash) != old ? 1 : 0;
     }
-    std::size_t most = 0;
-    for (const auto& [member, count] : share)
+
+    candidate_chain look_up(std::uint64_t hash) const
     {
-        most = std::max(most, count);
+        return m_table.chain(hash);
     }
-    state.counters["max_over_mean"] = double(most) / flows_per_member;
-    state.counters["moved_needlessly"] = double(moved) / double(values.size());
-}
+    candidate head(std::uint64_t hash) const { return m_table.chain(hash)[0]; }
+    std::size_t memory() const { return m_table.memory(); }
 
-void rendezvous_chain(benchmark::State& state)
+private:
+    bench::slot_table m_table;
+};
+
+class maglev
 {
-    const auto table = make_table(state, false);
-    const auto smaller = make_smaller(state);
-    look_up_all(state, [&](std::uint64_t hash) { return table->chain(hash); });
-    report_shares(
-        state, [&](std::uint64_t hash) { return table->chain(hash)[0]; },
-        [&](std::uint64_t hash) { return smaller->chain(hash)[0]; },
-        table->members()[0]);
-    state.counters["bytes"] = double(table->memory());
-}
+public:
+    explicit maglev(const service_view& view)
+        : m_table(bench::candidates(view), maglev_slots)
+    {
+    }
 
-void weighted_rendezvous_chain(benchmark::State& state)
+    const candidate& look_up(std::uint64_t hash) const
+    {
+        return m_table.choose(hash);
+    }
+    candidate head(std::uint64_t hash) const { return m_table.choose(hash); }
+    std::size_t memory() const { return m_table.memory(); }
+
+private:
+    bench::maglev_table m_table;
+};
+
+template <class Way>
+void run_look_ups(benchmark::State& state, const Way& way)
 {
-    const auto table = make_table(state, true);
-    look_up_all(state, [&](std::uint64_t hash) { return table->chain(hash); });
-    state.counters["bytes"] = double(table->memory());
+    const hashes values = flow_hashes(bench::flow_count);
+    std::size_t next = 0;
+    for (auto _ : state)
+    {
+        benchmark::DoNotOptimize(way.look_up(values[next++ % values.size()]));
+    }
+    state.counters["bytes"] = double(way.memory());
 }
 
-void slot_table_chain(benchmark::State& state)
+template <class Way>
+void choose(benchmark::State& state)
 {
-    const auto table = make_table(state, false);
-    const auto smaller = make_smaller(state);
-    const bench::slot_table slots(*table, slot_count);
-    const bench::slot_table fewer(*smaller, slot_count);
-    look_up_all(state, [&](std::uint64_t hash) { return slots.chain(hash); });
-    report_shares(
-        state, [&](std::uint64_t hash) { return slots.chain(hash)[0]; },
-        [&](std::uint64_t hash) { return fewer.chain(hash)[0]; },
-        table->members()[0]);
-    state.counters["bytes"] = double(slots.memory());
+    run_look_ups(state, Way(make_view(state)));
 }
 
-void maglev_choice(benchmark::State& state)
+void choose_weighted(benchmark::State& state)
 {
-    const auto table = make_table(state, false);
-    const auto smaller = make_smaller(state);
-    const bench::maglev_table slots(*table, maglev_slots);
-    const bench::maglev_table fewer(*smaller, maglev_slots);
-    look_up_all(state, [&](std::uint64_t hash) { return slots.choose(hash); });
-    report_shares(
-        state, [&](std::uint64_t hash) { return slots.choose(hash); },
-        [&](std::uint64_t hash) { return fewer.choose(hash); },
-        table->members()[0]);
+    run_look_ups(state, rendezvous(make_view(state, true)));
 }
 
-void rendezvous_build(benchmark::State& state)
+// The largest share of flows over the mean share, and the flows that move
+// although their member stays when the first member leaves, over all flows.
+template <class Way>
+void shares(benchmark::State& state)
 {
-    const auto view =
-        bench::view(1, static_cast<std::uint32_t>(state.range(0)), false);
+    constexpr std::size_t flows_per_member = 1000;
+    const service_view view = make_view(state);
+    const candidate gone = bench::candidates(view)[0];
+    const Way before(view);
+    const Way after(without_first(view));
+    const hashes values = flow_hashes(flows_per_member * view.members.size());
+    std::map<candidate, std::size_t> share;
+    std::size_t moved = 0;
     for (auto _ : state)
     {
-        benchmark::DoNotOptimize(forwarding_table::build(view));
+        for (const std::uint64_t hash : values)
+        {
+            const candidate old = before.head(hash);
+            ++share[old];
+            moved += old != gone && after.head(hash) != old ? 1 : 0;
+        }
     }
+    std::size_t most = 0;
+    for (const auto& [member, count] : share)
+    {
+        most = std::max(most, count);
+    }
+    state.counters["max_over_mean"] = double(most) / flows_per_member;
+    state.counters["moved_needlessly"] = double(moved) / double(values.size());
 }
 
-void slot_table_build(benchmark::State& state)
+template <class Way>
+void build(benchmark::State& state)
 {
-    const auto table = make_table(state, false);
+    const service_view view = make_view(state);
     for (auto _ : state)
     {
-        const bench::slot_table slots(*table, slot_count);
-        benchmark::DoNotOptimize(&slots);
+        const Way way(view);
+        benchmark::DoNotOptimize(&way);
     }
 }
 
-void maglev_build(benchmark::State& state)
+void sizes(benchmark::internal::Benchmark* to)
 {
-    const auto table = make_table(state, false);
-    for (auto _ : state)
+    for (const int members : {3, 7, 16, 32, 64, 128, 512, 2000})
     {
-        const bench::maglev_table slots(*table, maglev_slots);
-        benchmark::DoNotOptimize(&slots);
+        to->Arg(members);
     }
 }
 
-void sizes(benchmark::internal::Benchmark* to)
+void share_sizes(benchmark::internal::Benchmark* to)
 {
-    for (const int members : {3, 7, 16, 32, 64, 128, 256, 512, 2000})
+    to->Iterations(1)->Unit(benchmark::kMillisecond);
+    for (const int members : {7, 32, 128, 512})
     {
         to->Arg(members);
     }
 }
 
-BENCHMARK(rendezvous_chain)->Apply(sizes);
-BENCHMARK(weighted_rendezvous_chain)->Apply(sizes);
-BENCHMARK(slot_table_chain)->Apply(sizes);
-BENCHMARK(maglev_choice)->Apply(sizes);
-BENCHMARK(rendezvous_build)->Apply(sizes);
-BENCHMARK(slot_table_build)->Apply(sizes)->Unit(benchmark::kMillisecond);
-BENCHMARK(maglev_build)->Apply(sizes)->Unit(benchmark::kMillisecond);
+BENCHMARK_TEMPLATE(choose, rendezvous)->Apply(sizes);
+BENCHMARK(choose_weighted)->Apply(sizes);
+BENCHMARK_TEMPLATE(choose, slots)->Apply(sizes);
+BENCHMARK_TEMPLATE(choose, maglev)->Apply(sizes);
+BENCHMARK_TEMPLATE(shares, rendezvous)->Apply(share_sizes);
+BENCHMARK_TEMPLATE(shares, slots)->Apply(share_sizes);
+BENCHMARK_TEMPLATE(shares, maglev)->Apply(share_sizes);
+BENCHMARK_TEMPLATE(build, rendezvous)->Apply(sizes);
+BENCHMARK_TEMPLATE(build, slots)->Apply(sizes);
+BENCHMARK_TEMPLATE(build, maglev)->Apply(sizes);
 
 } // namespace
--- a/bench/forwarding/workload.hpp
+++ b/bench/forwarding/workload.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crowlink/forwarding/candidate.hpp"
 #include "crowlink/model/service_view.hpp"
 #include "crowlink/wire/key_ring.hpp"
 
@@ -55,6 +56,18 @@
     return value;
 }
 
+// The members of a view as a table offers them.
+inline std::vector<candidate> candidates(const service_view& view)
+{
+    std::vector<candidate> found;
+    for (const upstream_record& record : view.members)
+    {
+        found.push_back(
+            candidate{record.agent, tag_of(record.id, record.started)});
+    }
+    return found;
+}
+
 // Flows of callers to random ones of the first services.
 inline std::vector<flow_key> flows(std::uint32_t services,
                                    transport protocol = transport::udp)
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_table.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_table.hpp
@@ -18,9 +18,12 @@
 // Only members in state ready are candidates. The order of a flow's candidates
 // is the weighted rendezvous order (Thaler and Ravishankar 1998; weights by
 // -w/ln u), so that a change of one member moves only that member's flows.
+// Holds at most member_limit members; the rest of a larger service is left out.
 class forwarding_table
 {
 public:
+    static constexpr std::size_t member_limit = 65536;
+
     // Builds the table of a view; never fails, but may be empty.
     static std::shared_ptr<const forwarding_table>
     build(const service_view& view);
@@ -37,28 +40,29 @@
     // The bytes that the table takes.
     std::size_t memory() const;
 
-    // The number of candidates to choose from.
+    // The number of members that flows are shared among.
     std::size_t size() const { return m_members.size(); }
 
-    // The members that flows are shared among, sorted by id.
-    const std::vector<candidate>& members() const { return m_members; }
-
 private:
+    // What a look-up reads of a member; kept together, since most services
+    // have few members and each look-up is at another service.
+    struct member
+    {
+        std::uint64_t seed = 0;
+        double inverse_weight = 1.0;
+        candidate target;
+    };
+
     forwarding_table() = default;
 
-    void add(const upstream_record& member);
-    void finish();
-    template <class Cost>
-    candidate_chain choose(std::uint64_t flow_hash, const Cost& cost) const;
+    void add(const upstream_record& record);
 
     service_id m_service;
     std::uint64_t m_digest = 0;
     std::size_t m_length = 1;
-    // The next three are parallel, so that a look-up reads only what it needs.
-    std::vector<candidate> m_members;
-    std::vector<std::uint64_t> m_seeds;
-    // Empty if all weights are equal.
-    std::vector<double> m_inverse_weights;
+    bool m_equal_weights = true;
+    // Sorted by id.
+    std::vector<member> m_members;
 };
 
 } // namespace crowlink
--- a/packages/forwarding/src/forwarding_table.cpp
+++ b/packages/forwarding/src/forwarding_table.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
-#include <limits>
 
 // The look-up hashes once for each member: the hash must be inlined.
 #define XXH_INLINE_ALL
@@ -17,8 +17,6 @@
 namespace
 {
 
-constexpr double infinite = std::numeric_limits<double>::infinity();
-
 // A number in (0, 1] that is uniform over flows and members. It never is zero,
 // since its logarithm is taken.
 double uniform(std::uint64_t seed, std::uint64_t flow_hash)
@@ -30,77 +28,45 @@
     return static_cast<double>((hash >> unused_bits) + 1) * unit;
 }
 
-// The cost of members that weigh the same: any falling function of the uniform
-// number gives the rendezvous order.
-class equal_cost
+// The members of least cost, cheapest first. A cost and the index of its member
+// are one number: the order of doubles that are not negative is that of their
+// bits, whose low ones give way to the index. Keeping the order then takes no
+// branch that a processor could mispredict.
+class cheapest
 {
 public:
-    double bound(std::size_t, double drawn) const { return 1.0 - drawn; }
-    double exact(std::size_t, double drawn) const { return 1.0 - drawn; }
-};
+    cheapest() { m_entries.fill(UINT64_MAX); }
 
-// The cost -ln(u)/w of weighted rendezvous. Since 1 - u <= -ln(u), a member
-// whose bound is too high needs no logarithm.
-class weighted_cost
-{
-public:
-    explicit weighted_cost(const std::vector<double>& inverse_weights)
-        : m_inverse_weights(inverse_weights)
+    void offer(std::size_t member, double cost)
     {
+        std::uint64_t entry = (bits(cost) & ~index_mask) | member;
+        for (std::uint64_t& place : m_entries)
+        {
+            const std::uint64_t better = std::min(entry, place);
+            entry = std::max(entry, place);
+            place = better;
+        }
     }
 
-    double bound(std::size_t member, double drawn) const
-    {
-        return (1.0 - drawn) * m_inverse_weights[member];
-    }
+    // Whether a member of at least this cost has no place.
+    bool excludes(double least) const { return bits(least) > m_entries.back(); }
 
-    double exact(std::size_t member, double drawn) const
+    // The member in a place that was filled.
+    std::size_t operator[](std::size_t place) const
     {
-        return -std::log(drawn) * m_inverse_weights[member];
+        return static_cast<std::size_t>(m_entries[place] & index_mask);
     }
 
 private:
-    const std::vector<double>& m_inverse_weights;
-};
+    static constexpr std::uint64_t index_mask =
+        forwarding_table::member_limit - 1;
 
-// The members of least cost, cheapest first. Members must be offered in order:
-// of two of equal cost the one that was offered first is the better one.
-class cheapest
-{
-public:
-    explicit cheapest(std::size_t limit) : m_limit(limit)
-    {
-        m_costs.fill(infinite);
-    }
-
-    // What a member must undercut to be taken.
-    double worst() const { return m_costs[m_limit - 1]; }
-
-    void offer(std::size_t member, double cost)
+    static std::uint64_t bits(double cost)
     {
-        if (!(cost < worst()))
-        {
-            return;
-        }
-        std::size_t place = m_limit - 1;
-        while (place > 0 && cost < m_costs[place - 1])
-        {
-            m_costs[place] = m_costs[place - 1];
-            m_members[place] = m_members[place - 1];
-            --place;
-        }
-        m_costs[place] = cost;
-        m_members[place] = member;
+        return std::bit_cast<std::uint64_t>(cost);
     }
 
-    // The member in a place; only the first places up to the limit and up to
-    // the number of members offered are filled.
-    std::size_t operator[](std::size_t place) const { return m_members[place]; }
-
-private:
-    std::size_t m_limit;
-    std::array<double, candidate_chain::capacity> m_costs{};
-    std::array<std::size_t, candidate_chain::capacity> m_members{};
+    std::array<std::uint64_t, candidate_chain::capacity> m_entries{};
 };
 
 std::uint64_t digest_of(const upstream_record& member)
@@ -112,12 +78,6 @@
     return combine_hash(name, agent);
 }
 
-template <class Value>
-std::size_t bytes_of(const std::vector<Value>& values)
-{
-    return values.capacity() * sizeof(Value);
-}
-
 } // namespace
 
 std::shared_ptr<const forwarding_table>
@@ -128,87 +88,67 @@
     table->m_length = std::clamp<std::size_t>(view.declared.sharing.candidates,
                                               1, candidate_chain::capacity);
     table->m_digest = combine_hash(view.declared.id.value(), table->m_length);
-    const auto ready =
-        std::count_if(view.members.begin(), view.members.end(),
-                      [](const upstream_record& member)
-                      { return member.state == upstream_state::ready; });
-    table->m_members.reserve(static_cast<std::size_t>(ready));
-    table->m_seeds.reserve(static_cast<std::size_t>(ready));
-    table->m_inverse_weights.reserve(static_cast<std::size_t>(ready));
-    for (const upstream_record& member : view.members)
+    const auto is_ready = [](const upstream_record& record)
     {
-        if (member.state == upstream_state::ready)
+        return record.state == upstream_state::ready;
+    };
+    table->m_members.reserve(static_cast<std::size_t>(
+        std::count_if(view.members.begin(), view.members.end(), is_ready)));
+    for (const upstream_record& record : view.members)
+    {
+        if (is_ready(record) && table->size() < member_limit)
         {
-            table->add(member);
+            table->add(record);
         }
     }
-    table->finish();
     return table;
 }
 
-void forwarding_table::add(const upstream_record& member)
+void forwarding_table::add(const upstream_record& record)
 {
-    m_members.push_back(
-        candidate{member.agent, tag_of(member.id, member.started)});
+    member added;
     // Without the incarnation: an upstream that starts anew gets its flows
     // back.
-    m_seeds.push_back(stable_hash(member.id.value()));
-    m_inverse_weights.push_back(1.0 / std::max(member.weight, 1U));
-    m_digest = combine_hash(m_digest, digest_of(member));
+    added.seed = stable_hash(record.id.value());
+    added.inverse_weight = 1.0 / std::max(record.weight, 1U);
+    added.target = candidate{record.agent, tag_of(record.id, record.started)};
+    m_members.push_back(added);
+    const double first_weight = m_members.front().inverse_weight;
+    m_equal_weights = m_equal_weights && added.inverse_weight == first_weight;
+    m_digest = combine_hash(m_digest, digest_of(record));
 }
 
-void forwarding_table::finish()
+candidate_chain forwarding_table::chain(std::uint64_t flow_hash) const
 {
-    const auto differs = [this](double value)
+    cheapest best;
+    for (std::size_t i = 0; i < m_members.size(); ++i)
     {
-        return value != m_inverse_weights.front();
-    };
-    if (std::none_of(m_inverse_weights.begin(), m_inverse_weights.end(),
-                     differs))
-    {
-        m_inverse_weights = std::vector<double>();
-    }
-}
-
-template <class Cost>
-candidate_chain forwarding_table::choose(std::uint64_t flow_hash,
-                                         const Cost& cost) const
-{
-    const std::size_t length = std::min(m_length, m_members.size());
-    cheapest best(length);
-    for (std::size_t i = 0; i < m_seeds.size(); ++i)
-    {
-        const double drawn = uniform(m_seeds[i], flow_hash);
-        if (cost.bound(i, drawn) < best.worst())
+        const double drawn = uniform(m_members[i].seed, flow_hash);
+        // Since 1 - u <= -ln(u), this is at most the cost -ln(u)/w; among
+        // equal weights it gives the same order.
+        if (m_equal_weights)
+        {
+            best.offer(i, 1.0 - drawn);
+            continue;
+        }
+        const double inverse_weight = m_members[i].inverse_weight;
+        if (!best.excludes((1.0 - drawn) * inverse_weight))
         {
-            best.offer(i, cost.exact(i, drawn));
+            best.offer(i, -std::log(drawn) * inverse_weight);
         }
     }
-    candidate_chain chain;
+    candidate_chain found;
+    const std::size_t length = std::min(m_length, m_members.size());
     for (std::size_t place = 0; place < length; ++place)
     {
-        chain.push_back(m_members[best[place]]);
-    }
-    return chain;
-}
-
-candidate_chain forwarding_table::chain(std::uint64_t flow_hash) const
-{
-    if (m_members.empty())
-    {
-        return {};
-    }
-    if (m_inverse_weights.empty())
-    {
-        return choose(flow_hash, equal_cost());
+        found.push_back(m_members[best[place]].target);
     }
-    return choose(flow_hash, weighted_cost(m_inverse_weights));
+    return found;
 }
 
 std::size_t forwarding_table::memory() const
 {
-    return sizeof *this + bytes_of(m_members) + bytes_of(m_seeds) +
-           bytes_of(m_inverse_weights);
+    return sizeof *this + m_members.capacity() * sizeof(member);
 }
 
 } // namespace crowlink
--- a/packages/wire/src/message_writer.cpp
+++ b/packages/wire/src/message_writer.cpp
@@ -14,6 +14,14 @@
 using output = google::protobuf::io::CodedOutputStream;
 
 constexpr std::size_t v4_offset = 12;
+constexpr std::size_t v4_size = ip_address::byte_count - v4_offset;
+
+// All our field numbers are below 16, so that a tag is one byte.
+std::uint8_t* put_tag(std::uint32_t tag, std::uint8_t* out)
+{
+    *out = static_cast<std::uint8_t>(tag);
+    return out + 1;
+}
 
 } // namespace
 
@@ -23,7 +31,7 @@
     {
         return;
     }
-    m_out = output::WriteTagToArray(tag, m_out);
+    m_out = put_tag(tag, m_out);
     m_out = output::WriteVarint32ToArray(value, m_out);
 }
 
@@ -33,7 +41,7 @@
     {
         return;
     }
-    m_out = output::WriteTagToArray(tag, m_out);
+    m_out = put_tag(tag, m_out);
     m_out = output::WriteLittleEndian32ToArray(value, m_out);
 }
 
@@ -43,16 +51,23 @@
     {
         return;
     }
-    m_out = output::WriteTagToArray(tag, m_out);
+    m_out = put_tag(tag, m_out);
     m_out = output::WriteLittleEndian64ToArray(value, m_out);
 }
 
 void message_writer::put_endpoint(std::uint32_t tag, const endpoint& value)
 {
     std::uint8_t* const length = begin_nested(tag);
-    const auto& bytes = value.address.bytes();
-    const std::size_t skipped = value.address.is_v4() ? v4_offset : 0;
-    m_out = std::copy(bytes.begin() + skipped, bytes.end(), m_out);
+    const std::uint8_t* const bytes = value.address.bytes().data();
+    // Two copies of fixed size are faster than one of a size that varies.
+    if (value.address.is_v4())
+    {
+        m_out = std::copy_n(bytes + v4_offset, v4_size, m_out);
+    }
+    else
+    {
+        m_out = std::copy_n(bytes, ip_address::byte_count, m_out);
+    }
     *m_out++ = static_cast<std::uint8_t>(value.port >> 8U);
     *m_out++ = static_cast<std::uint8_t>(value.port & 0xffU);
     end_nested(length);
@@ -81,14 +96,14 @@
     {
         return;
     }
-    m_out = output::WriteTagToArray(payload_tag, m_out);
+    m_out = put_tag(payload_tag, m_out);
     m_out =
         output::WriteVarint32ToArray(static_cast<std::uint32_t>(size), m_out);
 }
 
 std::uint8_t* message_writer::begin_nested(std::uint32_t tag)
 {
-    m_out = output::WriteTagToArray(tag, m_out);
+    m_out = put_tag(tag, m_out);
     return m_out++;
 }
 
--- a/packages/wire/src/packet_fields.hpp
+++ b/packages/wire/src/packet_fields.hpp
@@ -15,6 +15,7 @@
     fixed32 = 5,
 };
 
+// The tag of a field below 16: one byte on the wire.
 constexpr std::uint32_t tag(std::uint32_t field, wire_type type)
 {
     return (field << 3U) | static_cast<std::uint32_t>(type);
