--- a/bench/forwarding/path_bench.cpp
+++ b/bench/forwarding/path_bench.cpp
@@ -116,7 +116,7 @@
     for (auto _ : state)
     {
         const flow_key& key = keys[next++ % keys.size()];
-        const auto* tables = set->find(key.protocol, key.service);
+        const auto* tables = set->tables_at(key.protocol, key.service);
         benchmark::DoNotOptimize(tables->current->chain(stable_hash(key)));
     }
 }
--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -8,12 +8,12 @@
 
 // The two chains of a flow by a service's tables. The previous one is left
 // empty where it would say the same again.
-void fill_chains(const service_tables& tables, const flow_key& flow,
+void fill_chains(const table_pair& tables, const flow_key& flow,
                  candidate_chain& current, candidate_chain& previous)
 {
     const std::uint64_t hash = stable_hash(flow);
     current = tables.current->chain(hash);
-    if (!tables.previous)
+    if (tables.previous == nullptr)
     {
         return;
     }
@@ -46,8 +46,8 @@
 traffic_path::route(const forwarding_set& set, const caller_packet& packet,
                     std::span<std::uint8_t> buffer)
 {
-    const service_tables* const tables =
-        set.find(packet.flow.protocol, packet.flow.service);
+    const table_pair* const tables =
+        set.tables_at(packet.flow.protocol, packet.flow.service);
     if (tables == nullptr)
     {
         return drop(route_drop::no_service);
@@ -59,7 +59,7 @@
     {
         return drop(route_drop::no_candidate);
     }
-    header.service = tables->service();
+    header.service = tables->service;
     header.table = tables->current->digest();
     header.flow = packet.flow;
     header.role = packet.role;
@@ -110,12 +110,12 @@
 {
     route_decision decision;
     decision.flow = flow;
-    const service_tables* const tables = set.find(flow.protocol, flow.service);
+    const table_pair* const tables = set.tables_at(flow.protocol, flow.service);
     if (tables == nullptr)
     {
         return decision;
     }
-    decision.service = tables->service();
+    decision.service = tables->service;
     decision.table = tables->current->digest();
     fill_chains(*tables, flow, decision.current, decision.previous);
     decision.reason = reason_of(decision.current, decision.previous);
--- a/packages/forwarding/include/crowlink/forwarding.hpp
+++ b/packages/forwarding/include/crowlink/forwarding.hpp
@@ -9,6 +9,7 @@
 //   forwarding_table.hpp  a service's immutable table: flow hash to chain
 //   removed_service.hpp   a service that is no longer declared
 //   service_tables.hpp    a service's current and previous table
+//   table_pair.hpp        what routing needs of a service
 
 #include "crowlink/forwarding/candidate.hpp"
 #include "crowlink/forwarding/candidate_chain.hpp"
@@ -17,3 +18,4 @@
 #include "crowlink/forwarding/packet_header.hpp"
 #include "crowlink/forwarding/removed_service.hpp"
 #include "crowlink/forwarding/service_tables.hpp"
+#include "crowlink/forwarding/table_pair.hpp"
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -4,10 +4,12 @@
 #include "crowlink/forwarding/address_hash.hpp"
 #include "crowlink/forwarding/removed_service.hpp"
 #include "crowlink/forwarding/service_tables.hpp"
+#include "crowlink/forwarding/table_pair.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -32,7 +34,11 @@
             std::span<const service_view> views,
             std::span<const removed_service> removed);
 
-    // The service at an address, or null. Does not allocate.
+    // The tables of the service at an address, or null: the quick way for
+    // traffic. Does not allocate.
+    const table_pair* tables_at(transport protocol,
+                                const endpoint& address) const;
+    // All about the service at an address, or null. Does not allocate.
     const service_tables* find(transport protocol,
                                const endpoint& address) const;
     // The service of this number, or null.
@@ -60,11 +66,15 @@
     // Yields whether the removal was news.
     bool remember(const removed_service& removed);
     void finish(const forwarding_set& prior);
+    std::optional<std::uint32_t> place_at(transport protocol,
+                                          const endpoint& address) const;
     bool same_addresses(const forwarding_set& other) const;
     std::shared_ptr<const address_index> make_index() const;
 
     // Sorted by number.
     std::vector<std::shared_ptr<const service_tables>> m_services;
+    // In the same order.
+    std::vector<table_pair> m_tables;
     std::shared_ptr<const address_index> m_index;
     // Late views must not bring these back. Bounded: the oldest go first.
     std::vector<removed_service> m_removed;
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_table.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_table.hpp
@@ -3,10 +3,10 @@
 #include "crowlink/base/ids.hpp"
 #include "crowlink/forwarding/candidate_chain.hpp"
 
+#include <boost/container/small_vector.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <vector>
 
 namespace crowlink
 {
@@ -44,6 +44,8 @@
     std::size_t size() const { return m_members.size(); }
 
 private:
+    static constexpr std::size_t members_in_place = 4;
+
     // What a look-up reads of a member; kept together, since most services
     // have few members and each look-up is at another service.
     struct member
@@ -61,8 +63,9 @@
     std::uint64_t m_digest = 0;
     std::size_t m_length = 1;
     bool m_equal_weights = true;
-    // Sorted by id.
-    std::vector<member> m_members;
+    // Sorted by id. Those of a small service lie in the table itself, where
+    // the look-up has just been.
+    boost::container::small_vector<member, members_in_place> m_members;
 };
 
 } // namespace crowlink
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -169,6 +169,12 @@
 void forwarding_set::finish(const forwarding_set& prior)
 {
     m_digest = digest_of(m_services);
+    m_tables.clear();
+    for (const auto& tables : m_services)
+    {
+        m_tables.push_back(table_pair{tables->service(), tables->current.get(),
+                                      tables->previous.get()});
+    }
     if (!same_addresses(prior))
     {
         m_index = make_index();
@@ -218,12 +224,30 @@
     return index;
 }
 
-const service_tables* forwarding_set::find(transport protocol,
-                                           const endpoint& address) const
+std::optional<std::uint32_t>
+forwarding_set::place_at(transport protocol, const endpoint& address) const
 {
     const auto found =
         m_index->find(internal::service_address{address, protocol});
-    return found == m_index->end() ? nullptr : m_services[found->second].get();
+    if (found == m_index->end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+const table_pair* forwarding_set::tables_at(transport protocol,
+                                            const endpoint& address) const
+{
+    const auto place = place_at(protocol, address);
+    return place ? &m_tables[*place] : nullptr;
+}
+
+const service_tables* forwarding_set::find(transport protocol,
+                                           const endpoint& address) const
+{
+    const auto place = place_at(protocol, address);
+    return place ? m_services[*place].get() : nullptr;
 }
 
 const service_tables* forwarding_set::find(service_id service) const
@@ -240,6 +264,7 @@
     std::size_t total = sizeof *this;
     total += m_services.capacity() * sizeof(services::value_type);
     total += m_index->size() * node + m_index->bucket_count() * sizeof(void*);
+    total += m_tables.capacity() * sizeof(table_pair);
     total += m_removed.capacity() * sizeof(removed_service);
     for (const auto& tables : m_services)
     {
--- a/packages/forwarding/src/forwarding_table.cpp
+++ b/packages/forwarding/src/forwarding_table.cpp
@@ -17,6 +17,10 @@
 namespace
 {
 
+// The first members are offered without asking whether they are excluded: the
+// answer would be mispredicted too often.
+constexpr std::size_t always_offered = 16;
+
 // A number in (0, 1] that is uniform over flows and members. It never is zero,
 // since its logarithm is taken.
 double uniform(std::uint64_t seed, std::uint64_t flow_hash)
@@ -42,9 +46,12 @@
         std::uint64_t entry = (bits(cost) & ~index_mask) | member;
         for (std::uint64_t& place : m_entries)
         {
-            const std::uint64_t better = std::min(entry, place);
-            entry = std::max(entry, place);
-            place = better;
+            // Exchanges the two if the entry is the better one. A condition
+            // would become a branch, which every second member mispredicts.
+            const std::uint64_t better = -std::uint64_t{entry < place};
+            const std::uint64_t difference = (entry ^ place) & better;
+            place ^= difference;
+            entry ^= difference;
         }
     }
 
@@ -124,18 +131,16 @@
     for (std::size_t i = 0; i < m_members.size(); ++i)
     {
         const double drawn = uniform(m_members[i].seed, flow_hash);
+        const double inverse_weight = m_members[i].inverse_weight;
         // Since 1 - u <= -ln(u), this is at most the cost -ln(u)/w; among
         // equal weights it gives the same order.
-        if (m_equal_weights)
+        const double bound = (1.0 - drawn) * inverse_weight;
+        if (i >= always_offered && best.excludes(bound))
         {
-            best.offer(i, 1.0 - drawn);
             continue;
         }
-        const double inverse_weight = m_members[i].inverse_weight;
-        if (!best.excludes((1.0 - drawn) * inverse_weight))
-        {
-            best.offer(i, -std::log(drawn) * inverse_weight);
-        }
+        best.offer(i,
+                   m_equal_weights ? bound : -std::log(drawn) * inverse_weight);
     }
     candidate_chain found;
     const std::size_t length = std::min(m_length, m_members.size());
@@ -148,7 +153,9 @@
 
 std::size_t forwarding_table::memory() const
 {
-    return sizeof *this + m_members.capacity() * sizeof(member);
+    const bool in_place = m_members.capacity() <= members_in_place;
+    const std::size_t outside = in_place ? 0 : m_members.capacity();
+    return sizeof *this + outside * sizeof(member);
 }
 
 } // namespace crowlink
