--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -95,14 +95,24 @@
     bool follow_mark(const packet_arrived& event,
                      const internal::redirect_entry& mark);
     void look_up(time_point now, const packet_arrived& event);
-    void walk_on(time_point now, packet_header header,
-                 const packet_arrived& event);
+    void return_to_head(packet_header header, const packet_arrived& event);
+    void start_walk(time_point now, packet_header header,
+                    const packet_arrived& event);
+    void walk(time_point now, packet_header header,
+              const packet_arrived& event);
+    const candidate* next_on_walk(const packet_header& header,
+                                  std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
                   const packet_arrived& event);
+    void reset_unknown(const packet_header& header);
+    void start_admission(time_point now, packet_header header,
+                         const packet_arrived& event);
     void ask_to_admit(time_point now, packet_header header,
                       const packet_arrived& event);
     void ask_next(time_point now, packet_header header,
                   const packet_arrived& event);
+    void choose(time_point now, packet_header header,
+                const packet_arrived& event);
     void place(time_point now, const packet_header& header,
                const packet_arrived& event);
     void refuse(const packet_header& header, const packet_arrived& event);
@@ -112,10 +122,10 @@
     bool may_adopt(time_point now, packet_role role) const;
     void forward(packet_header header, const packet_arrived& event,
                  flow_action how, std::string_view reason);
-    void mark_placing(time_point now, const flow_key& flow,
-                      const candidate& to);
-    std::size_t next_position(const packet_header& header,
-                              std::size_t limit) const;
+    void leave_mark(time_point now, const packet_header& header,
+                    const candidate& to, packet_pass pass);
+    std::size_t next_usable(const packet_header& header,
+                            std::size_t from) const;
 
     // Flows.
     const endpoint* answered(time_point now, const upstream_answered& event);
@@ -137,10 +147,12 @@
     void check_redirects(time_point now, internal::flow_entry& entry,
                          bool renew);
     candidate_chain agents_to_tell(const flow_key& flow) const;
-    void publish(time_point now, internal::flow_entry& entry,
-                 const candidate& to);
+    void publish(const internal::flow_entry& entry, const candidate& to,
+                 duration age);
     void publish_opened(time_point now, internal::flow_entry& entry,
                         const packet_header& header);
+    void tell_head(time_point now, internal::flow_entry& entry,
+                   const packet_header& header);
     void withdraw(const internal::flow_entry& entry);
     void continue_check(time_point now);
     void schedule_renewal(time_point now, internal::flow_entry& entry,
@@ -169,6 +181,8 @@
                  const shed_grant& message);
     void take_redirect(time_point now, const redirect_notice& message,
                        const owned_flow& owned);
+    bool keeps_against(time_point now, internal::flow_entry& entry,
+                       const candidate& rival, const owned_flow& owned);
     void set_state(upstream_state state);
     void assess(time_point now);
     void tell_load();
--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -14,15 +14,21 @@
 const candidate* candidate_at(const packet_header& header,
                               std::size_t position);
 
-// Whether an agent stands before this position already.
-bool seen_before(const packet_header& header, std::size_t position);
+// The position of an agent, or the number of positions.
+std::size_t position_of(const packet_header& header, const candidate& wanted);
 
-// Adds an agent to the previous chain unless it is listed or the chain is
-// full.
+// Takes out of the previous chain what is in the current one, and adds an
+// agent to it unless it is listed or the chain is full.
+void drop_repeated(packet_header& header);
 void add_unseen(packet_header& header, const candidate& next);
 
-// Makes an agent outside the current chain the one addressed: it replaces the
-// previous chain.
+// Makes an agent the one addressed. One that isn't listed takes the last place
+// of the current chain; on the lookup pass, that of the whole previous chain.
 void address_to(packet_header& header, const candidate& to);
+void look_up_at(packet_header& header, const candidate& to);
+
+// An agent's place in the order of walks for a flow. All agents agree on it,
+// and it differs from flow to flow, so that no agent ends all walks.
+std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent);
 
 } // namespace crowlink::internal
--- a/packages/agent/include/crowlink/agent/flow_entry.hpp
+++ b/packages/agent/include/crowlink/agent/flow_entry.hpp
@@ -34,6 +34,10 @@
     time_point renew_at{};
     // Whether the flow is in the queue of redirects to send once more.
     bool repeating = false;
+    // Whether a rival owner was told to yield; it stands by that.
+    bool outlasts_rivals = false;
+    // When the head of a packet that had to be looked up was last told.
+    time_point head_told_at{};
     // The generation of tables that the redirects were checked against.
     std::uint32_t checked = 0;
     // Identifies the agents that were told of the flow; zero if none was.
--- a/packages/agent/include/crowlink/agent/redirect_notice.hpp
+++ b/packages/agent/include/crowlink/agent/redirect_notice.hpp
@@ -13,9 +13,13 @@
 {
 
 // One flow of a redirect notice and for how long its owner has had it. Should
-// two agents ever own one flow, the one that had it longer keeps it.
+// two agents ever own one flow, the one that had it longer keeps it. The one
+// of lower tag compares, so that both come to the same end.
 struct owned_flow
 {
+    // In place of the age: it was compared, and the receiver is to yield.
+    static constexpr duration decided = duration::max();
+
     flow_key flow;
     duration age{};
 
--- a/packages/agent/include/crowlink/agent/redirect_table.hpp
+++ b/packages/agent/include/crowlink/agent/redirect_table.hpp
@@ -3,6 +3,7 @@
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/forwarding/candidate.hpp"
+#include "crowlink/forwarding/packet_header.hpp"
 
 #include <boost/multi_index/hashed_index.hpp>
 #include <boost/multi_index/member.hpp>
@@ -19,10 +20,13 @@
 {
     flow_key flow;
     candidate to;
-    // False for a published redirect. True while the flow is being placed:
-    // whoever asks here is to ask there, so that one agent decides.
-    bool placing = false;
+    // On which pass packets go there. `lookup` is a published redirect to the
+    // owner. The others are marks, left while the flow is being placed, where
+    // a packet of it came by: later ones follow it, so that one agent decides.
+    packet_pass pass = packet_pass::lookup;
     time_point expires{};
+
+    bool is_mark() const { return pass != packet_pass::lookup; }
 };
 
 // The redirects of others and the marks of flows that are being placed. Soft
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -82,6 +82,10 @@
         entry.return_to = event.header.return_to;
         entry.return_checked = 0;
     }
+    if (event.header.hops > 0)
+    {
+        tell_head(now, entry, event.header);
+    }
     note_caller_packet(now, entry, event.need);
     if (event.finishes && !entry.caller_finished)
     {
@@ -114,8 +118,8 @@
     }
     if (known != nullptr)
     {
-        const bool sent = known->placing ? follow_mark(event, *known)
-                                         : follow_redirect(event, *known);
+        const bool sent = known->is_mark() ? follow_mark(event, *known)
+                                           : follow_redirect(event, *known);
         if (sent)
         {
             return;
@@ -126,6 +130,9 @@
     case packet_pass::lookup:
         look_up(now, event);
         break;
+    case packet_pass::walk:
+        walk(now, header, event);
+        break;
     case packet_pass::admit:
         ask_to_admit(now, header, event);
         break;
@@ -140,8 +147,8 @@
 {
     const packet_header& header = event.header;
     const candidate to = known.to;
-    const bool came_back = header.pass == packet_pass::admit &&
-                           header.previous.size() == 1 &&
+    const bool came_back = header.pass == packet_pass::lookup &&
+                           header.hops > 0 && header.previous.size() == 1 &&
                            header.previous[0] == to;
     if (came_back || m_members.is_gone(to.tag) || to == m_self)
     {
@@ -149,8 +156,7 @@
         return false;
     }
     packet_header sent = header;
-    internal::address_to(sent, to);
-    sent.pass = packet_pass::lookup;
+    internal::look_up_at(sent, to);
     ++m_counts.redirected;
     forward(sent, event, flow_action::redirected, "owner_published");
     return true;
@@ -160,32 +166,18 @@
                         const internal::redirect_entry& mark)
 {
     const packet_header& header = event.header;
-    const candidate to = mark.to;
-    const bool same_head = !header.current.empty() && header.current[0] == to;
-    const bool is_head = to == m_self;
-    if (same_head || is_head || header.pass == packet_pass::place ||
-        m_members.is_gone(to.tag))
-    {
-        return false;
-    }
-    if (!may_open(header.role) && header.pass == packet_pass::lookup)
+    // Those on a walk follow the trail of walks in their own way.
+    const bool is_later_pass = mark.pass != packet_pass::walk;
+    const bool applies = may_open(header.role) &&
+                         header.pass != packet_pass::place && is_later_pass &&
+                         mark.to != m_self && !m_members.is_gone(mark.to.tag);
+    if (!applies)
     {
         return false;
     }
     packet_header sent = header;
-    for (std::size_t i = 0; i < header.current.size(); ++i)
-    {
-        const bool is_asked_next = header.current[i] == to;
-        if (is_asked_next && header.pass == packet_pass::admit)
-        {
-            sent.position = static_cast<std::uint8_t>(i);
-            ++m_counts.diverted;
-            forward(sent, event, flow_action::looked_up, "being_placed");
-            return true;
-        }
-    }
-    internal::address_to(sent, to);
-    sent.pass = packet_pass::lookup;
+    internal::address_to(sent, mark.to);
+    sent.pass = mark.pass;
     ++m_counts.diverted;
     forward(sent, event, flow_action::looked_up, "being_placed");
     return true;
@@ -194,98 +186,176 @@
 void agent::look_up(time_point now, const packet_arrived& event)
 {
     packet_header header = event.header;
-    const bool opens = may_open(header.role);
-    const bool is_head = header.position == 0;
-    if (!is_head)
+    if (header.position != 0)
     {
-        if (opens && !header.current.empty())
+        // Who sent it here took this agent for the owner.
+        if (may_adopt(now, header.role))
         {
-            mark_placing(now, header.flow, header.current[0]);
+            place(now, header, event);
+            return;
         }
-        walk_on(now, header, event);
+        return_to_head(header, event);
         return;
     }
-    if (opens && !m_members.may_be_owned_elsewhere(now, header.table))
+    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
+    const bool others_look = mark != nullptr;
+    const bool settled = !m_members.may_be_owned_elsewhere(now, header.table);
+    if (may_open(header.role) && settled && !others_look)
     {
-        header.pass = packet_pass::admit;
-        ask_to_admit(now, header, event);
+        start_admission(now, header, event);
+        return;
+    }
+    start_walk(now, header, event);
+}
+
+void agent::return_to_head(packet_header header, const packet_arrived& event)
+{
+    const candidate* head = internal::candidate_at(header, 0);
+    if (*head == m_self || m_members.is_gone(head->tag))
+    {
+        // Nobody is left to decide; the caller's next packet finds a head.
+        decide(flow_action::dropped, header.flow, header.table, candidate(),
+               "no_head");
         return;
     }
+    header.position = 0;
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "not_the_owner");
+}
+
+void agent::start_walk(time_point now, packet_header header,
+                       const packet_arrived& event)
+{
+    internal::drop_repeated(header);
     m_members.widen(header, now);
-    if (opens)
+    header.pass = packet_pass::walk;
+    header.best = packet_header::no_position;
+    const candidate* first = next_on_walk(header, 0);
+    if (first == nullptr || *first == m_self)
     {
-        mark_placing(now, header.flow, m_self);
+        walk(now, header, event);
+        return;
     }
-    walk_on(now, header, event);
+    internal::address_to(header, *first);
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "owner_unknown");
 }
 
-void agent::walk_on(time_point now, packet_header header,
-                    const packet_arrived& event)
+// Agents are met in one order, and each packet goes where the one before it
+// went as well as along its own chains. So two packets whose chains share an
+// agent end up at the same last one, and that one decides.
+void agent::walk(time_point now, packet_header header,
+                 const packet_arrived& event)
 {
+    const std::uint64_t hash = stable_hash(header.flow);
+    const std::uint64_t here = internal::walk_order(hash, m_self);
+    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
+    const bool has_trail = mark != nullptr && mark->pass == packet_pass::walk &&
+                           may_open(header.role);
+    if (has_trail)
+    {
+        internal::add_unseen(header, mark->to);
+    }
+    internal::address_to(header, m_self);
     const bool is_likely_owner =
-        header.role == packet_role::continues || header.position == 0 ||
-        (header.previous.size() == 1 && header.previous[0] == m_self);
+        header.role == packet_role::continues || header.position == 0;
     if (header.best == packet_header::no_position && is_likely_owner &&
         may_adopt(now, header.role))
     {
         header.best = header.position;
     }
-    const std::size_t count = header.current.size() + header.previous.size();
-    const std::size_t next = next_position(header, count);
-    if (next == count)
+    const candidate* next = next_on_walk(header, here);
+    if (next == nullptr)
     {
         end_walk(now, header, event);
         return;
     }
-    header.position = static_cast<std::uint8_t>(next);
+    const candidate to = *next;
+    leave_mark(now, header, to, packet_pass::walk);
+    internal::address_to(header, to);
     ++m_counts.looked_up;
     forward(header, event, flow_action::looked_up, "owner_unknown");
 }
 
+const candidate* agent::next_on_walk(const packet_header& header,
+                                     std::uint64_t after) const
+{
+    const std::uint64_t hash = stable_hash(header.flow);
+    const std::size_t count = header.current.size() + header.previous.size();
+    const candidate* best = nullptr;
+    std::uint64_t best_order = 0;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const candidate* next = internal::candidate_at(header, i);
+        const std::uint64_t order = internal::walk_order(hash, *next);
+        const bool is_nearer = best == nullptr || order < best_order;
+        if (order > after && is_nearer && !m_members.is_gone(next->tag))
+        {
+            best = next;
+            best_order = order;
+        }
+    }
+    return best;
+}
+
 void agent::end_walk(time_point now, packet_header header,
                      const packet_arrived& event)
 {
     if (header.best != packet_header::no_position)
     {
         header.position = header.best;
+        const candidate adopter = *internal::candidate_at(header, header.best);
         header.pass = packet_pass::place;
-        if (*internal::candidate_at(header, header.best) == m_self)
+        if (adopter == m_self)
         {
             place(now, header, event);
             return;
         }
+        leave_mark(now, header, adopter, packet_pass::place);
         forward(header, event, flow_action::looked_up, "may_adopt");
         return;
     }
-    if (header.role == packet_role::resets)
+    if (header.role == packet_role::continues)
     {
+        reset_unknown(header);
         return;
     }
-    if (header.role == packet_role::continues)
+    if (may_open(header.role))
     {
-        ++m_counts.unknown_flows;
-        const flow_refusal told{verdict::may_have_run,
-                                refusal_reason::unknown_flow, duration::zero()};
-        m_effects.add(
-            internal::reset_caller_effect{header.return_to, header.flow, told});
-        decide(flow_action::reset, header.flow, header.table, candidate(),
-               to_string(told.reason));
-        return;
+        start_admission(now, header, event);
     }
+}
+
+void agent::reset_unknown(const packet_header& header)
+{
+    ++m_counts.unknown_flows;
+    const flow_refusal told{verdict::may_have_run, refusal_reason::unknown_flow,
+                            duration::zero()};
+    m_effects.add(
+        internal::reset_caller_effect{header.return_to, header.flow, told});
+    decide(flow_action::reset, header.flow, header.table, candidate(),
+           to_string(told.reason));
+}
+
+void agent::start_admission(time_point now, packet_header header,
+                            const packet_arrived& event)
+{
     header.pass = packet_pass::admit;
-    header.position = 0;
-    const bool head_is_usable =
-        !header.current.empty() && !m_members.is_gone(header.current[0].tag);
-    if (!head_is_usable)
+    header.best = packet_header::no_position;
+    const std::size_t first = next_usable(header, 0);
+    if (first == header.current.size())
     {
-        ask_next(now, header, event);
+        refuse(header, event);
         return;
     }
-    if (header.current[0] == m_self)
+    header.position = static_cast<std::uint8_t>(first);
+    const candidate head = header.current[first];
+    if (head == m_self)
     {
         ask_to_admit(now, header, event);
         return;
     }
+    leave_mark(now, header, head, packet_pass::admit);
     ++m_counts.looked_up;
     forward(header, event, flow_action::looked_up, "no_owner");
 }
@@ -296,18 +366,18 @@
     const std::size_t flows = m_flows.size();
     if (m_admission.can_admit(now, flows))
     {
-        const bool is_head = header.position == 0;
+        const bool is_first = header.best == packet_header::no_position;
         const bool any_will_do =
             m_admission.sharing().goal == service_goal::continuity;
         const bool at_once = m_admission.admits_at_once(now, flows);
         if (m_admission.wants_trial(now) ||
-            (at_once && (is_head || any_will_do)))
+            (at_once && (is_first || any_will_do)))
         {
             take(now, header, event, flow_action::admitted, "low_load");
             return;
         }
         const std::uint32_t own = m_admission.load(flows);
-        if (header.best == packet_header::no_position || own < header.best_load)
+        if (is_first || own < header.best_load)
         {
             header.best = header.position;
             header.best_load = own;
@@ -319,30 +389,35 @@
 void agent::ask_next(time_point now, packet_header header,
                      const packet_arrived& event)
 {
-    const std::size_t count = header.current.size();
-    const std::size_t next = next_position(header, count);
-    if (next < count)
-    {
-        header.position = static_cast<std::uint8_t>(next);
-        mark_placing(now, header.flow, header.current[next]);
-        ++m_counts.handed_off;
-        forward(header, event, flow_action::handed_off, "compare_load");
+    const std::size_t next = next_usable(header, header.position + 1U);
+    if (next >= header.current.size())
+    {
+        choose(now, header, event);
         return;
     }
+    header.position = static_cast<std::uint8_t>(next);
+    leave_mark(now, header, header.current[next], packet_pass::admit);
+    ++m_counts.handed_off;
+    forward(header, event, flow_action::handed_off, "compare_load");
+}
+
+void agent::choose(time_point now, packet_header header,
+                   const packet_arrived& event)
+{
     if (header.best == packet_header::no_position)
     {
         refuse(header, event);
         return;
     }
-    header.position = header.best;
-    header.pass = packet_pass::place;
     const candidate chosen = *internal::candidate_at(header, header.best);
     if (chosen == m_self)
     {
         take(now, header, event, flow_action::admitted, "least_load");
         return;
     }
-    mark_placing(now, header.flow, chosen);
+    header.position = header.best;
+    header.pass = packet_pass::place;
+    leave_mark(now, header, chosen, packet_pass::place);
     ++m_counts.handed_off;
     forward(header, event, flow_action::handed_off, "least_load");
 }
@@ -416,32 +491,29 @@
     decide(how, header.flow, header.table, to, reason);
 }
 
-void agent::mark_placing(time_point now, const flow_key& flow,
-                         const candidate& to)
+void agent::leave_mark(time_point now, const packet_header& header,
+                       const candidate& to, packet_pass pass)
 {
-    const internal::redirect_entry* known = m_redirects.find(flow, now);
-    if (known != nullptr && !known->placing)
+    const internal::redirect_entry* known = m_redirects.find(header.flow, now);
+    const bool is_published = known != nullptr && !known->is_mark();
+    if (is_published || !may_open(header.role))
     {
         return;
     }
     m_redirects.put(internal::redirect_entry{
-        flow, to, true, now + m_settings.placing_lifetime});
+        header.flow, to, pass, now + m_settings.placing_lifetime});
 }
 
-std::size_t agent::next_position(const packet_header& header,
-                                 std::size_t limit) const
+std::size_t agent::next_usable(const packet_header& header,
+                               std::size_t from) const
 {
-    for (std::size_t next = header.position + std::size_t{1}; next < limit;
-         ++next)
+    std::size_t next = from;
+    while (next < header.current.size() &&
+           m_members.is_gone(header.current[next].tag))
     {
-        const candidate& asked = *internal::candidate_at(header, next);
-        if (!internal::seen_before(header, next) && asked != m_self &&
-            !m_members.is_gone(asked.tag))
-        {
-            return next;
-        }
+        ++next;
     }
-    return limit;
+    return next;
 }
 
 } // namespace crowlink
--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -65,7 +65,7 @@
                                          next.tag) != m_renewed.end();
         if (is_new || renew || restarted)
         {
-            publish(now, entry, next);
+            publish(entry, next, now - entry.opened);
             any = true;
         }
     }
@@ -78,8 +78,7 @@
 void agent::schedule_renewal(time_point now, internal::flow_entry& entry,
                              bool repeat)
 {
-    entry.renew_at =
-        now + m_settings.redirect_lifetime / renewals_in_lifetime;
+    entry.renew_at = now + m_settings.redirect_lifetime / renewals_in_lifetime;
     if (!entry.renewing)
     {
         entry.renewing = true;
@@ -88,17 +87,16 @@
     if (repeat && !entry.repeating)
     {
         entry.repeating = true;
-        m_repeats.push(now + m_settings.settle / repeat_in_settling,
-                       entry.key);
+        m_repeats.push(now + m_settings.settle / repeat_in_settling, entry.key);
     }
 }
 
-void agent::publish(time_point now, internal::flow_entry& entry,
-                    const candidate& to)
+void agent::publish(const internal::flow_entry& entry, const candidate& to,
+                    duration age)
 {
     const redirect_notice empty{
         m_record.service, to.tag, m_self, m_settings.redirect_lifetime, {}};
-    m_batch.add(empty, to.agent, owned_flow{entry.key, now - entry.opened});
+    m_batch.add(empty, to.agent, owned_flow{entry.key, age});
     ++m_counts.redirects_published;
     m_redirects_left -= std::min(m_redirects_left, 1U);
 }
@@ -113,7 +111,7 @@
         const bool is_other = !chain.empty() && chain[0] != m_self;
         if (is_other && !holds(told, chain[0]))
         {
-            publish(now, entry, chain[0]);
+            publish(entry, chain[0], now - entry.opened);
         }
     };
     // Heads by other tables, which balancers may still use.
@@ -125,6 +123,23 @@
     }
 }
 
+void agent::tell_head(time_point now, internal::flow_entry& entry,
+                      const packet_header& header)
+{
+    const bool head_knows =
+        header.pass == packet_pass::lookup && header.hops == 1;
+    const bool too_soon =
+        now - entry.head_told_at < m_settings.placing_lifetime / 10;
+    if (header.current.empty() || header.current[0] == m_self || head_knows ||
+        too_soon || m_redirects_left == 0)
+    {
+        return;
+    }
+    entry.head_told_at = now;
+    publish(entry, header.current[0], now - entry.opened);
+    send_batch();
+}
+
 void agent::withdraw(const internal::flow_entry& entry)
 {
     if (entry.told == 0)
@@ -230,17 +245,12 @@
                           const owned_flow& owned)
 {
     internal::flow_entry* entry = m_flows.find(owned.flow);
+    if (entry != nullptr && keeps_against(now, *entry, message.owner, owned))
+    {
+        return;
+    }
     if (entry != nullptr)
     {
-        ++m_counts.duplicate_owners;
-        const duration age = now - entry->opened;
-        const bool yields =
-            owned.age != age ? owned.age > age : message.owner.tag < m_tag;
-        if (!yields)
-        {
-            publish(now, *entry, message.owner);
-            return;
-        }
         decide(flow_action::yielded, owned.flow, m_members.digest(),
                message.owner, "longer_owner");
         m_effects.add(internal::reset_upstream_effect{
@@ -248,7 +258,7 @@
         end_flow(owned.flow, "yielded");
     }
     const internal::redirect_entry* known = m_redirects.find(owned.flow, now);
-    const bool differs = known != nullptr && !known->placing &&
+    const bool differs = known != nullptr && !known->is_mark() &&
                          known->to != message.owner &&
                          !m_members.is_gone(known->to.tag);
     if (differs)
@@ -261,10 +271,35 @@
                                   {}};
         m_batch.add(passed_on, known->to.agent, owned);
     }
-    m_redirects.put(internal::redirect_entry{owned.flow, message.owner, false,
+    m_redirects.put(internal::redirect_entry{owned.flow, message.owner,
+                                             packet_pass::lookup,
                                              now + message.lifetime});
 }
 
+bool agent::keeps_against(time_point now, internal::flow_entry& entry,
+                          const candidate& rival, const owned_flow& owned)
+{
+    ++m_counts.duplicate_owners;
+    if (owned.age == owned_flow::decided)
+    {
+        return false;
+    }
+    const duration age = now - entry.opened;
+    if (rival.tag < m_tag)
+    {
+        publish(entry, rival, age);
+        return true;
+    }
+    // Ages are as of the sending: a second comparison might end otherwise.
+    if (owned.age > age && !entry.outlasts_rivals)
+    {
+        return false;
+    }
+    entry.outlasts_rivals = true;
+    publish(entry, rival, owned_flow::decided);
+    return true;
+}
+
 void agent::send(const endpoint& to, peer_message message)
 {
     ++m_counts.notices_sent;
--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -19,26 +19,31 @@
     return nullptr;
 }
 
-bool seen_before(const packet_header& header, std::size_t position)
+std::size_t position_of(const packet_header& header, const candidate& wanted)
 {
-    const candidate& wanted = *candidate_at(header, position);
-    for (std::size_t i = 0; i < position; ++i)
+    const std::size_t count = header.current.size() + header.previous.size();
+    std::size_t position = 0;
+    while (position < count && *candidate_at(header, position) != wanted)
     {
-        if (*candidate_at(header, i) == wanted)
-        {
-            return true;
-        }
+        ++position;
     }
-    return false;
+    return position;
 }
 
-void add_unseen(packet_header& header, const candidate& next)
+void drop_repeated(packet_header& header)
 {
-    const auto holds = [&next](const candidate_chain& chain)
+    const candidate_chain listed = header.previous;
+    header.previous = candidate_chain();
+    for (const candidate& next : listed)
     {
-        return std::find(chain.begin(), chain.end(), next) != chain.end();
-    };
-    if (!holds(header.current) && !holds(header.previous))
+        add_unseen(header, next);
+    }
+}
+
+void add_unseen(packet_header& header, const candidate& next)
+{
+    const std::size_t count = header.current.size() + header.previous.size();
+    if (position_of(header, next) == count)
     {
         header.previous.push_back(next);
     }
@@ -46,9 +51,39 @@
 
 void address_to(packet_header& header, const candidate& to)
 {
+    const std::size_t count = header.current.size() + header.previous.size();
+    const std::size_t found = position_of(header, to);
+    if (found < count)
+    {
+        header.position = static_cast<std::uint8_t>(found);
+        return;
+    }
+    candidate_chain chain;
+    for (const candidate& next : header.current)
+    {
+        if (chain.size() + 1 < candidate_chain::capacity)
+        {
+            chain.push_back(next);
+        }
+    }
+    header.position = static_cast<std::uint8_t>(chain.size());
+    chain.push_back(to);
+    header.current = chain;
+    header.best = packet_header::no_position;
+}
+
+void look_up_at(packet_header& header, const candidate& to)
+{
+    header.pass = packet_pass::lookup;
+    header.best = packet_header::no_position;
     header.previous = candidate_chain();
     header.previous.push_back(to);
     header.position = static_cast<std::uint8_t>(header.current.size());
 }
 
+std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent)
+{
+    return combine_hash(flow_hash, agent.tag);
+}
+
 } // namespace crowlink::internal
--- a/packages/agent/src/redirect_table.cpp
+++ b/packages/agent/src/redirect_table.cpp
@@ -48,7 +48,7 @@
 {
     auto& index = m_entries.get<by_flow>();
     const auto found = index.find(flow);
-    if (found != index.end() && !found->placing && found->to == owner)
+    if (found != index.end() && !found->is_mark() && found->to == owner)
     {
         index.erase(found);
     }
--- /dev/null
+++ b/packages/agent/test/planned_change_test.cpp
@@ -0,0 +1,151 @@
+#include "mesh.hpp"
+
+#include <gtest/gtest.h>
+#include <iostream>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+mesh_settings defaults(std::uint64_t seed)
+{
+    mesh_settings settings;
+    settings.declared.id = service_id(5);
+    settings.declared.sharing.cold_start = 0s;
+    settings.seed = seed;
+    return settings;
+}
+
+// Calls of long flows, each now and then, and of short ones that come anew.
+class workload
+{
+public:
+    workload(mesh& net, std::uint32_t long_flows, std::uint64_t seed)
+        : m_net(net), m_long(long_flows), m_random(seed)
+    {
+    }
+
+    void run(duration time)
+    {
+        for (duration done{}; done < time; done += step)
+        {
+            for (std::uint32_t flow = 0; flow < m_long; ++flow)
+            {
+                if (m_random() % 4 == 0)
+                {
+                    m_net.call(flow);
+                }
+            }
+            // A new flow's first datagrams come at once, through balancers
+            // that may know different tables.
+            const std::uint32_t opened = m_next++;
+            m_net.call(opened);
+            m_net.call(opened);
+            m_net.call(opened);
+            m_net.run(step);
+        }
+    }
+
+    std::uint32_t first_short() const { return first; }
+    std::uint32_t next_short() const { return m_next; }
+
+private:
+    static constexpr duration step = 200ms;
+    static constexpr std::uint32_t first = 1000;
+
+    mesh& m_net;
+    std::uint32_t m_long;
+    std::uint32_t m_next = first;
+    seeded_random m_random;
+};
+
+// One change of the planned kinds, drawn at random.
+void change(mesh& net, seeded_random& random)
+{
+    std::vector<std::size_t> ready;
+    std::vector<std::size_t> draining;
+    for (std::size_t i = 0; i < net.nodes(); ++i)
+    {
+        const bool takes = net.record(i).state == upstream_state::ready;
+        (takes ? ready : draining).push_back(i);
+    }
+    const std::size_t node = ready[random() % ready.size()];
+    switch (random() % 6)
+    {
+    case 0:
+        ready.size() > 4 ? net.drain(node, true) : net.reweigh(node, 100);
+        break;
+    case 1:
+        if (!draining.empty())
+        {
+            net.drain(draining[random() % draining.size()], false);
+        }
+        break;
+    case 2:
+        net.nodes() < 16 ? static_cast<void>(net.join())
+                         : net.reweigh(node, 50);
+        break;
+    case 3:
+        net.reweigh(node, 20 + static_cast<std::uint32_t>(random() % 300));
+        break;
+    case 4:
+        net.replace_balancer(random() % 3);
+        break;
+    default:
+        net.reweigh(node, 100);
+    }
+}
+
+void expect_unbroken(mesh& net, std::uint32_t flows)
+{
+    EXPECT_EQ(net.misplaced, 0U);
+    EXPECT_EQ(net.total().duplicate_owners, 0U);
+    for (std::uint32_t flow = 0; flow < flows; ++flow)
+    {
+        EXPECT_EQ(net.owners(flow).size(), 1U) << flow;
+        EXPECT_EQ(net.caller(flow).reset, 0U) << flow;
+        EXPECT_EQ(net.caller(flow).refused, 0U) << flow;
+        EXPECT_EQ(net.caller(flow).answered, net.caller(flow).sent) << flow;
+    }
+}
+
+class planned_change : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+} // namespace
+
+TEST_P(planned_change, hundreds_of_changes_break_no_flow)
+{
+    mesh net(defaults(GetParam()));
+    net.run(15s);
+    workload work(net, 40, GetParam());
+    work.run(2s);
+    seeded_random random(GetParam());
+    for (int i = 0; i < 300; ++i)
+    {
+        change(net, random);
+        work.run(std::chrono::milliseconds(200 + random() % 3000));
+    }
+    net.run(5s);
+    expect_unbroken(net, 40);
+    for (std::uint32_t flow = work.first_short(); flow < work.next_short();
+         ++flow)
+    {
+        ASSERT_EQ(net.owners(flow).size(), 1U) << flow;
+    }
+    EXPECT_GT(net.total().redirected, 0U);
+    std::cerr << "messages " << net.messages << " forwards " << net.forwards
+              << " dup " << net.total().duplicate_owners << " hops "
+              << net.total().too_many_hops << " pub "
+              << net.total().redirects_published << " div "
+              << net.total().diverted << " mis " << net.misplaced << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, planned_change, testing::Values(1, 2, 3));
+
+} // namespace crowlink::test
--- a/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
@@ -26,12 +26,15 @@
 // Which way a packet is on.
 enum class packet_pass : std::uint8_t
 {
-    // Looks for the flow's owner: current chain, then the previous one.
+    // Looks for the flow's owner: from a balancer to the head of the chain,
+    // and from an agent that knows the owner to that.
     lookup,
     // No owner was found: the candidates are asked in turn to admit the flow.
     admit,
     // The candidates were asked; the one at `position` is to take the flow.
     place,
+    // Goes through both chains, in an order that all agents agree on.
+    walk,
 };
 
 // What travels in front of each caller's packet from a balancer to an agent
