--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -123,7 +123,7 @@
     void forward(packet_header header, const packet_arrived& event,
                  flow_action how, std::string_view reason);
     void leave_mark(time_point now, const packet_header& header,
-                    const candidate& to, packet_pass pass);
+                    const candidate& to, internal::redirect_kind kind);
     std::size_t next_usable(const packet_header& header,
                             std::size_t from) const;
 
--- a/packages/agent/include/crowlink/agent/redirect_table.hpp
+++ b/packages/agent/include/crowlink/agent/redirect_table.hpp
@@ -3,7 +3,6 @@
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/forwarding/candidate.hpp"
-#include "crowlink/forwarding/packet_header.hpp"
 
 #include <boost/multi_index/hashed_index.hpp>
 #include <boost/multi_index/member.hpp>
@@ -15,18 +14,32 @@
 namespace crowlink::internal
 {
 
+// How an agent knows where to ask for a flow.
+enum class redirect_kind : std::uint8_t
+{
+    // Its owner published it.
+    published,
+    // The rest are marks, left where a packet of a flow that is being placed
+    // came by. Later packets follow them, so that one agent decides.
+    // On a walk in search of an owner.
+    walked,
+    // From the end of a walk to the first candidate.
+    ended,
+    // From one candidate to the next.
+    asked,
+    // To the candidate that was chosen.
+    chosen,
+};
+
 // Where to ask for a flow that this agent does not own.
 struct redirect_entry
 {
     flow_key flow;
     candidate to;
-    // On which pass packets go there. `lookup` is a published redirect to the
-    // owner. The others are marks, left while the flow is being placed, where
-    // a packet of it came by: later ones follow it, so that one agent decides.
-    packet_pass pass = packet_pass::lookup;
+    redirect_kind kind = redirect_kind::published;
     time_point expires{};
 
-    bool is_mark() const { return pass != packet_pass::lookup; }
+    bool is_mark() const { return kind != redirect_kind::published; }
 };
 
 // The redirects of others and the marks of flows that are being placed. Soft
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -4,6 +4,8 @@
 namespace crowlink
 {
 
+using internal::redirect_kind;
+
 namespace
 {
 
@@ -166,18 +168,23 @@
                         const internal::redirect_entry& mark)
 {
     const packet_header& header = event.header;
-    // Those on a walk follow the trail of walks in their own way.
-    const bool is_later_pass = mark.pass != packet_pass::walk;
+    // Those on a walk follow a walk's trail in their own way, and those that
+    // ask candidates have the end of the walk behind them.
+    const bool from_walk = mark.kind == redirect_kind::walked;
+    const bool is_behind =
+        mark.kind == redirect_kind::ended && header.pass == packet_pass::admit;
     const bool applies = may_open(header.role) &&
-                         header.pass != packet_pass::place && is_later_pass &&
-                         mark.to != m_self && !m_members.is_gone(mark.to.tag);
+                         header.pass != packet_pass::place && !from_walk &&
+                         !is_behind && mark.to != m_self &&
+                         !m_members.is_gone(mark.to.tag);
     if (!applies)
     {
         return false;
     }
     packet_header sent = header;
     internal::address_to(sent, mark.to);
-    sent.pass = mark.pass;
+    sent.pass = mark.kind == redirect_kind::chosen ? packet_pass::place
+                                                   : packet_pass::admit;
     ++m_counts.diverted;
     forward(sent, event, flow_action::looked_up, "being_placed");
     return true;
@@ -250,7 +257,8 @@
     const std::uint64_t hash = stable_hash(header.flow);
     const std::uint64_t here = internal::walk_order(hash, m_self);
     const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
-    const bool has_trail = mark != nullptr && mark->pass == packet_pass::walk &&
+    const bool has_trail = mark != nullptr &&
+                           mark->kind == redirect_kind::walked &&
                            may_open(header.role);
     if (has_trail)
     {
@@ -271,7 +279,7 @@
         return;
     }
     const candidate to = *next;
-    leave_mark(now, header, to, packet_pass::walk);
+    leave_mark(now, header, to, redirect_kind::walked);
     internal::address_to(header, to);
     ++m_counts.looked_up;
     forward(header, event, flow_action::looked_up, "owner_unknown");
@@ -311,7 +319,7 @@
             place(now, header, event);
             return;
         }
-        leave_mark(now, header, adopter, packet_pass::place);
+        leave_mark(now, header, adopter, redirect_kind::chosen);
         forward(header, event, flow_action::looked_up, "may_adopt");
         return;
     }
@@ -355,7 +363,7 @@
         ask_to_admit(now, header, event);
         return;
     }
-    leave_mark(now, header, head, packet_pass::admit);
+    leave_mark(now, header, head, redirect_kind::ended);
     ++m_counts.looked_up;
     forward(header, event, flow_action::looked_up, "no_owner");
 }
@@ -396,7 +404,7 @@
         return;
     }
     header.position = static_cast<std::uint8_t>(next);
-    leave_mark(now, header, header.current[next], packet_pass::admit);
+    leave_mark(now, header, header.current[next], redirect_kind::asked);
     ++m_counts.handed_off;
     forward(header, event, flow_action::handed_off, "compare_load");
 }
@@ -417,7 +425,7 @@
     }
     header.position = header.best;
     header.pass = packet_pass::place;
-    leave_mark(now, header, chosen, packet_pass::place);
+    leave_mark(now, header, chosen, redirect_kind::chosen);
     ++m_counts.handed_off;
     forward(header, event, flow_action::handed_off, "least_load");
 }
@@ -492,7 +500,7 @@
 }
 
 void agent::leave_mark(time_point now, const packet_header& header,
-                       const candidate& to, packet_pass pass)
+                       const candidate& to, internal::redirect_kind kind)
 {
     const internal::redirect_entry* known = m_redirects.find(header.flow, now);
     const bool is_published = known != nullptr && !known->is_mark();
@@ -501,7 +509,7 @@
         return;
     }
     m_redirects.put(internal::redirect_entry{
-        header.flow, to, pass, now + m_settings.placing_lifetime});
+        header.flow, to, kind, now + m_settings.placing_lifetime});
 }
 
 std::size_t agent::next_usable(const packet_header& header,
--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -272,7 +272,8 @@
         m_batch.add(passed_on, known->to.agent, owned);
     }
     m_redirects.put(internal::redirect_entry{owned.flow, message.owner,
-                                             packet_pass::lookup,
+
+                                             internal::redirect_kind::published,
                                              now + message.lifetime});
 }
 
