--- a/packages/forwarding/include/crowlink/forwarding/candidate.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/candidate.hpp
@@ -16,7 +16,10 @@
 
 inline upstream_tag tag_of(const upstream_id& id, incarnation started)
 {
-    return static_cast<upstream_tag>(stable_hash(id.value(), started.value()));
+    // Not the incarnation as a seed: XXH3 only XORs it into texts of up to
+    // three characters, so that "u2" and "u3" of two starts would be one tag.
+    return static_cast<upstream_tag>(
+        combine_hash(stable_hash(id.value()), started.value()));
 }
 
 // One agent that may take a flow.
--- a/packages/forwarding/src/forwarding_table.cpp
+++ b/packages/forwarding/src/forwarding_table.cpp
@@ -106,9 +106,9 @@
 std::uint64_t digest_of(const upstream_record& member)
 {
     const std::uint64_t name =
-        stable_hash(member.id.value(), member.started.value());
+        combine_hash(stable_hash(member.id.value()), member.started.value());
     const std::uint64_t agent =
-        stable_hash(member.agent.to_string(), member.weight);
+        combine_hash(stable_hash(member.agent.to_string()), member.weight);
     return combine_hash(name, agent);
 }
 
