--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -22,6 +22,10 @@
 void drop_repeated(packet_header& header);
 void add_unseen(packet_header& header, const candidate& next);
 
+// Adds an agent to the previous chain of a packet on a walk; where that is
+// full, in place of one that was met already.
+void add_on_walk(packet_header& header, const candidate& next);
+
 // Makes an agent the one addressed. One that isn't listed takes the last place
 // of the current chain; on the lookup pass, that of the whole previous chain.
 void address_to(packet_header& header, const candidate& to);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -260,11 +260,11 @@
     const bool has_trail = mark != nullptr &&
                            mark->kind == redirect_kind::walked &&
                            may_open(header.role);
+    internal::address_to(header, m_self);
     if (has_trail)
     {
-        internal::add_unseen(header, mark->to);
+        internal::add_on_walk(header, mark->to);
     }
-    internal::address_to(header, m_self);
     const bool is_likely_owner =
         header.role == packet_role::continues || header.position == 0;
     if (header.best == packet_header::no_position && is_likely_owner &&
--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -49,6 +49,31 @@
     }
 }
 
+void add_on_walk(packet_header& header, const candidate& next)
+{
+    add_unseen(header, next);
+    const std::size_t count = header.current.size() + header.previous.size();
+    if (position_of(header, next) < count)
+    {
+        return;
+    }
+    const std::uint64_t hash = stable_hash(header.flow);
+    const std::uint64_t here =
+        walk_order(hash, *candidate_at(header, header.position));
+    candidate_chain kept;
+    bool replaced = false;
+    for (std::size_t i = 0; i < header.previous.size(); ++i)
+    {
+        const candidate& old = header.previous[i];
+        const bool is_needed = walk_order(hash, old) > here ||
+                               header.current.size() + i == header.best;
+        const bool replace = !replaced && !is_needed;
+        kept.push_back(replace ? next : old);
+        replaced = replaced || replace;
+    }
+    header.previous = kept;
+}
+
 void address_to(packet_header& header, const candidate& to)
 {
     const std::size_t count = header.current.size() + header.previous.size();
