--- a/bench/requests/surge.cpp
+++ b/bench/requests/surge.cpp
@@ -29,9 +29,10 @@
 }
 
 template <class Caller>
-nlohmann::ordered_json measure(double load)
+nlohmann::ordered_json measure(double load, std::size_t queue_limit)
 {
-    const surge_result result = surge_world<Caller>(load, seed).run();
+    const surge_result result =
+        surge_world<Caller>(load, seed, queue_limit).run();
     const auto fresh = static_cast<double>(result.fresh);
     return {{"fresh", result.fresh},
             {"sent_per_fresh", static_cast<double>(result.sent) / fresh},
@@ -55,12 +56,20 @@
 int main()
 {
     using namespace crowlink;
+    const std::size_t by_default = admission_settings().queue_limit;
     nlohmann::ordered_json out;
     for (const int load : {1, 2, 4, 7, 10})
     {
         nlohmann::ordered_json& of = out["load x" + std::to_string(load)];
-        of["budget"] = bench::measure<request_caller>(load);
-        of["naive"] = bench::measure<bench::naive_caller>(load);
+        of["budget"] = bench::measure<request_caller>(load, by_default);
+        of["naive"] = bench::measure<bench::naive_caller>(load, by_default);
+    }
+    for (const std::size_t limit : {4, 8, 16, 32, 64})
+    {
+        nlohmann::ordered_json& of =
+            out["queue limit " + std::to_string(limit)];
+        of["load x1"] = bench::measure<request_caller>(1, limit);
+        of["load x4"] = bench::measure<request_caller>(4, limit);
     }
     std::puts(out.dump(2).c_str());
 }
--- a/bench/requests/surge_world.hpp
+++ b/bench/requests/surge_world.hpp
@@ -45,11 +45,12 @@
 class surge_world
 {
 public:
-    surge_world(double load, std::uint64_t seed)
+    surge_world(double load, std::uint64_t seed, std::size_t queue_limit)
         : m_load(load), m_arrivals(seed), m_random(seed + 1)
     {
         admission_settings admission;
         admission.slots = slot_count;
+        admission.queue_limit = queue_limit;
         admission.kinds = {{"hold", 1, false}, {"read", 1, true}};
         for (std::size_t index = 0; index < agent_count; ++index)
         {
--- a/packages/requests/include/crowlink/requests/admission_settings.hpp
+++ b/packages/requests/include/crowlink/requests/admission_settings.hpp
@@ -20,7 +20,7 @@
     std::uint32_t slots = 4;
     std::vector<request_kind> kinds;
     // Requests that wait for a slot, of all kinds.
-    std::size_t queue_limit = 64;
+    std::size_t queue_limit = 32;
     // A request whose expected wait is longer is refused at once.
     duration longest_wait = std::chrono::milliseconds(500);
     // Told to a refused caller at least.
--- a/packages/requests/include/crowlink/requests/remembered_request.hpp
+++ b/packages/requests/include/crowlink/requests/remembered_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/requests/request_answer.hpp"
+#include "crowlink/requests/request_id.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -12,6 +13,8 @@
 struct remembered_request
 {
     std::uint64_t sequence = 0;
+    // The request that it was first used for.
+    request_id id;
     // The job that works on it; meaningless once there is an answer.
     std::uint64_t job = 0;
     // Null while it is pending.
--- a/packages/requests/src/admission_receive.cpp
+++ b/packages/requests/src/admission_receive.cpp
@@ -63,6 +63,12 @@
         ++m_counts.duplicates;
         return;
     }
+    if (seen.request->id != message.id)
+    {
+        // One request must never get the answer to another.
+        ++m_counts.invalid;
+        return;
+    }
     if (seen.request->answer == nullptr)
     {
         add_part(on, message, m_jobs.at(seen.request->job));
@@ -90,8 +96,14 @@
         ++m_counts.duplicates;
         return;
     }
+    if (seen.kind == sighting_kind::known && seen.request->id != message.id)
+    {
+        ++m_counts.invalid;
+        return;
+    }
     if (seen.kind == sighting_kind::fresh)
     {
+        seen.request->id = message.id;
         // Remembered, so that the request itself does not run if it is late.
         const request_answer* answer = m_memory.finish(
             message.under.session, message.sequence,
@@ -128,6 +140,7 @@
     fresh.charged = job_overhead;
     m_body_bytes += fresh.charged;
     remembered.job = fresh.number;
+    remembered.id = message.id;
     job& kept = m_jobs.emplace(fresh.number, std::move(fresh)).first->second;
     const std::optional<kind_index> kind = kind_named(message.kind);
     if (!kind || (message.idempotent && !m_settings.kinds[*kind].idempotent))
--- a/packages/requests/src/caller_path.cpp
+++ b/packages/requests/src/caller_path.cpp
@@ -20,13 +20,7 @@
     m_opening = false;
     m_heard = now;
     m_refused_until = {};
-    if (m_ticket == fresh)
-    {
-        return;
-    }
     m_ticket = fresh;
-    m_next_sequence = 1;
-    m_unsettled.clear();
 }
 
 void caller_path::drop(const ticket& stale)
@@ -62,12 +56,9 @@
     return m_next_sequence++;
 }
 
-void caller_path::settle(const ticket& under, std::uint64_t sequence)
+void caller_path::settle(std::uint64_t sequence)
 {
-    if (m_ticket == under)
-    {
-        m_unsettled.erase(sequence);
-    }
+    m_unsettled.erase(sequence);
 }
 
 std::uint64_t caller_path::settled_below() const
--- a/packages/requests/src/caller_path.hpp
+++ b/packages/requests/src/caller_path.hpp
@@ -26,7 +26,8 @@
     void count_try() { ++m_tries; }
     void end_opening() { m_opening = false; }
 
-    // A ticket was granted. Another one than before starts sequences anew.
+    // A ticket was granted: the one before, or another if the path now leads
+    // to another agent.
     void grant(time_point now, const ticket& fresh);
     void refuse_until(time_point until) { m_refused_until = until; }
 
@@ -44,7 +45,7 @@
     bool needs_opening(std::optional<time_point> confirmed_since) const;
 
     std::uint64_t take_sequence();
-    void settle(const ticket& under, std::uint64_t sequence);
+    void settle(std::uint64_t sequence);
     std::uint64_t settled_below() const;
 
 private:
@@ -54,6 +55,8 @@
     std::uint32_t m_tries = 0;
     time_point m_heard{};
     time_point m_refused_until{};
+    // Never starts anew: a path may come back to an agent that remembers its
+    // secret and earlier sequences.
     std::uint64_t m_next_sequence = 1;
     std::set<std::uint64_t> m_unsettled;
 };
--- a/packages/requests/src/caller_receive.cpp
+++ b/packages/requests/src/caller_receive.cpp
@@ -144,7 +144,7 @@
     request.reason = message.reason;
     request.retry_after = message.retry_after;
     caller_path& path = m_paths[attempt.path];
-    path.settle(attempt.under, attempt.sequence);
+    path.settle(attempt.sequence);
     if (message.reason == answer_reason::stale_ticket)
     {
         path.drop(attempt.under);
--- a/packages/requests/src/caller_send.cpp
+++ b/packages/requests/src/caller_send.cpp
@@ -266,16 +266,13 @@
                                std::size_t index, caller_effects& effects)
 {
     caller_attempt& attempt = request.attempts[index];
-    const caller_path& path = m_paths[attempt.path];
     request.phase = request_phase::in_flight;
     request_part part;
     part.id = {m_caller, request.number};
     part.attempt = static_cast<std::uint32_t>(index + 1);
     part.under = attempt.under;
     part.sequence = attempt.sequence;
-    // Under an earlier ticket of the path nothing more is known to be settled.
-    part.settled_below =
-        path.granted() == attempt.under ? path.settled_below() : 0;
+    part.settled_below = m_paths[attempt.path].settled_below();
     part.kind = request.wanted.kind;
     part.idempotent = request.wanted.idempotent;
     part.remaining = request.deadline - now;
@@ -333,7 +330,7 @@
             send_cancel(request, index, effects);
         }
         const caller_attempt& attempt = request.attempts[index];
-        m_paths[attempt.path].settle(attempt.under, attempt.sequence);
+        m_paths[attempt.path].settle(attempt.sequence);
     }
     const std::uint64_t number = request.number;
     effects.outcomes.push_back(
--- a/packages/requests/test/history.cpp
+++ b/packages/requests/test/history.cpp
@@ -55,11 +55,12 @@
     return settings;
 }
 
-caller_settings history::calling()
+caller_settings history::calling() const
 {
     caller_settings settings;
     settings.paths = path_count;
     settings.retry_ratio = 0.3;
+    settings.ticket_fresh_for = std::chrono::milliseconds(m_settings.fresh_for);
     return settings;
 }
 
@@ -246,7 +247,7 @@
     }
 }
 
-void history::travel(std::function<void()> arrive)
+void history::travel(const std::function<void()>& arrive)
 {
     const int copies = chance(m_settings.duplicates) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy)
--- a/packages/requests/test/history.hpp
+++ b/packages/requests/test/history.hpp
@@ -44,7 +44,7 @@
     };
 
     static admission_settings admission(int sessions);
-    static caller_settings calling();
+    caller_settings calling() const;
     bool chance(int percent);
     duration delay(int longest);
     void at(time_point when, std::function<void()> what);
@@ -59,7 +59,7 @@
     void carry_out_agent(std::size_t index);
     void deliver(path_index path, const std::string& bytes);
     void note_send(const std::string& bytes);
-    void travel(std::function<void()> arrive);
+    void travel(const std::function<void()>& arrive);
     void expect(bool holds, const std::string& what, std::uint64_t number);
     void check();
     void check_one(std::uint64_t number, const submitted& of);
--- a/packages/requests/test/history_settings.hpp
+++ b/packages/requests/test/history_settings.hpp
@@ -27,6 +27,8 @@
     int faults = 0;
     int requests = 60;
     int sessions = 100;
+    // How long a caller relies on a ticket unconfirmed, in milliseconds.
+    int fresh_for = 100;
     // The shortest deadline, in milliseconds.
     int least_deadline = 20;
 
@@ -39,7 +41,7 @@
                   << " cancels " << from.cancels << " delay " << from.delay
                   << " agents " << from.agents << " faults " << from.faults
                   << " requests " << from.requests << " sessions "
-                  << from.sessions;
+                  << from.sessions << " fresh_for " << from.fresh_for;
     }
 };
 
--- a/packages/requests/test/history_test.cpp
+++ b/packages/requests/test/history_test.cpp
@@ -27,7 +27,8 @@
         set(&history_settings::agents, inRange(1, 5)),
         set(&history_settings::faults, inRange(0, 40)),
         set(&history_settings::requests, inRange(1, 300)),
-        set(&history_settings::sessions, inRange(1, 20)));
+        set(&history_settings::sessions, inRange(1, 20)),
+        set(&history_settings::fresh_for, inRange(0, 200)));
 }
 
 TEST(history, every_promise_holds_in_random_histories)
--- a/packages/requests/test/request_admission_test.cpp
+++ b/packages/requests/test/request_admission_test.cpp
@@ -94,6 +94,19 @@
     EXPECT_EQ(m_effects.to_upstream.size(), 1U);
 }
 
+TEST_F(request_admission_test, a_reused_sequence_gets_nobody_elses_answer)
+{
+    send(part(1));
+    end_run(verdict::ran, milliseconds(10));
+    m_effects.to_callers.clear();
+    request_part other = part(1);
+    ++other.id.number;
+    send(other);
+    send(request_cancel{other.id, 1, m_ticket, 1});
+    EXPECT_TRUE(m_effects.to_callers.empty());
+    EXPECT_EQ(m_agent.counts().invalid, 2U);
+}
+
 TEST_F(request_admission_test, what_was_refused_does_not_run_later)
 {
     send(part(1, "hold", duration{}));
