--- a/packages/requests/test/at_most_once_test.cpp
+++ b/packages/requests/test/at_most_once_test.cpp
@@ -1,7 +1,10 @@
 #include "crowlink/requests/at_most_once.hpp"
 
 #include <gtest/gtest.h>
+#include <map>
+#include <ostream>
 #include <set>
+#include <vector>
 
 namespace crowlink
 {
@@ -118,14 +121,14 @@
     int late_after_memory_pressure = 0;
 
     friend bool operator==(const history_runs&, const history_runs&) = default;
+    friend std::ostream& operator<<(std::ostream& to, const history_runs& runs)
+    {
+        return to << runs.duplicated << ' ' << runs.resent_to_another_agent
+                  << ' ' << runs.resent_after_restart << ' '
+                  << runs.late_after_memory_pressure;
+    }
 };
 
-void PrintTo(const history_runs& runs, std::ostream* to)
-{
-    *to << runs.duplicated << ' ' << runs.resent_to_another_agent << ' '
-        << runs.resent_after_restart << ' ' << runs.late_after_memory_pressure;
-}
-
 template <class Memory>
 history_runs run_histories()
 {
--- a/packages/requests/test/loopback_agent.hpp
+++ b/packages/requests/test/loopback_agent.hpp
@@ -6,7 +6,7 @@
 #include "naive_service.hpp"
 
 #include <array>
-#include <cstring>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -26,7 +26,7 @@
         own.sin_family = AF_INET;
         own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof own;
-        ::bind(m_socket, reinterpret_cast<sockaddr*>(&own), size);
+        EXPECT_EQ(::bind(m_socket, reinterpret_cast<sockaddr*>(&own), size), 0);
         ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&own), &size);
         m_port = ntohs(own.sin_port);
     }
--- a/packages/requests/test/request_caller_test.cpp
+++ b/packages/requests/test/request_caller_test.cpp
@@ -267,6 +267,34 @@
     EXPECT_EQ(m_sent.size(), 2U);
 }
 
+TEST_F(request_caller_test, a_path_never_uses_a_sequence_again)
+{
+    submit(false, milliseconds(100));
+    refuse(m_sent.at(0), verdict::may_have_run, answer_reason::stale_ticket);
+    const ticket first = m_sent[0].under;
+    // Other agents answer, and then the first one again, by the same ticket.
+    for (std::uint64_t agent = 5; agent < 8; ++agent)
+    {
+        m_now += std::chrono::seconds(10);
+        m_caller.submit(m_now, {"kind", false, milliseconds(100), ""},
+                        m_effects);
+        const auto sent = decode_caller_message(take_datagrams().at(0).bytes);
+        ticket granted = {incarnation(agent), 1,
+                          std::get<open_session>(*sent).secret};
+        granted = agent == 7 ? first : granted;
+        receive(0, session_opened{
+                       std::get<open_session>(*sent).secret, granted, {}});
+        grant_tickets();
+        refuse(m_sent.back(), verdict::not_run, answer_reason::wrong_kind);
+    }
+    ASSERT_EQ(m_sent.size(), 4U);
+    EXPECT_EQ(m_sent.back().under, first);
+    for (std::size_t index = 1; index < m_sent.size(); ++index)
+    {
+        EXPECT_GT(m_sent[index].sequence, m_sent[index - 1].sequence);
+    }
+}
+
 TEST_F(request_caller_test, retries_stay_within_the_budget_when_all_fail)
 {
     constexpr int fresh = 1000;
