--- a/packages/requests/include/crowlink/requests/answer_reason.hpp
+++ b/packages/requests/include/crowlink/requests/answer_reason.hpp
@@ -31,9 +31,11 @@
     unreachable = 9,
     // The body or the kind's name is longer than a request may be.
     too_large = 10,
+    // The agent takes no new work: the caller had better open another flow.
+    draining = 11,
 };
 
-constexpr answer_reason last_answer_reason = answer_reason::too_large;
+constexpr answer_reason last_answer_reason = answer_reason::draining;
 
 std::string_view to_string(answer_reason reason);
 
--- a/packages/requests/include/crowlink/requests/caller_effects.hpp
+++ b/packages/requests/include/crowlink/requests/caller_effects.hpp
@@ -10,7 +10,8 @@
 namespace crowlink
 {
 
-// Index of one of a caller's flows to the service.
+// Index of one of a caller's flows to the service. A new index asks for a new
+// flow: a socket with another port.
 using path_index = std::uint32_t;
 
 // A datagram to send on one path.
@@ -28,6 +29,8 @@
 {
     std::vector<caller_datagram> datagrams;
     std::vector<request_outcome> outcomes;
+    // Paths that will never be used again.
+    std::vector<path_index> closed;
 
     friend bool operator==(const caller_effects&,
                            const caller_effects&) = default;
--- a/packages/requests/include/crowlink/requests/request_admission.hpp
+++ b/packages/requests/include/crowlink/requests/request_admission.hpp
@@ -44,6 +44,12 @@
     void upstream_lost(admission_effects& effects);
     void upstream_ready(time_point now, admission_effects& effects);
 
+    // The upstream is leaving: what was admitted still runs, and nothing else
+    // is. Callers are told to open other flows, and do so within the time that
+    // they rely on a ticket unconfirmed (caller_settings), so an agent stays
+    // for longer than that and until nothing runs or waits.
+    void drain();
+
     // The service's document or the limits changed. What runs runs on; queued
     // requests of a kind that is gone are refused.
     void apply(time_point now, const admission_settings& settings,
--- a/packages/requests/include/crowlink/requests/session_opened.hpp
+++ b/packages/requests/include/crowlink/requests/session_opened.hpp
@@ -17,6 +17,8 @@
     std::uint64_t secret = 0;
     std::optional<ticket> granted;
     duration retry_after{};
+    // The agent takes no new work: the caller had better open another flow.
+    bool draining = false;
 
     friend auto operator<=>(const session_opened&,
                             const session_opened&) = default;
--- a/packages/requests/src/admission_core.hpp
+++ b/packages/requests/src/admission_core.hpp
@@ -37,6 +37,7 @@
                          admission_effects& effects);
     void upstream_lost(admission_effects& effects);
     void upstream_ready(time_point now, admission_effects& effects);
+    void drain() { m_draining = true; }
     void apply(time_point now, const admission_settings& settings,
                admission_effects& effects);
     void advance(time_point now, admission_effects& effects);
@@ -92,6 +93,7 @@
     std::uint64_t m_last_job = 0;
     std::size_t m_body_bytes = 0;
     bool m_upstream_up = true;
+    bool m_draining = false;
     admission_counts m_counts;
 };
 
--- a/packages/requests/src/admission_receive.cpp
+++ b/packages/requests/src/admission_receive.cpp
@@ -35,8 +35,12 @@
 {
     session_opened opened;
     opened.secret = message.secret;
-    opened.granted = m_memory.open(on.now, message.secret);
-    if (!opened.granted)
+    opened.draining = m_draining;
+    if (!m_draining)
+    {
+        opened.granted = m_memory.open(on.now, message.secret);
+    }
+    if (!opened.granted && !m_draining)
     {
         opened.retry_after = m_settings.memory.keep;
     }
@@ -142,6 +146,11 @@
     remembered.job = fresh.number;
     remembered.id = message.id;
     job& kept = m_jobs.emplace(fresh.number, std::move(fresh)).first->second;
+    if (m_draining)
+    {
+        refuse(kept, answer_reason::draining, on.effects);
+        return;
+    }
     const std::optional<kind_index> kind = kind_named(message.kind);
     if (!kind || (message.idempotent && !m_settings.kinds[*kind].idempotent))
     {
--- a/packages/requests/src/agent_messages.cpp
+++ b/packages/requests/src/agent_messages.cpp
@@ -18,6 +18,7 @@
         write(*from.granted, *opened.mutable_granted());
     }
     opened.set_retry_after(to_microseconds(from.retry_after));
+    opened.set_draining(from.draining);
 }
 
 void write_message(const answer_part& from, pb::agent_message& to)
@@ -42,6 +43,7 @@
         opened.granted = read(from.granted());
     }
     opened.retry_after = from_microseconds(from.retry_after());
+    opened.draining = from.draining();
     return opened;
 }
 
--- a/packages/requests/src/answer_reason.cpp
+++ b/packages/requests/src/answer_reason.cpp
@@ -29,6 +29,8 @@
         return "unreachable";
     case answer_reason::too_large:
         return "too_large";
+    case answer_reason::draining:
+        return "draining";
     }
     return "unknown";
 }
--- a/packages/requests/src/caller_core.hpp
+++ b/packages/requests/src/caller_core.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "answer_time.hpp"
-#include "caller_path.hpp"
+#include "caller_paths.hpp"
 #include "caller_request.hpp"
 #include "crowlink/base/random.hpp"
 #include "crowlink/requests/answer_part.hpp"
@@ -73,6 +73,10 @@
 
     // Paths.
     void open(time_point now, path_index path, caller_effects& effects);
+    duration opening_time(const caller_path& opened) const;
+    path_index replace(path_index path, caller_effects& effects);
+    void leave(time_point now, path_index path, caller_effects& effects);
+    void settle(const caller_attempt& attempt, caller_effects& effects);
     void open_next(time_point now, path_index path, caller_effects& effects);
     void open_one(time_point now, const caller_request& request,
                   caller_effects& effects);
@@ -88,8 +92,7 @@
     std::uint64_t m_last_number = 0;
     retry_budget m_budget;
     answer_time m_answer_time;
-    std::vector<caller_path> m_paths;
-    path_index m_next_path = 0;
+    caller_paths m_paths;
     std::unordered_map<std::uint64_t, caller_request> m_requests;
     // Requests in phase waiting, oldest first.
     std::set<std::uint64_t> m_waiting;
--- a/packages/requests/src/caller_path.cpp
+++ b/packages/requests/src/caller_path.cpp
@@ -12,12 +12,14 @@
         m_secret = drawn;
     }
     m_opening = true;
-    m_tries = 1;
+    ++m_tries;
 }
 
 void caller_path::grant(time_point now, const ticket& fresh)
 {
     m_opening = false;
+    m_doubted = false;
+    m_tries = 0;
     m_heard = now;
     m_refused_until = {};
     m_ticket = fresh;
@@ -36,6 +38,15 @@
     if (m_ticket == under)
     {
         m_heard = now;
+        m_doubted = false;
+    }
+}
+
+void caller_path::doubt(time_point sent)
+{
+    if (m_heard <= sent)
+    {
+        m_doubted = true;
     }
 }
 
@@ -47,7 +58,8 @@
 
 bool caller_path::needs_opening(std::optional<time_point> confirmed_since) const
 {
-    return !m_ticket || (confirmed_since && m_heard < *confirmed_since);
+    return !m_ticket || m_doubted ||
+           (confirmed_since && m_heard < *confirmed_since);
 }
 
 std::uint64_t caller_path::take_sequence()
--- a/packages/requests/src/caller_path.hpp
+++ b/packages/requests/src/caller_path.hpp
@@ -14,6 +14,9 @@
 class caller_path
 {
 public:
+    // The tries are those of the path that this one replaces.
+    explicit caller_path(std::uint32_t tries = 0) : m_tries(tries) {}
+
     const std::optional<ticket>& granted() const { return m_ticket; }
     bool opening() const { return m_opening; }
     std::uint32_t tries() const { return m_tries; }
@@ -26,6 +29,11 @@
     void count_try() { ++m_tries; }
     void end_opening() { m_opening = false; }
 
+    // An attempt went unanswered: unless something was heard since it was sent,
+    // the path is to be confirmed before it is used again.
+    void doubt(time_point sent);
+    bool doubted() const { return m_doubted; }
+
     // A ticket was granted: the one before, or another if the path now leads
     // to another agent.
     void grant(time_point now, const ticket& fresh);
@@ -47,11 +55,14 @@
     std::uint64_t take_sequence();
     void settle(std::uint64_t sequence);
     std::uint64_t settled_below() const;
+    bool settled() const { return m_unsettled.empty(); }
 
 private:
     std::optional<ticket> m_ticket;
     std::uint64_t m_secret = 0;
     bool m_opening = false;
+    bool m_doubted = false;
+    // Openings that were sent since a ticket was granted.
     std::uint32_t m_tries = 0;
     time_point m_heard{};
     time_point m_refused_until{};
--- a/packages/requests/src/caller_receive.cpp
+++ b/packages/requests/src/caller_receive.cpp
@@ -14,6 +14,8 @@
 
 // A path's opening is resent at most this many doublings apart.
 constexpr std::uint32_t longest_doubling = 6;
+// Unanswered openings after which a new flow takes a path's place.
+constexpr std::uint32_t tries_of_a_path = 3;
 
 bool worth_a_retry(answer_reason reason)
 {
@@ -24,6 +26,7 @@
     case answer_reason::upstream_lost:
     case answer_reason::upstream_refused:
     case answer_reason::answer_lost:
+    case answer_reason::draining:
         return true;
     default:
         return false;
@@ -36,7 +39,7 @@
                           std::string_view datagram, caller_effects& effects)
 {
     const auto message = decode_agent_message(datagram);
-    if (!message || path >= m_paths.size())
+    if (!message || m_paths.find(path) == nullptr)
     {
         ++m_ignored;
         return;
@@ -49,8 +52,9 @@
 void caller_core::take(time_point now, path_index path,
                        const session_opened& message, caller_effects& effects)
 {
-    caller_path& opened = m_paths[path];
-    if (!opened.opening() || message.secret != opened.secret())
+    caller_path& opened = m_paths.at(path);
+    if (!opened.opening() || message.secret != opened.secret() ||
+        !m_paths.in_use(path))
     {
         ++m_ignored;
         return;
@@ -61,6 +65,11 @@
         m_path_wakeups.clear(path);
         return;
     }
+    if (message.draining)
+    {
+        leave(now, path, effects);
+        return;
+    }
     opened.refuse_until(now + message.retry_after);
     m_path_wakeups.set(path, opened.refused_until());
     open_next(now, path, effects);
@@ -70,11 +79,7 @@
 // Ends what waits if every path was refused until after its deadline.
 void caller_core::refuse_waiting(time_point now, caller_effects& effects)
 {
-    time_point earliest = time_point::max();
-    for (const caller_path& path : m_paths)
-    {
-        earliest = std::min(earliest, path.refused_until());
-    }
+    const time_point earliest = m_paths.earliest_refusal();
     if (earliest <= now)
     {
         return;
@@ -109,7 +114,7 @@
         ++m_ignored;
         return;
     }
-    m_paths[path].hear(now, attempt.under);
+    m_paths.at(path).hear(now, attempt.under);
     if (message.outcome != verdict::ran)
     {
         take_refusal(now, request, message, effects);
@@ -143,12 +148,16 @@
                            : attempt_standing::unknown;
     request.reason = message.reason;
     request.retry_after = message.retry_after;
-    caller_path& path = m_paths[attempt.path];
-    path.settle(attempt.sequence);
     if (message.reason == answer_reason::stale_ticket)
     {
-        path.drop(attempt.under);
+        m_paths.at(attempt.path).drop(attempt.under);
     }
+    if (message.reason == answer_reason::draining &&
+        m_paths.in_use(attempt.path))
+    {
+        leave(now, attempt.path, effects);
+    }
+    settle(attempt, effects);
     if (has_outstanding(request))
     {
         return;
@@ -159,8 +168,11 @@
         return;
     }
     const time_point due = retry_time(now, request);
+    // An agent that leaves refuses each path once: a planned change costs no
+    // retry.
+    const bool free = message.reason == answer_reason::draining;
     if (due >= request.deadline || !may_retry(request, message.reason) ||
-        !m_budget.withdraw())
+        (!free && !m_budget.withdraw()))
     {
         finish_without_answer(request, message.reason, effects);
         return;
@@ -192,7 +204,7 @@
 
 void caller_core::open(time_point now, path_index path, caller_effects& effects)
 {
-    caller_path& opened = m_paths[path];
+    caller_path& opened = m_paths.at(path);
     if (opened.opening())
     {
         return;
@@ -204,34 +216,88 @@
 void caller_core::send_open(time_point now, path_index path,
                             caller_effects& effects)
 {
-    caller_path& opened = m_paths[path];
+    caller_path& opened = m_paths.at(path);
     effects.datagrams.push_back(
         {path, encode(caller_message(open_session{opened.secret()}))});
+    m_path_wakeups.set(path, now + opening_time(opened));
+}
+
+duration caller_core::opening_time(const caller_path& opened) const
+{
     const std::uint32_t doublings =
         std::min(opened.tries() - 1, longest_doubling);
-    m_path_wakeups.set(path, now + m_settings.resend_after * (1U << doublings));
+    return m_settings.resend_after * (1U << doublings);
 }
 
+// The opening of a path went unanswered, or may be asked for again.
 void caller_core::take_due_path(time_point now, path_index path,
                                 caller_effects& effects)
 {
-    caller_path& opened = m_paths[path];
-    if (m_waiting.empty())
+    caller_path& opened = m_paths.at(path);
+    const bool wanted = !m_waiting.empty();
+    if (opened.tries() % tries_of_a_path == 0)
+    {
+        // Something on the way may have lost track of this flow.
+        path = replace(path, effects);
+        if (!wanted)
+        {
+            return;
+        }
+        open(now, path, effects);
+    }
+    else if (wanted || opened.doubted())
+    {
+        opened.count_try();
+        send_open(now, path, effects);
+    }
+    else
     {
         opened.end_opening();
         return;
     }
-    opened.count_try();
-    send_open(now, path, effects);
-    // The agent of this path may be gone.
     open_next(now, path, effects);
 }
 
+path_index caller_core::replace(path_index path, caller_effects& effects)
+{
+    m_path_wakeups.clear(path);
+    const path_index fresh = m_paths.replace(path);
+    if (m_paths.find(path) == nullptr)
+    {
+        effects.closed.push_back(path);
+    }
+    return fresh;
+}
+
+// The agent behind a path leaves: a new flow finds another one, at once unless
+// this was a new flow itself.
+void caller_core::leave(time_point now, path_index path,
+                        caller_effects& effects)
+{
+    const path_index fresh = replace(path, effects);
+    caller_path& opened = m_paths.at(fresh);
+    if (opened.tries() == 0)
+    {
+        open(now, fresh, effects);
+        return;
+    }
+    opened.begin_opening(m_random());
+    m_path_wakeups.set(fresh, now + opening_time(opened));
+}
+
+void caller_core::settle(const caller_attempt& attempt, caller_effects& effects)
+{
+    if (m_paths.settle(attempt.path, attempt.sequence))
+    {
+        effects.closed.push_back(attempt.path);
+    }
+}
+
 void caller_core::open_next(time_point now, path_index path,
                             caller_effects& effects)
 {
-    const auto next = static_cast<path_index>((path + 1) % m_paths.size());
-    if (!m_paths[next].granted())
+    const path_index next = m_paths.after(path);
+    if (!m_paths.at(next).granted())
     {
         open(now, next, effects);
     }
@@ -242,16 +308,15 @@
                            caller_effects& effects)
 {
     const std::optional<time_point> since = confirmed_since(now, request);
-    const auto count = static_cast<path_index>(m_paths.size());
     std::optional<path_index> chosen;
-    for (path_index step = 0; step < count; ++step)
+    for (std::size_t step = 0; step < m_paths.count(); ++step)
     {
-        const path_index path = (m_next_path + step) % count;
-        if (m_paths[path].opening())
+        const path_index path = m_paths.in_turn(step);
+        if (m_paths.at(path).opening())
         {
             return;
         }
-        if (!chosen && m_paths[path].needs_opening(since))
+        if (!chosen && m_paths.at(path).needs_opening(since))
         {
             chosen = path;
         }
--- a/packages/requests/src/caller_send.cpp
+++ b/packages/requests/src/caller_send.cpp
@@ -23,7 +23,7 @@
     , m_random(random)
     , m_caller(m_random())
     , m_budget(settings.retry_ratio, settings.retry_burst)
-    , m_paths(std::max<path_index>(1, settings.paths))
+    , m_paths(settings.paths)
 {
 }
 
@@ -143,6 +143,7 @@
 {
     const std::size_t index = last_outstanding(request);
     const caller_attempt& attempt = request.attempts[index];
+    m_paths.at(attempt.path).doubt(attempt.first_sent);
     const bool elsewhere = request.wanted.idempotent &&
                            attempt.sends >= idempotent_sends &&
                            request.attempts.size() < m_settings.attempt_limit;
@@ -231,12 +232,11 @@
 caller_core::choose_path(time_point now, const caller_request& request) const
 {
     const std::optional<time_point> since = confirmed_since(now, request);
-    const auto count = static_cast<path_index>(m_paths.size());
     std::optional<path_index> again;
-    for (path_index step = 0; step < count; ++step)
+    for (std::size_t step = 0; step < m_paths.count(); ++step)
     {
-        const path_index path = (m_next_path + step) % count;
-        if (!m_paths[path].usable(since))
+        const path_index path = m_paths.in_turn(step);
+        if (!m_paths.at(path).usable(since))
         {
             continue;
         }
@@ -252,11 +252,12 @@
 void caller_core::begin_attempt(time_point now, caller_request& request,
                                 path_index path, caller_effects& effects)
 {
-    m_next_path = path + 1;
+    m_paths.take_turn(path);
+    caller_path& chosen = m_paths.at(path);
     caller_attempt attempt;
     attempt.path = path;
-    attempt.under = *m_paths[path].granted();
-    attempt.sequence = m_paths[path].take_sequence();
+    attempt.under = *chosen.granted();
+    attempt.sequence = chosen.take_sequence();
     attempt.first_sent = now;
     request.attempts.push_back(std::move(attempt));
     send_attempt(now, request, request.attempts.size() - 1, effects);
@@ -272,7 +273,7 @@
     part.attempt = static_cast<std::uint32_t>(index + 1);
     part.under = attempt.under;
     part.sequence = attempt.sequence;
-    part.settled_below = m_paths[attempt.path].settled_below();
+    part.settled_below = m_paths.at(attempt.path).settled_below();
     part.kind = request.wanted.kind;
     part.idempotent = request.wanted.idempotent;
     part.remaining = request.deadline - now;
@@ -330,7 +331,7 @@
             send_cancel(request, index, effects);
         }
         const caller_attempt& attempt = request.attempts[index];
-        m_paths[attempt.path].settle(attempt.sequence);
+        settle(attempt, effects);
     }
     const std::uint64_t number = request.number;
     effects.outcomes.push_back(
--- a/packages/requests/src/request_admission.cpp
+++ b/packages/requests/src/request_admission.cpp
@@ -41,6 +41,11 @@
     m_core->upstream_ready(now, effects);
 }
 
+void request_admission::drain()
+{
+    m_core->drain();
+}
+
 void request_admission::apply(time_point now,
                               const admission_settings& settings,
                               admission_effects& effects)
--- a/packages/requests/src/udp_request_client.cpp
+++ b/packages/requests/src/udp_request_client.cpp
@@ -4,6 +4,7 @@
 #include "udp_socket.hpp"
 
 #include <algorithm>
+#include <map>
 #include <poll.h>
 #include <random>
 
@@ -29,12 +30,29 @@
 class udp_request_client::shell
 {
 public:
-    shell(const caller_settings& settings,
-          std::vector<internal::udp_socket> sockets)
-        : m_caller(settings, seeded_by_system()), m_sockets(std::move(sockets))
+    shell(const caller_settings& settings, std::vector<endpoint> services)
+        : m_services(std::move(services))
+        , m_caller(settings, seeded_by_system())
     {
     }
 
+    // The socket of a path; a new path has a new flow.
+    result<internal::udp_socket*> socket_of(path_index path)
+    {
+        const auto known = m_sockets.find(path);
+        if (known != m_sockets.end())
+        {
+            return &known->second;
+        }
+        auto opened =
+            internal::udp_socket::connect(m_services[path % m_services.size()]);
+        if (!opened)
+        {
+            return tl::unexpected<error>(opened.error());
+        }
+        return &m_sockets.emplace(path, std::move(*opened)).first->second;
+    }
+
     request_id send(outgoing_request request)
     {
         const request_id id =
@@ -79,9 +97,9 @@
             std::max(duration::zero(), wake - now));
         std::vector<pollfd> waited;
         waited.reserve(m_sockets.size());
-        for (const internal::udp_socket& socket : m_sockets)
+        for (const auto& entry : m_sockets)
         {
-            waited.push_back({socket.descriptor(), POLLIN, 0});
+            waited.push_back({entry.second.descriptor(), POLLIN, 0});
         }
         ::poll(waited.data(), waited.size(), static_cast<int>(left.count()));
         return true;
@@ -89,17 +107,17 @@
 
     void receive_all()
     {
-        for (path_index path = 0; path < m_sockets.size(); ++path)
+        for (auto& entry : m_sockets)
         {
-            receive_batch_of(path);
+            receive_batch_of(entry.first, entry.second);
         }
     }
 
-    void receive_batch_of(path_index path)
+    void receive_batch_of(path_index path, internal::udp_socket& socket)
     {
         for (int taken = 0; taken < receive_batch; ++taken)
         {
-            const auto datagram = m_sockets[path].receive();
+            const auto datagram = socket.receive();
             if (!datagram)
             {
                 return;
@@ -112,14 +130,25 @@
     {
         for (const caller_datagram& datagram : m_effects.datagrams)
         {
-            m_sockets[datagram.path].send(datagram.bytes);
+            // Without a socket the datagram is lost, and its path is replaced
+            // after a while like any other that does not answer.
+            if (const auto socket = socket_of(datagram.path))
+            {
+                (*socket)->send(datagram.bytes);
+            }
         }
         m_effects.datagrams.clear();
+        for (const path_index path : m_effects.closed)
+        {
+            m_sockets.erase(path);
+        }
+        m_effects.closed.clear();
     }
 
     steady_clock_source m_clock;
+    std::vector<endpoint> m_services;
     request_caller m_caller;
-    std::vector<internal::udp_socket> m_sockets;
+    std::map<path_index, internal::udp_socket> m_sockets;
     caller_effects m_effects;
 };
 
@@ -132,19 +161,16 @@
         return fail(error_kind::invalid, "services",
                     "needs an address and a path");
     }
-    std::vector<internal::udp_socket> sockets;
+    auto opened = std::make_unique<shell>(settings, services);
     for (path_index path = 0; path < settings.paths; ++path)
     {
-        auto socket =
-            internal::udp_socket::connect(services[path % services.size()]);
+        const auto socket = opened->socket_of(path);
         if (!socket)
         {
             return tl::unexpected<error>(socket.error());
         }
-        sockets.push_back(std::move(*socket));
     }
-    return udp_request_client(
-        std::make_unique<shell>(settings, std::move(sockets)));
+    return udp_request_client(std::move(opened));
 }
 
 udp_request_client::udp_request_client(std::unique_ptr<shell> opened)
--- a/packages/requests/test/history_test.cpp
+++ b/packages/requests/test/history_test.cpp
@@ -26,6 +26,7 @@
         set(&history_settings::delay, inRange(1, 40)),
         set(&history_settings::agents, inRange(1, 5)),
         set(&history_settings::faults, inRange(0, 40)),
+        set(&history_settings::drains, inRange(0, 6)),
         set(&history_settings::requests, inRange(1, 300)),
         set(&history_settings::sessions, inRange(1, 20)),
         set(&history_settings::fresh_for, inRange(0, 200)));
@@ -77,5 +78,19 @@
     }
 }
 
+TEST(history, agents_that_leave_cut_no_request)
+{
+    history_settings settings;
+    settings.requests = 200;
+    settings.least_deadline = 500;
+    settings.drains = 5;
+    for (settings.seed = 1; settings.seed <= 20; ++settings.seed)
+    {
+        history one(settings);
+        ASSERT_EQ(one.run(), "") << settings;
+        EXPECT_EQ(one.ran(), settings.requests) << settings;
+    }
+}
+
 } // namespace
 } // namespace crowlink::test
