--- a/packages/replication/include/crowlink/replication/change_outcome.hpp
+++ b/packages/replication/include/crowlink/replication/change_outcome.hpp
@@ -19,7 +19,9 @@
     conflict,
     // The operation id came before with another change.
     operation_reused,
-    // Not taken, for example without a leader: it did not run.
+    // This sending was not taken, for example without a leader. What an earlier
+    // sending of the same operation did is not known from that: a client that
+    // had an unknown answer before keeps it.
     unavailable,
     // The leader was lost on the way: it may have run. Send the same operation
     // again to learn the answer.
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -107,7 +107,7 @@
     found();
     const bool stalled =
         m_queue.stalled(m_now, m_settings.storage_stall_timeout);
-    if (m_now >= m_election_due && is_voter() && !stalled)
+    if (m_now >= m_election_due && may_campaign() && !stalled)
     {
         campaign();
     }
@@ -281,6 +281,18 @@
     return members().is_voter(m_settings.self, m_disk);
 }
 
+// A host whose removal is not committed may be the only one that has it, and so
+// the only one that can win. Its own vote does not count then (Ongaro 2014,
+// section 4.2.2).
+bool replica_core::may_campaign() const
+{
+    const log_index newest = m_memberships.current_index();
+    const bool voted_before =
+        newest > m_state.commit &&
+        m_memberships.at(newest - 1).is_voter(m_settings.self, m_disk);
+    return is_voter() || voted_before;
+}
+
 bool replica_core::is_blank() const
 {
     return m_state.term == 0 && m_state.cluster == 0 && m_log.last_index() == 0;
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -76,6 +76,7 @@
                      std::string reason);
     const membership& members() const { return m_memberships.current(); }
     bool is_voter() const;
+    bool may_campaign() const;
     bool is_blank() const;
 
     // replica_election.cpp: becoming a follower, a candidate, a leader.
--- /dev/null
+++ b/packages/replication/test/failure_test.cpp
@@ -0,0 +1,211 @@
+#include "scenario.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+TEST(failure, one_of_racing_operators_wins)
+{
+    fake_cluster cluster(3, 0, 11);
+    make_versions(cluster, 2, "a");
+    for (std::size_t host = 0; host < 3; ++host)
+    {
+        cluster.propose(host, "race" + std::to_string(host), 2);
+    }
+    std::size_t won = 0;
+    for (std::size_t host = 0; host < 3; ++host)
+    {
+        const change_outcome outcome =
+            wait_for(cluster, "race" + std::to_string(host));
+        EXPECT_EQ(outcome.version, config_version(3));
+        won += outcome.result == change_result::applied ? 1 : 0;
+    }
+    EXPECT_EQ(won, 1U);
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+TEST(failure, a_resend_gets_the_first_answer_after_a_leader_change)
+{
+    fake_cluster cluster(3, 0, 12);
+    make_versions(cluster, 1, "a");
+    const std::size_t old_leader = settle(cluster);
+    const change_outcome first = wait_for(cluster, "a0");
+    cluster.crash(old_leader);
+    make_versions(cluster, 2, "b");
+    cluster.restart(old_leader);
+    // Until it has heard from the new leader.
+    cluster.run(200);
+    for (std::size_t host = 0; host < 3; ++host)
+    {
+        cluster.resend(host, "a0");
+        EXPECT_EQ(wait_for(cluster, "a0"), first);
+    }
+    EXPECT_EQ(cluster.version(settle(cluster)), 3U);
+}
+
+TEST(failure, a_host_cut_off_for_long_neither_disturbs_nor_reverts)
+{
+    fake_cluster cluster(3, 0, 13);
+    make_versions(cluster, 2, "a");
+    const std::size_t away = (settle(cluster) + 1) % 3;
+    ASSERT_TRUE(cluster.run_until([&] { return everywhere(cluster, 2); }));
+    const term_number term = cluster.status(away).term;
+    cluster.isolate(away);
+    make_versions(cluster, 20, "b");
+    cluster.run(6000);
+    cluster.propose(away, "lost", 2);
+    EXPECT_EQ(wait_for(cluster, "lost").result, change_result::unavailable);
+    EXPECT_EQ(cluster.version(away), 2U);
+    EXPECT_GT(cluster.status(away).age, std::chrono::seconds(50));
+    cluster.heal();
+    EXPECT_TRUE(cluster.run_until([&] { return everywhere(cluster, 22); }));
+    EXPECT_EQ(cluster.status(away).term, term);
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+TEST(failure, a_leader_cut_off_takes_no_change_and_may_not_be_read)
+{
+    fake_cluster cluster(3, 0, 14);
+    make_versions(cluster, 1, "a");
+    const std::size_t old_leader = settle(cluster);
+    cluster.isolate(old_leader);
+    cluster.propose(old_leader, "lost", 1);
+    cluster.run(200);
+    EXPECT_NE(cluster.status(old_leader).role, replica_role::leader);
+    make_versions(cluster, 1, "b");
+    cluster.heal();
+    EXPECT_TRUE(cluster.run_until([&] { return everywhere(cluster, 2); }));
+    EXPECT_NE(wait_for(cluster, "lost").result, change_result::applied);
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+TEST(failure, a_leader_that_hears_nothing_or_reaches_nobody_is_replaced)
+{
+    for (const bool deaf : {true, false})
+    {
+        fake_cluster cluster(3, 0, 15);
+        const std::size_t old_leader = settle(cluster);
+        for (std::size_t host = 0; host < 3; ++host)
+        {
+            cluster.block(deaf ? host : old_leader, deaf ? old_leader : host);
+        }
+        EXPECT_TRUE(cluster.run_until(
+            [&]
+            {
+                const auto leader = cluster.leader();
+                return leader && *leader != old_leader;
+            }));
+        make_versions(cluster, 1, "a");
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
+TEST(failure, a_failing_disk_takes_the_leader_down_visibly)
+{
+    for (const auto fault :
+         {fake_disk::fault::full, fake_disk::fault::read_only,
+          fake_disk::fault::sync_fails})
+    {
+        fake_cluster cluster(3, 0, 16);
+        make_versions(cluster, 1, "a");
+        const std::size_t broken = settle(cluster);
+        cluster.disk(broken).set_fault(fault);
+        cluster.propose(broken, "b", 1);
+        cluster.run(10);
+        EXPECT_EQ(cluster.status(broken).role, replica_role::failed);
+        EXPECT_NE(cluster.status(broken).storage_error, "");
+        cluster.propose(broken, "c", 1);
+        EXPECT_EQ(wait_for(cluster, "c").result, change_result::unavailable);
+        make_versions(cluster, 2, "d");
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
+TEST(failure, a_second_host_lost_right_after_a_replacement_loses_nothing)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed)
+    {
+        fake_cluster cluster(3, 1, 100 + seed);
+        make_versions(cluster, 12, "a");
+        const std::size_t leader = settle(cluster);
+        const std::size_t replaced = (leader + 1) % 3;
+        const std::size_t second = (leader + 2) % 3;
+        cluster.lose_disk(replaced);
+        admit_voter(cluster, 3);
+        cluster.change_members(settle(cluster),
+                               {member_change_kind::remove,
+                                fake_cluster::name(replaced), disk_id()});
+        ASSERT_TRUE(cluster.members_answer());
+        const std::size_t now_leads = settle(cluster);
+        cluster.lose_disk(seed % 2 == 0 ? second : now_leads);
+        make_versions(cluster, 1, "b");
+        EXPECT_EQ(cluster.version(settle(cluster)), 13U);
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
+TEST(failure, an_old_host_with_an_empty_disk_has_no_vote_until_readmitted)
+{
+    fake_cluster cluster(3, 0, 17);
+    make_versions(cluster, 2, "a");
+    const std::size_t leader = settle(cluster);
+    const std::size_t wiped = (leader + 1) % 3;
+    cluster.lose_disk(wiped);
+    cluster.restart(wiped);
+    cluster.run(300);
+    EXPECT_EQ(cluster.version(wiped), 0U);
+    admit_voter(cluster, wiped);
+    cluster.crash((leader + 2) % 3);
+    make_versions(cluster, 1, "b");
+    EXPECT_TRUE(cluster.run_until([&] { return everywhere(cluster, 3); }));
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+TEST(failure, members_change_one_at_a_time_and_never_lose_the_quorum)
+{
+    fake_cluster cluster(3, 2, 18);
+    make_versions(cluster, 1, "a");
+    const std::size_t leader = settle(cluster);
+    const auto add = [&](std::size_t host)
+    {
+        cluster.change_members(leader, {member_change_kind::add_observer,
+                                        fake_cluster::name(host), disk_id()});
+    };
+    add(3);
+    ASSERT_TRUE(cluster.members_answer());
+    add(4);
+    ASSERT_FALSE(cluster.members_answer());
+    EXPECT_EQ(cluster.members_answer().error().kind, error_kind::unavailable);
+    settle(cluster);
+    cluster.crash((leader + 1) % 3);
+    cluster.run(120);
+    cluster.change_members(leader,
+                           {member_change_kind::remove,
+                            fake_cluster::name((leader + 2) % 3), disk_id()});
+    ASSERT_FALSE(cluster.members_answer());
+    EXPECT_EQ(cluster.members_answer().error().kind, error_kind::unavailable);
+}
+
+TEST(failure, an_observer_holds_everything_and_never_votes)
+{
+    fake_cluster cluster(3, 1, 19);
+    settle(cluster);
+    cluster.run(200);
+    cluster.change_members(settle(cluster), {member_change_kind::add_observer,
+                                             fake_cluster::name(3), disk_id()});
+    make_versions(cluster, 3, "a");
+    EXPECT_TRUE(cluster.run_until([&] { return everywhere(cluster, 3); }));
+    const std::size_t leader = settle(cluster);
+    cluster.crash(leader);
+    cluster.crash((leader + 1) % 3);
+    EXPECT_FALSE(
+        cluster.run_until([&] { return cluster.leader().has_value(); }, 1000));
+}
+
+} // namespace
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/test/schedule.cpp
@@ -0,0 +1,173 @@
+#include "schedule.hpp"
+
+#include <algorithm>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+constexpr std::size_t long_run = 400;
+constexpr std::size_t calls_of_a_write = 12;
+constexpr std::size_t least_voters = 3;
+
+} // namespace
+
+void schedule::propose(std::size_t host, unsigned behind)
+{
+    const std::uint64_t current = m_cluster.version(host);
+    const std::uint64_t base =
+        current - std::min<std::uint64_t>(current, behind);
+    m_proposed.push_back("op" + std::to_string(m_proposed.size()));
+    m_cluster.propose(host, m_proposed.back(), base);
+}
+
+// Only while every voter is there, with its disk, and holds all that the leader
+// has: then the others keep a quorum of what was acknowledged.
+bool schedule::may_lose_disk() const
+{
+    const auto leader = m_cluster.leader();
+    if (!leader)
+    {
+        return false;
+    }
+    const replica_status status = m_cluster.status(*leader);
+    bool whole = status.commit == status.last_index;
+    std::size_t voters = 0;
+    for (const member_status& one : status.members)
+    {
+        const std::size_t host = m_cluster.index_of(one.who.host);
+        const bool there = m_cluster.up(host) &&
+                           m_cluster.status(host).disk == one.who.disk &&
+                           one.match_index == status.last_index;
+        const bool votes = one.who.role == member_role::voter;
+        voters += votes ? 1 : 0;
+        whole = whole && (there || !votes);
+    }
+    return whole && voters >= least_voters;
+}
+
+void schedule::perform(const action& one)
+{
+    const std::size_t host = one.host % m_cluster.size();
+    const std::size_t other = (host + 1 + one.amount) % m_cluster.size();
+    const bool up = m_cluster.up(host);
+    const auto leader = m_cluster.leader();
+    switch (one.kind)
+    {
+    case action_kind::run:
+        m_cluster.run(1 + one.amount);
+        break;
+    case action_kind::run_long:
+        m_cluster.run(long_run);
+        break;
+    case action_kind::propose:
+        if (up)
+        {
+            propose(host, one.amount % 4 == 0 ? 1 : 0);
+        }
+        break;
+    case action_kind::race:
+        for (std::size_t i = 0; i < m_cluster.size(); ++i)
+        {
+            if (m_cluster.up(i))
+            {
+                propose(i, 0);
+            }
+        }
+        break;
+    case action_kind::resend:
+        if (up && !m_proposed.empty())
+        {
+            m_cluster.resend(host, m_proposed[m_proposed.size() - 1 -
+                                              one.amount % m_proposed.size()]);
+        }
+        break;
+    case action_kind::crash:
+        if (up)
+        {
+            m_cluster.crash(host);
+        }
+        break;
+    case action_kind::halt:
+        m_cluster.disk(host).halt_after(1 + one.amount % calls_of_a_write);
+        break;
+    case action_kind::restart:
+        m_cluster.restart(host);
+        break;
+    case action_kind::isolate:
+        m_cluster.isolate(host);
+        break;
+    case action_kind::block:
+        m_cluster.block(host, other);
+        break;
+    case action_kind::heal:
+        m_cluster.heal();
+        break;
+    case action_kind::disturb:
+        m_cluster.disturb(one.amount % 30, one.amount % 20);
+        break;
+    case action_kind::lose_disk:
+        if (may_lose_disk())
+        {
+            m_cluster.lose_disk(host);
+        }
+        break;
+    case action_kind::admit:
+        if (leader)
+        {
+            m_cluster.change_members(*leader,
+                                     {member_change_kind::add_voter,
+                                      fake_cluster::name(host), disk_id()});
+        }
+        break;
+    case action_kind::remove:
+        if (leader)
+        {
+            m_cluster.change_members(*leader,
+                                     {member_change_kind::remove,
+                                      fake_cluster::name(host), disk_id()});
+        }
+        break;
+    }
+}
+
+bool schedule::converge()
+{
+    m_cluster.heal();
+    m_cluster.disturb(0, 0);
+    return m_cluster.run_until(
+        [this]
+        {
+            for (std::size_t i = 0; i < m_cluster.size(); ++i)
+            {
+                m_cluster.restart(i);
+            }
+            return agreed();
+        });
+}
+
+// A voter that lost its disk and was not admitted again cannot agree.
+bool schedule::agreed() const
+{
+    const auto leader = m_cluster.leader();
+    if (!leader ||
+        m_cluster.version(*leader) < m_cluster.checker().acknowledged())
+    {
+        return false;
+    }
+    const replica_status status = m_cluster.status(*leader);
+    bool all = status.commit == status.last_index && status.commit > 0;
+    for (const member_status& one : status.members)
+    {
+        const std::size_t host = m_cluster.index_of(one.who.host);
+        const bool whole =
+            m_cluster.up(host) && m_cluster.status(host).disk == one.who.disk;
+        all = all &&
+              (!whole || m_cluster.version(host) == m_cluster.version(*leader));
+    }
+    return all;
+}
+
+} // namespace crowlink::replication
