--- a/packages/replication/include/crowlink/replication/message.hpp
+++ b/packages/replication/include/crowlink/replication/message.hpp
@@ -104,6 +104,7 @@
 struct forwarded_answer
 {
     std::uint64_t request = 0;
+    operation_id operation;
     change_outcome outcome;
 
     friend auto operator<=>(const forwarded_answer&,
--- a/packages/replication/src/message_codec.cpp
+++ b/packages/replication/src/message_codec.cpp
@@ -87,6 +87,7 @@
 {
     wire::ForwardedAnswer* to = out.mutable_forwarded_answer();
     to->set_request(body.request);
+    to->set_operation(body.operation.value());
     *to->mutable_outcome() = to_wire(body.outcome);
 }
 
@@ -146,6 +147,7 @@
                                 from_wire(in.forwarded_change().change())};
     case wire::Envelope::kForwardedAnswer:
         return forwarded_answer{in.forwarded_answer().request(),
+                                operation_id(in.forwarded_answer().operation()),
                                 from_wire(in.forwarded_answer().outcome())};
     case wire::Envelope::BODY_NOT_SET:
         break;
--- a/packages/replication/src/replicated_document.cpp
+++ b/packages/replication/src/replicated_document.cpp
@@ -159,7 +159,8 @@
     }
     for (const auto& [ticket, waiting] : m_waiting)
     {
-        if (waiting.asker == from && waiting.request == forwarded.request)
+        if (waiting.asker == from && waiting.request == forwarded.request &&
+            waiting.change == forwarded.change)
         {
             return;
         }
@@ -182,7 +183,8 @@
 void replicated_document::take_answer(const forwarded_answer& received)
 {
     const auto found = m_waiting.find(received.request);
-    if (found == m_waiting.end() || found->second.attempts == 0)
+    if (found == m_waiting.end() || found->second.attempts == 0 ||
+        found->second.change.operation != received.operation)
     {
         return;
     }
@@ -239,7 +241,9 @@
             change_answered{waiting.request, std::move(outcome)});
         return;
     }
-    send(waiting.asker, forwarded_answer{waiting.request, std::move(outcome)});
+    send(waiting.asker,
+         forwarded_answer{waiting.request, waiting.change.operation,
+                          std::move(outcome)});
 }
 
 void replicated_document::finish_at(log_index index, term_number term,
--- a/packages/replication/test/history_checker.hpp
+++ b/packages/replication/test/history_checker.hpp
@@ -25,12 +25,13 @@
     void proposed(const document_change& change);
     void answered(const operation_id& operation, const change_outcome& outcome);
 
+    void report(const std::string& what);
+
     const std::string& violation() const { return m_violation; }
     std::uint64_t acknowledged() const { return m_acknowledged; }
     std::size_t applied_answers() const { return m_applied_answers; }
 
 private:
-    void report(const std::string& what);
     void see_version(const host_id& host, const document_version& version);
 
     std::map<term_number, host_id> m_leaders;
