--- /dev/null
+++ b/packages/replication/test/document_store_test.cpp
@@ -0,0 +1,106 @@
+#include "crowlink/replication/document_store.hpp"
+#include "crowlink/replication/message_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+document_change change(std::uint64_t base, const std::string& operation,
+                       const std::string& document = "{}")
+{
+    return document_change{config_version(base), operation_id(operation),
+                           "maria", document};
+}
+
+TEST(document_store, applies_only_what_was_made_from_the_current_version)
+{
+    document_store store;
+    EXPECT_EQ(store.apply(change(0, "a")).result, change_result::applied);
+    const change_outcome lost = store.apply(change(0, "b"));
+    EXPECT_EQ(lost.result, change_result::conflict);
+    EXPECT_EQ(lost.version, config_version(1));
+    EXPECT_EQ(store.apply(change(1, "c")).version, config_version(2));
+    EXPECT_EQ(store.find(config_version(1))->operation, operation_id("a"));
+}
+
+TEST(document_store, answers_a_resend_as_the_first_time)
+{
+    document_store store;
+    const change_outcome first = store.apply(change(0, "a"));
+    const change_outcome lost = store.apply(change(0, "b"));
+    store.apply(change(1, "c"));
+    EXPECT_EQ(store.apply(change(0, "a")), first);
+    EXPECT_EQ(store.apply(change(0, "b")), lost);
+    EXPECT_EQ(store.apply(change(0, "a", "{1}")).result,
+              change_result::operation_reused);
+    EXPECT_EQ(store.current_version(), config_version(2));
+}
+
+TEST(document_store, keeps_its_memory_bounded_and_never_applies_twice)
+{
+    store_limits limits;
+    limits.history_versions = 3;
+    limits.remembered_answers = 4;
+    document_store store(limits);
+    for (std::uint64_t i = 0; i < 20; ++i)
+    {
+        store.apply(change(i, "op" + std::to_string(i)));
+    }
+    EXPECT_EQ(store.history().size(), 3U);
+    EXPECT_EQ(store.find(config_version(17)), nullptr);
+    EXPECT_TRUE(store.recall(change(16, "op16")));
+    EXPECT_FALSE(store.recall(change(15, "op15")));
+    EXPECT_EQ(store.apply(change(15, "op15")).result, change_result::conflict);
+    EXPECT_EQ(store.current_version(), config_version(20));
+}
+
+TEST(document_store, comes_back_whole_from_a_snapshot)
+{
+    document_store store;
+    const change_outcome first = store.apply(change(0, "a"));
+    store.apply(change(0, "b"));
+    document_store copy;
+    ASSERT_TRUE(copy.load(store.save()));
+    EXPECT_EQ(copy.history(), store.history());
+    EXPECT_EQ(copy.apply(change(0, "a")), first);
+    EXPECT_EQ(copy.save(), store.save());
+    EXPECT_FALSE(copy.load("no snapshot"));
+}
+
+TEST(message_codec, gives_back_every_message)
+{
+    const membership members(
+        {member{host_id("a"), disk_id(1), member_role::voter},
+         member{host_id("b"), disk_id(2), member_role::joining}});
+    const log_entry entry{4, 2, entry_kind::payload, std::string("\0x", 2)};
+    const std::vector<message_body> bodies{
+        hello{true},
+        vote_request{true, 3, 2, 5},
+        vote_reply{true, true, 5},
+        append_request{3, 2, 1, {entry, entry}, -9},
+        append_reply{true, 3, 4, 77},
+        snapshot_chunk{9, 2, members, 10, 20, "bytes", 3},
+        snapshot_reply{9, 10, 3},
+        forwarded_change{1, change(7, "op")},
+        forwarded_answer{1, operation_id("op"),
+                         change_outcome{change_result::conflict,
+                                        config_version(8), "late"}}};
+    for (const message_body& body : bodies)
+    {
+        const replica_message message{
+            host_id("a"), disk_id(1), host_id("b"), disk_id(2), 3, 4, body};
+        const auto decoded = decode_message(encode_message(message));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(*decoded, message);
+    }
+    EXPECT_FALSE(decode_message("nonsense"));
+    EXPECT_FALSE(decode_message(""));
+}
+
+} // namespace
+
+} // namespace crowlink::replication
--- /dev/null
+++ b/packages/replication/test/log_storage_test.cpp
@@ -0,0 +1,264 @@
+#include "fake_disk.hpp"
+
+#include "crowlink/replication/log_storage.hpp"
+#include "crowlink/replication/posix_file_system.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <gtest/gtest.h>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+constexpr storage_settings small_segments{200, true};
+
+persist_request entries(log_index first, log_index last, term_number term)
+{
+    persist_request request;
+    request.state = hard_state{term, host_id("a"), first - 1, 7};
+    for (log_index index = first; index <= last; ++index)
+    {
+        request.entries.push_back(
+            log_entry{index, term, entry_kind::payload, std::string(20, 'x')});
+    }
+    return request;
+}
+
+persist_request snapshot_at(log_index index, term_number term, bool discard)
+{
+    persist_request request;
+    request.state = hard_state{term, host_id(), index, 7};
+    request.new_snapshot =
+        snapshot{index, term, membership(), 7,
+                 std::make_shared<const std::string>("state")};
+    request.discard_log = discard;
+    return request;
+}
+
+template <class FileSystem>
+result<durable_state> reopen(FileSystem& files)
+{
+    return log_storage<FileSystem>::open(files, disk_id(1), small_segments)
+        .map([](log_storage<FileSystem>&& opened)
+             { return opened.take_restored(); });
+}
+
+// Ten entries over several segments.
+void fill(fake_disk& disk)
+{
+    auto storage =
+        log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+    ASSERT_TRUE(storage);
+    for (log_index index = 1; index <= 10; ++index)
+    {
+        ASSERT_TRUE(storage->write(entries(index, index, 1)));
+    }
+    ASSERT_GT(storage->segment_count(), 2U);
+}
+
+std::string last_segment(fake_disk& disk)
+{
+    return disk.list()->back();
+}
+
+TEST(log_storage, gives_back_what_was_written)
+{
+    fake_disk disk;
+    fill(disk);
+    const auto state = reopen(disk);
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->disk, disk_id(1));
+    EXPECT_EQ(state->state, (hard_state{1, host_id("a"), 9, 7}));
+    EXPECT_EQ(state->entries, entries(1, 10, 1).entries);
+}
+
+TEST(log_storage, a_later_term_replaces_the_tail)
+{
+    fake_disk disk;
+    fill(disk);
+    auto storage =
+        log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+    ASSERT_TRUE(storage->write(entries(6, 7, 2)));
+    const auto state = reopen(disk);
+    ASSERT_TRUE(state);
+    ASSERT_EQ(state->entries.size(), 7U);
+    EXPECT_EQ(state->entries[4].term, 1U);
+    EXPECT_EQ(state->entries[5].term, 2U);
+}
+
+TEST(log_storage, cuts_a_torn_tail_at_every_length)
+{
+    fake_disk whole;
+    fill(whole);
+    const std::string name = last_segment(whole);
+    const std::size_t size = whole.read(name)->size();
+    auto storage =
+        log_storage<fake_disk>::open(whole, disk_id(1), small_segments);
+    ASSERT_TRUE(storage->write(entries(11, 11, 1)));
+    ASSERT_EQ(last_segment(whole), name);
+    const std::size_t torn = whole.read(name)->size();
+    const std::vector<std::string> names = *whole.list();
+    for (std::size_t length = size; length < torn; ++length)
+    {
+        fake_disk disk;
+        for (const std::string& one : names)
+        {
+            ASSERT_TRUE(disk.append(one, *whole.read(one)));
+        }
+        ASSERT_TRUE(disk.truncate(name, length));
+        const auto state = reopen(disk);
+        ASSERT_TRUE(state);
+        EXPECT_EQ(state->entries.size(), 10U);
+        EXPECT_EQ(disk.read(name)->size(), size);
+    }
+}
+
+TEST(log_storage, refuses_damage_before_the_end_and_names_it)
+{
+    const std::string first = "log-0000000000000001";
+    for (const std::size_t offset : {0U, 5U, 9U, 30U})
+    {
+        fake_disk disk;
+        fill(disk);
+        disk.damage(first, offset);
+        const auto state = reopen(disk);
+        ASSERT_FALSE(state);
+        EXPECT_EQ(state.error().kind, error_kind::storage);
+        EXPECT_EQ(state.error().place, first);
+        EXPECT_NE(state.error().message.find("offset 0"), std::string::npos);
+    }
+}
+
+TEST(log_storage, refuses_a_missing_segment_and_a_missing_identity)
+{
+    fake_disk disk;
+    fill(disk);
+    ASSERT_TRUE(disk.remove("log-0000000000000002"));
+    EXPECT_FALSE(reopen(disk));
+    fake_disk anonymous;
+    fill(anonymous);
+    ASSERT_TRUE(anonymous.remove("identity"));
+    EXPECT_EQ(reopen(anonymous).error().place, "identity");
+}
+
+TEST(log_storage, a_snapshot_removes_the_segments_that_it_covers)
+{
+    fake_disk disk;
+    fill(disk);
+    auto storage =
+        log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+    const std::uint64_t before = storage->segment_count();
+    ASSERT_TRUE(storage->write(snapshot_at(8, 1, false)));
+    EXPECT_LT(storage->segment_count(), before);
+    const auto state = reopen(disk);
+    ASSERT_TRUE(state && state->last_snapshot);
+    EXPECT_EQ(*state->last_snapshot->data, "state");
+    EXPECT_EQ(state->entries, entries(9, 10, 1).entries);
+}
+
+// Power goes at every point of a write that replaces the log by a snapshot: the
+// folder holds either the old log or the snapshot, and goes on from there.
+TEST(log_storage, a_snapshot_from_the_leader_is_taken_whole_or_not)
+{
+    bool took_all = false;
+    for (std::size_t calls = 1; !took_all; ++calls)
+    {
+        fake_disk disk;
+        fill(disk);
+        seeded_random random(calls);
+        auto storage =
+            log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+        disk.halt_after(calls);
+        took_all = storage->write(snapshot_at(8, 3, true)).has_value();
+        disk.crash(random);
+        const auto state = reopen(disk);
+        ASSERT_TRUE(state) << to_string(state.error());
+        const bool replaced = state->last_snapshot.has_value();
+        EXPECT_EQ(state->entries.size(), replaced ? 0U : 10U);
+        EXPECT_TRUE(replaced || !took_all);
+        auto again =
+            log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+        const log_index next = replaced ? 9 : 11;
+        ASSERT_TRUE(again->write(entries(next, next, 3)));
+        EXPECT_EQ(reopen(disk)->entries.back().index, next);
+    }
+}
+
+TEST(log_storage, writes_nothing_after_a_failure)
+{
+    for (const auto fault :
+         {fake_disk::fault::full, fake_disk::fault::read_only,
+          fake_disk::fault::sync_fails})
+    {
+        fake_disk disk;
+        auto storage =
+            log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+        disk.set_fault(fault);
+        EXPECT_FALSE(storage->write(entries(1, 1, 1)));
+        disk.set_fault(fake_disk::fault::none);
+        EXPECT_FALSE(storage->write(entries(1, 1, 1)));
+        disk.set_fault(fault);
+        fake_disk fresh;
+        fresh.set_fault(fault);
+        EXPECT_FALSE(reopen(fresh));
+    }
+}
+
+class temporary_folder
+{
+public:
+    temporary_folder()
+        : m_path(std::filesystem::temp_directory_path() /
+                 "crowlink-replication-XXXXXX")
+    {
+        std::string name = m_path.string();
+        m_path = mkdtemp(name.data());
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+    ~temporary_folder() { std::filesystem::remove_all(m_path); }
+
+    const std::filesystem::path& path() const { return m_path; }
+
+private:
+    std::filesystem::path m_path;
+};
+
+TEST(posix_file_system, holds_a_log_and_is_held_by_one_process)
+{
+    const temporary_folder folder;
+    {
+        auto files = posix_file_system::open(folder.path() / "data");
+        ASSERT_TRUE(files);
+        auto storage = log_storage<posix_file_system>::open(*files, disk_id(5),
+                                                            small_segments);
+        ASSERT_TRUE(storage);
+        ASSERT_TRUE(storage->write(entries(1, 10, 1)));
+        ASSERT_TRUE(storage->write(snapshot_at(4, 1, false)));
+        const auto second = posix_file_system::open(folder.path() / "data");
+        ASSERT_FALSE(second);
+        EXPECT_NE(second.error().message.find("another process"),
+                  std::string::npos);
+    }
+    auto files = posix_file_system::open(folder.path() / "data");
+    ASSERT_TRUE(files);
+    const auto state = reopen(*files);
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->disk, disk_id(5));
+    EXPECT_EQ(state->entries, entries(5, 10, 1).entries);
+}
+
+TEST(posix_file_system, names_a_folder_that_it_cannot_use)
+{
+    const auto files = posix_file_system::open("/proc/nowhere");
+    ASSERT_FALSE(files);
+    EXPECT_EQ(files.error().kind, error_kind::storage);
+    EXPECT_EQ(files.error().place, "/proc/nowhere");
+}
+
+} // namespace
+
+} // namespace crowlink::replication
