--- a/demo.sh
+++ b/demo.sh
@@ -14,54 +14,9 @@
   cmake --build --preset release --target crowlinkd crowlink \
     crowlink_echo_upstream crowlink_spray_fabric crowlink_udp_callers
 fi
-bin="$PWD/$build/bin"
-crowlink="$PWD/$build/packages/client/crowlink"
 work="$(mktemp -d)"
-pids=()
-
-stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do
-    kill -9 "$pid" 2>/dev/null || true
-  done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() { # NAME COMMAND...: starts a process and writes its log to NAME.log
-  local name="$1"
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-  declare -g "pid_$name=$!"
-}
-
-fail() {
-  echo "demo: $*" >&2
-  tail -n 5 "$work"/*.log >&2
-  exit 1
-}
-
-until_true() { # SECONDS COMMAND...: tries until it succeeds or time is over
-  local ends=$((SECONDS + $1))
-  shift
-  until "$@" >/dev/null 2>&1; do
-    [ "$SECONDS" -lt "$ends" ] || return 1
-    sleep 0.1
-  done
-}
-
-# Ports that nobody uses now, from below the range that the kernel gives out.
-used="$(cat /proc/net/udp /proc/net/tcp | awk '{print $2}' | cut -d: -f2)"
-next=$((15000 + $$ % 10000))
-port() { # VARIABLE: sets it to a free port
-  next=$((next + 1))
-  while grep -qi "^$(printf %04X "$next")\$" <<<"$used"; do
-    next=$((next + 1))
-  done
-  declare -g "$1=$next"
-}
+source bench/processes/processes.sh
+trap 'stop_all; rm -rf "$work"' EXIT
 
 for name in http peer node hiraman katalogo gateway listen_1 listen_2 \
   tunnel_1 tunnel_2 agent_1 agent_2 agent_3 upstream_1 upstream_2 \
@@ -69,32 +24,50 @@
   port "$name"
 done
 
-"$crowlink" token demo >"$work/minted"
-sed -n 's/^token *//p' "$work/minted" >"$work/token"
-printf '{"operators": [%s]}\n' "$(sed -n 's/^entry *//p' "$work/minted")" \
-  >"$work/operators.jsonc"
-chmod 600 "$work/token" "$work/operators.jsonc"
-
-host() { # NAME: the part of the settings that all hosts have
-  echo "\"host\": {\"name\": \"$1\", \"place\": \"quezon\"," \
-    "\"region\": \"ncr\"}, \"log\": {\"level\": \"info\"}"
+make_operator
+
+# A key pair for each host, one packet key for all, and what each key may do.
+"$crowlink" keys new --packet 1 "$work/packet.key" >/dev/null
+grants=""
+make_key() { # HOST ROLE [SERVICE]: makes a key pair and grants it a role
+  local public services=""
+  public="$("$crowlink" keys new "$work/$1.key" | awk '{print $2}')"
+  [ $# -lt 3 ] || services=", \"services\": [$3]"
+  grants+="${grants:+,
+  }{\"public_key\": \"$public\", \"holder\": \"$1\",
+   \"roles\": [\"$2\"]$services}"
+}
+make_key control-1 control
+make_key balancer-1 balancer
+make_key balancer-2 balancer
+make_key host-1 agent 1
+make_key host-2 agent 1
+make_key host-3 agent 2
+echo "{\"keys\": [$grants]}" >"$work/allowed.jsonc"
+control_key="$("$crowlink" keys show "$work/control-1.key" | awk '{print $2}')"
+keys() { # HOST: a node's keys
+  echo "\"keys\": {\"own\": \"$1.key\", \"packet\": [\"packet.key\"]}"
 }
+
 control_is="\"control_endpoints\": [{\"host\": \"control-1\",
-  \"place\": \"quezon\", \"region\": \"ncr\", \"address\": \"127.0.0.1:$node\"}]"
+  \"place\": \"quezon\", \"region\": \"ncr\", \"address\": \"127.0.0.1:$node\",
+  \"public_key\": \"$control_key\"}]"
 
 cat >"$work/control-1.jsonc" <<END
-{ $(host control-1),
+{ $(host_settings control-1),
+  "keys": {"own": "control-1.key", "allowed": "allowed.jsonc"},
   "control": {
     "data_folder": "data", "peer_listen": "127.0.0.1:$peer",
     "node_listen": "127.0.0.1:$node", "http": "127.0.0.1:$http",
     "tokens_file": "operators.jsonc",
     "peers": [{"host": "control-1", "place": "quezon", "region": "ncr",
-               "address": "127.0.0.1:$peer"}] } }
+               "address": "127.0.0.1:$peer",
+               "public_key": "$control_key"}] } }
 END
 for i in 1 2; do
   listen="listen_$i" tunnel="tunnel_$i"
   cat >"$work/balancer-$i.jsonc" <<END
-{ $(host "balancer-$i"), $control_is,
+{ $(host_settings "balancer-$i"), $(keys "balancer-$i"), $control_is,
   "balancer": { "mode": "ip_in_udp", "listen": ["127.0.0.1:${!listen}"],
     "tunnel": "127.0.0.1:${!tunnel}", "gateway": "127.0.0.1:$gateway" } }
 END
@@ -105,7 +78,7 @@
 for i in 1 2 3; do
   agent="agent_$i" upstream="upstream_$i"
   cat >"$work/agent-$i.jsonc" <<END
-{ $(host "host-$i"), $control_is,
+{ $(host_settings "host-$i"), $(keys "host-$i"), $control_is,
   "agents": [{ "upstream": "${names[$i]}", "service": ${services[$i]},
     "upstream_address": "127.0.0.1:${!upstream}",
     "tunnel": "127.0.0.1:${!agent}", "drain_seconds": 5 }] }
@@ -169,8 +142,7 @@
 callers --flows 24 --messages 40 --gap-ms 100 >"$work/first" &
 calling=$!
 sleep 1.5
-kill -9 "$pid_balancer_2"
-wait "$pid_balancer_2" 2>/dev/null || true
+kill_hard balancer_2
 echo "   killed balancer-2"
 sleep 0.5
 operator drain hiraman-1 >/dev/null || fail "the drain was not taken"
--- a/packages/client/src/run.cpp
+++ b/packages/client/src/run.cpp
@@ -24,6 +24,8 @@
     command{"explain", "show where a flow would go", run_explain},
     command{"get", "print the current document or an older one", run_get},
     command{"history", "list the latest changes", run_history},
+    command{"keys", "make a key file, or show what may be told of one",
+            run_keys},
     command{"members", "list or change the control hosts", run_members},
     command{"status", "show who holds which version", run_status},
     command{"token", "make a new operator's token", run_token},
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -172,9 +172,12 @@
 {
     while (const std::optional<command> wanted = m_commands.take())
     {
-        context with{now, m_board, m_documents ? &*m_documents : nullptr,
+        context with{now,
+                     m_board,
+                     m_documents ? &*m_documents : nullptr,
                      m_membership ? &*m_membership : nullptr,
-                     m_node ? &*m_node : nullptr};
+                     m_node ? &*m_node : nullptr,
+                     m_agents};
         (*wanted)(with);
     }
 }
--- a/packages/daemon/src/control_thread.hpp
+++ b/packages/daemon/src/control_thread.hpp
@@ -37,6 +37,7 @@
         membership_controller* membership;
         // Null without a role of a node.
         node_controller* node;
+        std::vector<std::unique_ptr<agent_role>>& agents;
     };
 
     using command = std::function<void(context&)>;
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -1,6 +1,7 @@
 #include "node_controller.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
+#include "process_identity.hpp"
 
 #include <algorithm>
 
@@ -123,7 +124,14 @@
         send(each.tick(now));
     }
     take(m_subscriber.tick(now), board);
-    board.node_version.set(m_subscriber.applied_version());
+    const config_version in_force = m_subscriber.applied_version();
+    if (in_force > board.node_version.get())
+    {
+        m_log.write(log_line(log_level::info, "version_in_force")
+                        .field("version", in_force.value())
+                        .field("at_ms", wall_clock_ms()));
+    }
+    board.node_version.set(in_force);
 }
 
 bool node_controller::settled() const
--- a/packages/daemon/src/process_identity.cpp
+++ b/packages/daemon/src/process_identity.cpp
@@ -8,9 +8,6 @@
 namespace crowlink::internal
 {
 
-namespace
-{
-
 std::uint64_t wall_clock_ms()
 {
     const auto since_epoch =
@@ -20,8 +17,6 @@
             .count());
 }
 
-} // namespace
-
 std::uint64_t random_bits()
 {
     std::random_device source;
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -188,6 +188,10 @@
             {
                 with.node->advance(with.now, with.board);
             }
+            for (const std::unique_ptr<agent_role>& agent : with.agents)
+            {
+                agent->advance(with.board);
+            }
             return true;
         });
 }
--- a/packages/daemon/src/running_daemon.hpp
+++ b/packages/daemon/src/running_daemon.hpp
@@ -44,6 +44,10 @@
 
     bool has_failed() const { return m_control->has_failed(); }
 
+    control_thread& control() { return *m_control; }
+    // Null without the balancer role.
+    const balancer_role* balancing() const { return m_balancer.get(); }
+
 private:
     running_daemon(const daemon_settings& settings, log_sink& log);
 
--- /dev/null
+++ b/packages/daemon/test/running_daemon_test.cpp
@@ -0,0 +1,186 @@
+#include "running_daemon.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <gtest/gtest.h>
+
+namespace crowlink::internal
+{
+namespace
+{
+
+// A resend after each wait; a run that passes needs few of them.
+constexpr std::chrono::milliseconds patience(100);
+constexpr int most_tries = 300;
+
+const endpoint any_port = *endpoint::parse("127.0.0.1:0");
+
+std::span<const std::uint8_t> bytes_of(std::string_view text)
+{
+    return std::span(reinterpret_cast<const std::uint8_t*>(text.data()),
+                     text.size());
+}
+
+std::string text_of(std::span<const std::uint8_t> bytes)
+{
+    return std::string(bytes.begin(), bytes.end());
+}
+
+// One daemon with all roles, an upstream and callers, all in this process.
+class one_daemon : public testing::Test
+{
+protected:
+    one_daemon()
+    {
+        std::string pattern = testing::TempDir() + "crowlink_daemon_XXXXXX";
+        m_folder = mkdtemp(pattern.data());
+        m_poller.add(m_upstream.handle(), 0);
+        m_daemon = running_daemon::start(settings(), m_log);
+    }
+
+    ~one_daemon() override
+    {
+        m_daemon = fail(error_kind::unavailable, "", "ended");
+        std::filesystem::remove_all(m_folder);
+    }
+
+    daemon_settings settings() const
+    {
+        daemon_settings made;
+        made.host = host_settings{host_id("h"), place_id("p"), region_id("r")};
+        made.control.emplace();
+        made.control->data_folder = m_folder + "/data";
+        made.control->peer_listen = any_port;
+        made.control->node_listen = any_port;
+        made.control->peers = {control_peer{
+            host_id("h"), place_id("p"), region_id("r"), any_port, "", true}};
+        made.balancer.emplace();
+        made.balancer->mode = port_mode::plain_datagrams;
+        made.balancer->listen = {any_port};
+        made.balancer->tunnel = any_port;
+        agent_role_settings agent;
+        agent.upstream = upstream_id("u");
+        agent.service = service_id(1);
+        agent.upstream_address = m_upstream.local();
+        agent.tunnel = any_port;
+        made.agents.push_back(agent);
+        return made;
+    }
+
+    endpoint service_address() const
+    {
+        return (*m_daemon)->balancing()->listening().front();
+    }
+
+    // Applies a document with one service; until a leader is there, changes
+    // are refused as not run.
+    result<change_outcome> declare_service()
+    {
+        control_backend backend(m_settings, (*m_daemon)->control(),
+                                [] { return std::string(); });
+        service declared;
+        declared.id = service_id(1);
+        declared.name = "s";
+        declared.addresses = {service_address()};
+        declared.sharing.cold_start = duration();
+        change_request request;
+        request.operation = operation_id("op-1");
+        request.author = "test";
+        request.document.places = {place{place_id("p"), region_id("r")}};
+        request.document.services = {declared};
+        result<change_outcome> outcome = backend.change(request);
+        for (int tries = 0; !outcome && tries < most_tries; ++tries)
+        {
+            serve_upstream();
+            outcome = backend.change(request);
+        }
+        return outcome;
+    }
+
+    // Answers what reached the upstream within the patience.
+    void serve_upstream()
+    {
+        if (m_poller.wait(patience).empty())
+        {
+            return;
+        }
+        const std::size_t count = m_upstream.receive(m_batch);
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            const std::string text = "to " + text_of(m_batch.bytes(at));
+            (void)m_upstream.send(bytes_of(text), m_batch.peer(at));
+        }
+    }
+
+    // The answer to a datagram, empty if there is none after so many tries.
+    std::string call(const udp_socket& caller, std::string_view text,
+                     int tries = most_tries)
+    {
+        poller answered;
+        answered.add(caller.handle(), 0);
+        for (; tries > 0; --tries)
+        {
+            (void)caller.send(bytes_of(text), service_address());
+            serve_upstream();
+            if (!answered.wait(patience).empty() && caller.receive(m_batch) > 0)
+            {
+                return text_of(m_batch.bytes(0));
+            }
+        }
+        return {};
+    }
+
+    std::string m_folder;
+    log_sink m_log{stderr, log_format::key_value, log_level::error};
+    udp_socket m_upstream = *udp_socket::bind(any_port);
+    poller m_poller;
+    datagram_batch m_batch;
+    daemon_settings m_settings = settings();
+    result<std::unique_ptr<running_daemon>> m_daemon =
+        fail(error_kind::unavailable, "", "not started");
+};
+
+TEST_F(one_daemon, takes_a_datagram_to_the_upstream_and_back)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    const auto outcome = declare_service();
+    ASSERT_TRUE(outcome) << to_string(outcome.error());
+    EXPECT_EQ(outcome->status, change_status::accepted);
+    const udp_socket caller = *udp_socket::bind(any_port);
+    EXPECT_EQ(call(caller, "hello"), "to hello");
+}
+
+TEST_F(one_daemon, keeps_its_flows_and_takes_no_new_one_while_it_drains)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    ASSERT_TRUE(declare_service());
+    const udp_socket known = *udp_socket::bind(any_port);
+    ASSERT_EQ(call(known, "one"), "to one");
+    (*m_daemon)->drain();
+    EXPECT_EQ(call(known, "two"), "to two");
+    EXPECT_FALSE((*m_daemon)->drained());
+    const udp_socket stranger = *udp_socket::bind(any_port);
+    constexpr int a_few_tries = 5;
+    EXPECT_EQ(call(stranger, "three", a_few_tries), "");
+    EXPECT_EQ(call(known, "four"), "to four");
+}
+
+TEST_F(one_daemon, refuses_a_port_that_is_taken)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    daemon_settings second = settings();
+    second.control->data_folder = m_folder + "/other";
+    second.agents.front().tunnel = m_upstream.local();
+    const auto refused = running_daemon::start(second, m_log);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().place, m_upstream.local().to_string());
+}
+
+TEST_F(one_daemon, refuses_a_data_folder_that_another_one_holds)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    EXPECT_FALSE(running_daemon::start(settings(), m_log));
+}
+
+} // namespace
+} // namespace crowlink::internal
