--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -100,6 +100,8 @@
                     const packet_arrived& event);
     void walk(time_point now, packet_header header,
               const packet_arrived& event);
+    const candidate* missed_on_walk(const packet_header& header,
+                                    const candidate_chain& before) const;
     const candidate* next_on_walk(const packet_header& header,
                                   std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -31,6 +31,11 @@
 void address_to(packet_header& header, const candidate& to);
 void look_up_at(packet_header& header, const candidate& to);
 
+// Makes an agent the first of the current chain; the rest follows behind it.
+void ask_first(packet_header& header, const candidate& first);
+// Makes an agent the only one of the current chain.
+void ask_only(packet_header& header, const candidate& only);
+
 // An agent's place in the order of walks for a flow. All agents agree on it,
 // and it differs from flow to flow, so that no agent ends all walks.
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -1,6 +1,8 @@
 #include "crowlink/agent/agent.hpp"
 #include "crowlink/agent/chain_walk.hpp"
 
+#include <algorithm>
+
 namespace crowlink
 {
 
@@ -11,7 +13,7 @@
 
 // More agents than a packet meets in a walk over two chains, an admission over
 // one, and a few detours.
-constexpr std::uint8_t hop_limit = 20;
+constexpr std::uint8_t hop_limit = 32;
 
 bool may_open(packet_role role)
 {
@@ -182,9 +184,21 @@
         return false;
     }
     packet_header sent = header;
-    internal::address_to(sent, mark.to);
-    sent.pass = mark.kind == redirect_kind::chosen ? packet_pass::place
-                                                   : packet_pass::admit;
+    sent.pass = packet_pass::admit;
+    switch (mark.kind)
+    {
+    case redirect_kind::ended:
+        internal::ask_first(sent, mark.to);
+        break;
+    case redirect_kind::asked:
+        // Should it overtake the packet that it follows, it asks no further:
+        // its own chain might lead back along the trail.
+        internal::ask_only(sent, mark.to);
+        break;
+    default:
+        internal::address_to(sent, mark.to);
+        sent.pass = packet_pass::place;
+    }
     ++m_counts.diverted;
     forward(sent, event, flow_action::looked_up, "being_placed");
     return true;
@@ -250,21 +264,12 @@
 
 // Agents are met in one order, and each packet goes where the one before it
 // went as well as along its own chains. So two packets whose chains share an
-// agent end up at the same last one, and that one decides.
+// agent end up at the same last one, and that one decides. What an agent on
+// the way knows beyond the packet's chains joins them.
 void agent::walk(time_point now, packet_header header,
                  const packet_arrived& event)
 {
-    const std::uint64_t hash = stable_hash(header.flow);
-    const std::uint64_t here = internal::walk_order(hash, m_self);
-    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
-    const bool has_trail = mark != nullptr &&
-                           mark->kind == redirect_kind::walked &&
-                           may_open(header.role);
     internal::address_to(header, m_self);
-    if (has_trail)
-    {
-        internal::add_on_walk(header, mark->to);
-    }
     const bool is_likely_owner =
         header.role == packet_role::continues || header.position == 0;
     if (header.best == packet_header::no_position && is_likely_owner &&
@@ -272,19 +277,56 @@
     {
         header.best = header.position;
     }
-    const candidate* next = next_on_walk(header, here);
+    const candidate_chain known_before = header.previous;
+    m_members.widen(header, now);
+    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
+    if (mark != nullptr && mark->kind == redirect_kind::walked &&
+        may_open(header.role))
+    {
+        internal::add_on_walk(header, mark->to);
+    }
+    const candidate* missed = missed_on_walk(header, known_before);
+    const std::uint64_t here =
+        internal::walk_order(stable_hash(header.flow), m_self);
+    const candidate* next =
+        missed != nullptr ? missed : next_on_walk(header, here);
     if (next == nullptr)
     {
         end_walk(now, header, event);
         return;
     }
     const candidate to = *next;
-    leave_mark(now, header, to, redirect_kind::walked);
+    if (missed == nullptr)
+    {
+        leave_mark(now, header, to, redirect_kind::walked);
+    }
     internal::address_to(header, to);
     ++m_counts.looked_up;
     forward(header, event, flow_action::looked_up, "owner_unknown");
 }
 
+// The first of those that joined the packet's chains here and come before
+// this agent in the order of the walk; the walk goes on from there.
+const candidate* agent::missed_on_walk(const packet_header& header,
+                                       const candidate_chain& before) const
+{
+    const std::uint64_t hash = stable_hash(header.flow);
+    const candidate* first = nullptr;
+    std::uint64_t first_order = internal::walk_order(hash, m_self);
+    for (const candidate& next : header.previous)
+    {
+        const bool is_new =
+            std::find(before.begin(), before.end(), next) == before.end();
+        const std::uint64_t order = internal::walk_order(hash, next);
+        if (is_new && order < first_order && !m_members.is_gone(next.tag))
+        {
+            first = &next;
+            first_order = order;
+        }
+    }
+    return first;
+}
+
 const candidate* agent::next_on_walk(const packet_header& header,
                                      std::uint64_t after) const
 {
--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -106,6 +106,27 @@
     header.position = static_cast<std::uint8_t>(header.current.size());
 }
 
+void ask_first(packet_header& header, const candidate& first)
+{
+    const candidate_chain rest = header.current;
+    ask_only(header, first);
+    for (const candidate& next : rest)
+    {
+        if (next != first)
+        {
+            header.current.push_back(next);
+        }
+    }
+}
+
+void ask_only(packet_header& header, const candidate& only)
+{
+    header.current = candidate_chain();
+    header.current.push_back(only);
+    header.position = 0;
+    header.best = packet_header::no_position;
+}
+
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent)
 {
     return combine_hash(flow_hash, agent.tag);
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -127,7 +127,7 @@
     {
         for (const candidate& next : table.chain(hash))
         {
-            add_unseen(header, next);
+            add_on_walk(header, next);
         }
     };
     if (m_table)
