--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -58,8 +58,10 @@
         return;
     }
     const std::uint64_t hash = stable_hash(header.flow);
+    const bool has_started = header.pass == packet_pass::walk;
     const std::uint64_t here =
-        walk_order(hash, *candidate_at(header, header.position));
+        has_started ? walk_order(hash, *candidate_at(header, header.position))
+                    : 0;
     candidate_chain kept;
     bool replaced = false;
     for (std::size_t i = 0; i < header.previous.size(); ++i)
@@ -106,6 +108,27 @@
     header.position = static_cast<std::uint8_t>(header.current.size());
 }
 
+void ask_first(packet_header& header, const candidate& first)
+{
+    const candidate_chain rest = header.current;
+    ask_only(header, first);
+    for (const candidate& next : rest)
+    {
+        if (next != first)
+        {
+            header.current.push_back(next);
+        }
+    }
+}
+
+void ask_only(packet_header& header, const candidate& only)
+{
+    header.current = candidate_chain();
+    header.current.push_back(only);
+    header.position = 0;
+    header.best = packet_header::no_position;
+}
+
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent)
 {
     return combine_hash(flow_hash, agent.tag);
