--- a/bench/forwarding/set_bench.cpp
+++ b/bench/forwarding/set_bench.cpp
@@ -67,6 +67,7 @@
 {
     const auto views = target_views();
     std::vector<service_view> changed;
+    changed.reserve(views.size());
     for (const service_view& view : views)
     {
         changed.push_back(restarted(view, 2));
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -78,6 +78,7 @@
     std::shared_ptr<const address_index> m_index;
     // Late views must not bring these back. Bounded: the oldest go first.
     std::vector<removed_service> m_removed;
+    // The sum over the services, so that a change costs no walk over all.
     std::uint64_t m_digest = 0;
 };
 
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -51,17 +51,11 @@
     return place != all.end() && (*place)->service() == wanted;
 }
 
-std::uint64_t digest_of(const services& all)
+std::uint64_t digest_of(const service_tables& tables)
 {
-    std::uint64_t digest = all.size();
-    for (const auto& tables : all)
-    {
-        digest = combine_hash(digest, tables->current->digest());
-        const bool has_previous = tables->previous != nullptr;
-        digest =
-            combine_hash(digest, has_previous ? tables->previous->digest() : 0);
-    }
-    return digest;
+    const bool has_previous = tables.previous != nullptr;
+    return combine_hash(tables.current->digest(),
+                        has_previous ? tables.previous->digest() : 0);
 }
 
 } // namespace
@@ -113,8 +107,10 @@
     {
         return false;
     }
+    m_digest += digest_of(*tables);
     if (known)
     {
+        m_digest -= digest_of(**place);
         *place = std::move(tables);
         return true;
     }
@@ -132,6 +128,7 @@
     }
     if (known)
     {
+        m_digest -= digest_of(**place);
         m_services.erase(place);
     }
     return remember(removed) || known;
@@ -168,8 +165,8 @@
 
 void forwarding_set::finish(const forwarding_set& prior)
 {
-    m_digest = digest_of(m_services);
     m_tables.clear();
+    m_tables.reserve(m_services.size());
     for (const auto& tables : m_services)
     {
         m_tables.push_back(table_pair{tables->service(), tables->current.get(),
