--- a/bench/forwarding/path_bench.cpp
+++ b/bench/forwarding/path_bench.cpp
@@ -194,6 +194,31 @@
 }
 BENCHMARK(all_together)->ArgsProduct({{today, target}, {3, 7}, {64, 1400}});
 
+// One service with many members; the first argument is how many chains the
+// traffic thread remembers.
+void all_together_many_members(benchmark::State& state)
+{
+    const auto cached = static_cast<std::size_t>(state.range(0));
+    const auto members = static_cast<std::uint32_t>(state.range(1));
+    const auto set = make_set(setup{1, members, 0});
+    const auto all = packets(bench::flows(1), 64);
+    traffic_path path(bench::keys(), return_to, cached);
+    bytes buffer(4096);
+    std::size_t next = 0;
+    for (const bytes& packet : all)
+    {
+        path.route(*set, parse(packet), buffer);
+    }
+    for (auto _ : state)
+    {
+        const caller_packet packet = parse(all[next++ % all.size()]);
+        benchmark::DoNotOptimize(path.route(*set, packet, buffer));
+        benchmark::ClobberMemory();
+    }
+}
+BENCHMARK(all_together_many_members)
+    ->ArgsProduct({{0, 16384, 131072}, {16, 32, 64, 512, 2000}});
+
 void all_together_after_a_change(benchmark::State& state)
 {
     whole_path(state, make_changed_set(setup_of(state)));
--- a/packages/balancer/include/crowlink/balancer.hpp
+++ b/packages/balancer/include/crowlink/balancer.hpp
@@ -6,6 +6,7 @@
 //
 //   balancer.hpp          control side: changed views to a new set
 //   caller_answer.hpp     what is to be sent to a caller
+//   chain_cache.hpp       chains of services with many members, remembered
 //   route_decision.hpp    a decision as logs and `explain` show it
 //   route_drop.hpp        why a packet was not forwarded
 //   routed_packet.hpp     an encoded packet and the agent that it goes to
@@ -15,6 +16,7 @@
 
 #include "crowlink/balancer/balancer.hpp"
 #include "crowlink/balancer/caller_answer.hpp"
+#include "crowlink/balancer/chain_cache.hpp"
 #include "crowlink/balancer/route_decision.hpp"
 #include "crowlink/balancer/route_drop.hpp"
 #include "crowlink/balancer/routed_packet.hpp"
--- a/packages/balancer/include/crowlink/balancer/traffic_path.hpp
+++ b/packages/balancer/include/crowlink/balancer/traffic_path.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/balancer/caller_answer.hpp"
+#include "crowlink/balancer/chain_cache.hpp"
 #include "crowlink/balancer/route_decision.hpp"
 #include "crowlink/balancer/route_drop.hpp"
 #include "crowlink/balancer/routed_packet.hpp"
@@ -17,13 +18,18 @@
 namespace crowlink
 {
 
-// What one traffic thread of a balancer decides. It keeps nothing but its
-// counts and allocates nothing; each thread has its own.
+// What one traffic thread of a balancer decides. Beyond its counts it keeps a
+// cache of chains, which no decision depends on; each thread has its own. It
+// does not allocate after its construction.
 class traffic_path
 {
 public:
+    // Entries of 32 bytes; enough for the busy flows of a thread.
+    static constexpr std::size_t default_cached_chains = 16384;
+
     // Agents send answers for callers to `return_to`, a socket of this host.
-    traffic_path(const key_ring& keys, const endpoint& return_to);
+    traffic_path(const key_ring& keys, const endpoint& return_to,
+                 std::size_t cached_chains = default_cached_chains);
 
     // Encodes a caller's packet into the buffer for the head of its chain.
     tl::expected<routed_packet, route_drop>
@@ -40,6 +46,7 @@
     tl::unexpected<route_drop> drop(route_drop reason);
 
     datagram_codec m_codec;
+    chain_cache m_chains;
     endpoint m_return_to;
     traffic_counts m_counts;
 };
--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -8,16 +8,18 @@
 
 // The two chains of a flow by a service's tables. The previous one is left
 // empty where it would say the same again.
+template <class Chain>
 void fill_chains(const table_pair& tables, const flow_key& flow,
-                 candidate_chain& current, candidate_chain& previous)
+                 const Chain& chain_by, candidate_chain& current,
+                 candidate_chain& previous)
 {
     const std::uint64_t hash = stable_hash(flow);
-    current = tables.current->chain(hash);
+    current = chain_by(*tables.current, hash);
     if (tables.previous == nullptr)
     {
         return;
     }
-    previous = tables.previous->chain(hash);
+    previous = chain_by(*tables.previous, hash);
     if (previous == current)
     {
         previous = candidate_chain();
@@ -37,8 +39,9 @@
 
 } // namespace
 
-traffic_path::traffic_path(const key_ring& keys, const endpoint& return_to)
-    : m_codec(keys), m_return_to(return_to)
+traffic_path::traffic_path(const key_ring& keys, const endpoint& return_to,
+                           std::size_t cached_chains)
+    : m_codec(keys), m_chains(cached_chains), m_return_to(return_to)
 {
 }
 
@@ -54,7 +57,13 @@
     }
     forward_datagram out;
     packet_header& header = out.header;
-    fill_chains(*tables, packet.flow, header.current, header.previous);
+    const auto chain_by =
+        [this](const forwarding_table& table, std::uint64_t hash)
+    {
+        return m_chains.chain(table, hash);
+    };
+    fill_chains(*tables, packet.flow, chain_by, header.current,
+                header.previous);
     if (header.current.empty() && header.previous.empty())
     {
         return drop(route_drop::no_candidate);
@@ -117,7 +126,11 @@
     }
     decision.service = tables->service;
     decision.table = tables->current->digest();
-    fill_chains(*tables, flow, decision.current, decision.previous);
+    const auto chain_by = [](const forwarding_table& table, std::uint64_t hash)
+    {
+        return table.chain(hash);
+    };
+    fill_chains(*tables, flow, chain_by, decision.current, decision.previous);
     decision.reason = reason_of(decision.current, decision.previous);
     if (decision.reason != route_reason::no_candidate)
     {
--- a/packages/balancer/test/traffic_path_test.cpp
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -171,6 +171,27 @@
               route_reason::previous_chain);
 }
 
+TEST(traffic_path, remembered_chains_are_those_of_the_tables)
+{
+    // A cache of few entries, many flows and two tables of a large service.
+    balancer control;
+    control.handle(time_point(), views_changed{{view(1, 60)}, {}});
+    control.handle(time_point(), views_changed{{view(2, 50)}, {}});
+    const table_pair& tables =
+        *control.snapshot()->tables_at(transport::udp, service_address);
+    chain_cache cache(100);
+    EXPECT_EQ(cache.memory(), 128U * 32U);
+    std::mt19937_64 random(seed);
+    for (int round = 0; round < 5000; ++round)
+    {
+        const std::uint64_t hash = stable_hash(flow(random() % 300));
+        ASSERT_EQ(cache.chain(*tables.current, hash),
+                  tables.current->chain(hash));
+        ASSERT_EQ(cache.chain(*tables.previous, hash),
+                  tables.previous->chain(hash));
+    }
+}
+
 TEST(traffic_path, drops_are_typed_and_counted)
 {
     node balancer;
@@ -232,7 +253,7 @@
 TEST(traffic_path, the_hot_path_does_not_allocate)
 {
     node balancer;
-    service_view weighted = view(1, 9);
+    service_view weighted = view(1, 50);
     weighted.members[3].weight = 7;
     balancer.learn(weighted);
     balancer.learn(view(2, 8));
--- a/packages/forwarding/include/crowlink/forwarding.hpp
+++ b/packages/forwarding/include/crowlink/forwarding.hpp
@@ -4,6 +4,7 @@
 //
 //   candidate.hpp         one agent that may take a flow
 //   candidate_chain.hpp   a flow's candidates in order, without allocation
+//   member_order.hpp      a chain as indices into a table
 //   packet_header.hpp     what travels in front of each packet between hosts
 //   forwarding_set.hpp    all services of a node: address to tables
 //   forwarding_table.hpp  a service's immutable table: flow hash to chain
@@ -15,6 +16,7 @@
 #include "crowlink/forwarding/candidate_chain.hpp"
 #include "crowlink/forwarding/forwarding_set.hpp"
 #include "crowlink/forwarding/forwarding_table.hpp"
+#include "crowlink/forwarding/member_order.hpp"
 #include "crowlink/forwarding/packet_header.hpp"
 #include "crowlink/forwarding/removed_service.hpp"
 #include "crowlink/forwarding/service_tables.hpp"
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_table.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_table.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/base/ids.hpp"
 #include "crowlink/forwarding/candidate_chain.hpp"
+#include "crowlink/forwarding/member_order.hpp"
 
 #include <boost/container/small_vector.hpp>
 #include <cstddef>
@@ -35,7 +36,15 @@
 
     // The candidates of a flow, best first; empty if no member is ready. Does
     // not allocate.
-    candidate_chain chain(std::uint64_t flow_hash) const;
+    candidate_chain chain(std::uint64_t flow_hash) const
+    {
+        return chain_of(order(flow_hash));
+    }
+
+    // The two steps of `chain`: the first one takes time in proportion to the
+    // members, the second one does not.
+    member_order order(std::uint64_t flow_hash) const;
+    candidate_chain chain_of(const member_order& found) const;
 
     // The bytes that the table takes.
     std::size_t memory() const;
--- a/packages/forwarding/src/forwarding_table.cpp
+++ b/packages/forwarding/src/forwarding_table.cpp
@@ -59,9 +59,9 @@
     bool excludes(double least) const { return bits(least) > m_entries.back(); }
 
     // The member in a place that was filled.
-    std::size_t operator[](std::size_t place) const
+    std::uint16_t operator[](std::size_t place) const
     {
-        return static_cast<std::size_t>(m_entries[place] & index_mask);
+        return static_cast<std::uint16_t>(m_entries[place] & index_mask);
     }
 
 private:
@@ -125,7 +125,7 @@
     m_digest = combine_hash(m_digest, digest_of(record));
 }
 
-candidate_chain forwarding_table::chain(std::uint64_t flow_hash) const
+member_order forwarding_table::order(std::uint64_t flow_hash) const
 {
     cheapest best;
     for (std::size_t i = 0; i < m_members.size(); ++i)
@@ -142,15 +142,26 @@
         best.offer(i,
                    m_equal_weights ? bound : -std::log(drawn) * inverse_weight);
     }
-    candidate_chain found;
-    const std::size_t length = std::min(m_length, m_members.size());
-    for (std::size_t place = 0; place < length; ++place)
+    member_order found;
+    found.size =
+        static_cast<std::uint8_t>(std::min(m_length, m_members.size()));
+    for (std::size_t place = 0; place < found.size; ++place)
     {
-        found.push_back(m_members[best[place]].target);
+        found.members[place] = best[place];
     }
     return found;
 }
 
+candidate_chain forwarding_table::chain_of(const member_order& found) const
+{
+    candidate_chain chain;
+    for (std::size_t place = 0; place < found.size; ++place)
+    {
+        chain.push_back(m_members[found.members[place]].target);
+    }
+    return chain;
+}
+
 std::size_t forwarding_table::memory() const
 {
     const bool in_place = m_members.capacity() <= members_in_place;
