--- a/packages/balancer/test/traffic_path_test.cpp
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -179,16 +179,19 @@
     control.handle(time_point(), views_changed{{view(2, 50)}, {}});
     const table_pair& tables =
         *control.snapshot()->tables_at(transport::udp, service_address);
-    chain_cache cache(100);
-    EXPECT_EQ(cache.memory(), 128U * 32U);
+    EXPECT_EQ(chain_cache(100).memory(), 128U * 32U);
     std::mt19937_64 random(seed);
-    for (int round = 0; round < 5000; ++round)
+    for (const std::size_t capacity : {0U, 1U, 100U})
     {
-        const std::uint64_t hash = stable_hash(flow(random() % 300));
-        ASSERT_EQ(cache.chain(*tables.current, hash),
-                  tables.current->chain(hash));
-        ASSERT_EQ(cache.chain(*tables.previous, hash),
-                  tables.previous->chain(hash));
+        chain_cache cache(capacity);
+        for (int round = 0; round < 2000; ++round)
+        {
+            const std::uint64_t hash = stable_hash(flow(random() % 300));
+            ASSERT_EQ(cache.chain(*tables.current, hash),
+                      tables.current->chain(hash));
+            ASSERT_EQ(cache.chain(*tables.previous, hash),
+                      tables.previous->chain(hash));
+        }
     }
 }
 
--- a/packages/packet/test/caller_port_test.cpp
+++ b/packages/packet/test/caller_port_test.cpp
@@ -138,7 +138,8 @@
     const bytes udp6 = udp_request(udp_flows[1], {1, 2});
     const bytes tcp4 = tcp_request(tcp_flows[0], ack);
     bytes damaged = udp4;
-    damaged[15] ^= 1U;
+    // The hop limit, which only the header's own checksum covers.
+    damaged[8] ^= 1U;
     const std::vector<std::pair<bytes, packet_drop>> cases{
         {changed(udp4, 6, 0x20), packet_drop::fragment},
         {changed(udp4, 7, 0x01), packet_drop::fragment},
--- a/packages/wire/src/message_reader.cpp
+++ b/packages/wire/src/message_reader.cpp
@@ -102,7 +102,8 @@
         return {};
     }
     const auto start = static_cast<std::size_t>(m_input.CurrentPosition());
-    if (size > m_bytes.size() - start || !m_input.Skip(static_cast<int>(size)))
+    // Fails for a size beyond the end, and for one that is no int.
+    if (!m_input.Skip(static_cast<int>(size)))
     {
         fail(datagram_drop::malformed);
         return {};
--- a/packages/wire/test/datagram_codec_test.cpp
+++ b/packages/wire/test/datagram_codec_test.cpp
@@ -275,6 +275,11 @@
     other[2] = 77;
     sign(other, other.size() - hash_size);
     EXPECT_EQ(codec.decode(other).error(), datagram_drop::malformed);
+    // An empty notice names no flow.
+    bytes bare(good.begin(), good.begin() + prefix_size);
+    bare.resize(prefix_size + hash_size);
+    sign(bare, prefix_size);
+    EXPECT_EQ(codec.decode(bare).error(), datagram_drop::out_of_range);
     forward_datagram lost;
     lost.header.position = 1;
     lost.header.current.push_back(candidate{});
