--- a/packages/forwarding/src/forwarding_table.cpp
+++ b/packages/forwarding/src/forwarding_table.cpp
@@ -44,24 +44,24 @@
     void offer(std::size_t member, double cost)
     {
         std::uint64_t entry = (bits(cost) & ~index_mask) | member;
-        for (std::uint64_t& place : m_entries)
-        {
-            // Exchanges the two if the entry is the better one. A condition
-            // would become a branch, which every second member mispredicts.
-            const std::uint64_t better = -std::uint64_t{entry < place};
-            const std::uint64_t difference = (entry ^ place) & better;
-            place ^= difference;
-            entry ^= difference;
-        }
+        // Written out, so that the places stay in registers.
+        static_assert(candidate_chain::capacity == 4,
+                      "one exchange is needed for each place of a chain");
+        exchange(m_entries[0], entry);
+        exchange(m_entries[1], entry);
+        exchange(m_entries[2], entry);
+        exchange(m_entries[3], entry);
     }
 
     // Whether a member of at least this cost has no place.
-    bool excludes(double least) const { return bits(least) > m_entries.back(); }
+    bool excludes(double least) const { return bits(least) > m_entries[3]; }
 
-    // The member in a place that was filled.
-    std::uint16_t operator[](std::size_t place) const
+    // The members in the places; those beyond the number of members offered
+    // mean nothing.
+    std::array<std::uint16_t, candidate_chain::capacity> members() const
     {
-        return static_cast<std::uint16_t>(m_entries[place] & index_mask);
+        return {index(m_entries[0]), index(m_entries[1]), index(m_entries[2]),
+                index(m_entries[3])};
     }
 
 private:
@@ -73,6 +73,21 @@
         return std::bit_cast<std::uint64_t>(cost);
     }
 
+    static std::uint16_t index(std::uint64_t entry)
+    {
+        return static_cast<std::uint16_t>(entry & index_mask);
+    }
+
+    // Puts the better one of the two into the place. A condition would become
+    // a branch, which every second member mispredicts.
+    static void exchange(std::uint64_t& place, std::uint64_t& entry)
+    {
+        const std::uint64_t better = -std::uint64_t{entry < place};
+        const std::uint64_t difference = (entry ^ place) & better;
+        place ^= difference;
+        entry ^= difference;
+    }
+
     std::array<std::uint64_t, candidate_chain::capacity> m_entries{};
 };
 
@@ -145,10 +160,7 @@
     member_order found;
     found.size =
         static_cast<std::uint8_t>(std::min(m_length, m_members.size()));
-    for (std::size_t place = 0; place < found.size; ++place)
-    {
-        found.members[place] = best[place];
-    }
+    found.members = best.members();
     return found;
 }
 
--- a/packages/packet/src/checksum.cpp
+++ b/packages/packet/src/checksum.cpp
@@ -23,25 +23,39 @@
     return value;
 }
 
+// Up to four bytes as a word, filled up with zeros.
+std::uint32_t load(const std::uint8_t* in, std::size_t size)
+{
+    std::uint32_t word = 0;
+    std::memcpy(&word, in, size);
+    return word;
+}
+
 } // namespace
 
 void checksum::add(std::span<const std::uint8_t> bytes)
 {
+    constexpr std::size_t word_size = sizeof(std::uint32_t);
     const std::uint8_t* in = bytes.data();
     std::size_t left = bytes.size();
-    while (left >= sizeof(std::uint32_t))
+    // Two sums, so that one addition need not wait for the other.
+    std::uint64_t first = 0;
+    std::uint64_t second = 0;
+    while (left >= 2 * word_size)
     {
-        std::uint32_t word = 0;
-        std::memcpy(&word, in, sizeof word);
-        m_sum += word;
-        in += sizeof word;
-        left -= sizeof word;
+        first += load(in, word_size);
+        second += load(in + word_size, word_size);
+        in += 2 * word_size;
+        left -= 2 * word_size;
     }
-    std::array<std::uint8_t, sizeof(std::uint32_t)> rest{};
-    std::copy_n(in, left, rest.begin());
-    std::uint32_t word = 0;
-    std::memcpy(&word, rest.data(), sizeof word);
-    m_sum += word;
+    if (left >= word_size)
+    {
+        first += load(in, word_size);
+        in += word_size;
+        left -= word_size;
+    }
+    second += load(in, left);
+    m_sum += first + second;
 }
 
 void checksum::add_pseudo_header(const ip_address& source,
