--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -16,14 +16,12 @@
 
 std::size_t address_hash::operator()(const service_address& value) const
 {
-    std::array<std::uint8_t, ip_address::byte_count + 3> bytes{};
+    constexpr unsigned protocol_shift = 16;
+    const auto protocol = static_cast<std::uint64_t>(value.protocol);
     const auto& address = value.address.address.bytes();
-    std::uint8_t* out =
-        std::copy(address.begin(), address.end(), bytes.begin());
-    *out++ = static_cast<std::uint8_t>(value.address.port >> 8U);
-    *out++ = static_cast<std::uint8_t>(value.address.port & 0xffU);
-    *out = static_cast<std::uint8_t>(value.protocol);
-    return XXH3_64bits(bytes.data(), bytes.size());
+    return XXH3_64bits_withSeed(address.data(), address.size(),
+                                protocol << protocol_shift |
+                                    value.address.port);
 }
 
 } // namespace internal
--- a/packages/wire/src/datagram_decode.cpp
+++ b/packages/wire/src/datagram_decode.cpp
@@ -203,11 +203,13 @@
     return true;
 }
 
+// Reads into the result itself: the value is large.
 template <class Value>
 decoded read_message(byte_view message)
 {
     message_reader in(message);
-    Value value;
+    decoded read(tl::in_place, std::in_place_type<Value>);
+    Value& value = *std::get_if<Value>(&*read);
     bool has_flow = false;
     while (const std::uint32_t found = in.next_tag())
     {
@@ -216,13 +218,13 @@
     }
     if (in.failure())
     {
-        return drop(*in.failure());
+        read = drop(*in.failure());
     }
-    if (!has_flow || !plausible(value))
+    else if (!has_flow || !plausible(value))
     {
-        return drop(datagram_drop::out_of_range);
+        read = drop(datagram_drop::out_of_range);
     }
-    return datagram(value);
+    return read;
 }
 
 decoded read_kind(std::uint8_t kind, byte_view message)
