--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -6,24 +6,12 @@
 namespace
 {
 
-// The two chains of a flow by a service's tables. The previous one is left
-// empty where it would say the same again.
-template <class Chain>
-void fill_chains(const table_pair& tables, const flow_key& flow,
-                 const Chain& chain_by, candidate_chain& current,
-                 candidate_chain& previous)
+// The chain by the table before, left empty where it would say the same as the
+// current one.
+candidate_chain unless_equal(const candidate_chain& previous,
+                             const candidate_chain& current)
 {
-    const std::uint64_t hash = stable_hash(flow);
-    current = chain_by(*tables.current, hash);
-    if (tables.previous == nullptr)
-    {
-        return;
-    }
-    previous = chain_by(*tables.previous, hash);
-    if (previous == current)
-    {
-        previous = candidate_chain();
-    }
+    return previous == current ? candidate_chain() : previous;
 }
 
 route_reason reason_of(const candidate_chain& current,
@@ -55,25 +43,24 @@
     {
         return drop(route_drop::no_service);
     }
-    forward_datagram out;
+    const std::uint64_t hash = stable_hash(packet.flow);
+    // Made in one piece, since the chains are large to copy.
+    forward_datagram out{packet_header{tables->service,
+                                       tables->current->digest(), packet.flow,
+                                       packet.role, packet_pass::lookup, 0, 0,
+                                       m_chains.chain(*tables->current, hash),
+                                       candidate_chain(), m_return_to},
+                         packet.payload};
     packet_header& header = out.header;
-    const auto chain_by =
-        [this](const forwarding_table& table, std::uint64_t hash)
+    if (tables->previous != nullptr)
     {
-        return m_chains.chain(table, hash);
-    };
-    fill_chains(*tables, packet.flow, chain_by, header.current,
-                header.previous);
+        header.previous = unless_equal(m_chains.chain(*tables->previous, hash),
+                                       header.current);
+    }
     if (header.current.empty() && header.previous.empty())
     {
         return drop(route_drop::no_candidate);
     }
-    header.service = tables->service;
-    header.table = tables->current->digest();
-    header.flow = packet.flow;
-    header.role = packet.role;
-    header.return_to = m_return_to;
-    out.payload = packet.payload;
     const std::size_t size = m_codec.encode(out, buffer);
     if (size == 0)
     {
@@ -126,11 +113,13 @@
     }
     decision.service = tables->service;
     decision.table = tables->current->digest();
-    const auto chain_by = [](const forwarding_table& table, std::uint64_t hash)
+    const std::uint64_t hash = stable_hash(flow);
+    decision.current = tables->current->chain(hash);
+    if (tables->previous != nullptr)
     {
-        return table.chain(hash);
-    };
-    fill_chains(*tables, flow, chain_by, decision.current, decision.previous);
+        decision.previous =
+            unless_equal(tables->previous->chain(hash), decision.current);
+    }
     decision.reason = reason_of(decision.current, decision.previous);
     if (decision.reason != route_reason::no_candidate)
     {
