--- a/packages/wire/test/datagram_codec_test.cpp
+++ b/packages/wire/test/datagram_codec_test.cpp
@@ -64,7 +64,8 @@
     header.table = random() % 5 == 0 ? 0 : random();
     header.flow = random_flow(random);
     header.role = static_cast<packet_role>(random() % 4);
-    header.pass = static_cast<packet_pass>(random() % 3);
+    header.pass = static_cast<packet_pass>(
+        random() % (static_cast<unsigned>(last_packet_pass) + 1));
     const std::size_t current = 1 + random() % candidate_chain::capacity;
     for (std::size_t i = 0; i < current; ++i)
     {
@@ -290,6 +291,11 @@
     other[2] = 77;
     sign(other, other.size() - hash_size);
     EXPECT_EQ(codec.decode(other).error(), datagram_drop::malformed);
+    // An empty notice names no flow.
+    bytes bare(good.begin(), good.begin() + prefix_size);
+    bare.resize(prefix_size + hash_size);
+    sign(bare, prefix_size);
+    EXPECT_EQ(codec.decode(bare).error(), datagram_drop::out_of_range);
     forward_datagram lost;
     lost.header.position = 1;
     lost.header.current.push_back(candidate{});
