--- a/packages/requests/test/request_admission_test.cpp
+++ b/packages/requests/test/request_admission_test.cpp
@@ -210,6 +210,31 @@
     EXPECT_EQ(m_agent.counts().running, 1U);
 }
 
+TEST_F(request_admission_test, an_answer_to_an_earlier_life_is_not_its_own)
+{
+    send(part(1));
+    const upstream_answer old{
+        {incarnation(0), last_run().id.number}, verdict::ran, {}, "old"};
+    m_agent.handle_upstream(m_now, encode(old), m_effects);
+    EXPECT_EQ(m_agent.counts().running, 1U);
+    EXPECT_TRUE(m_effects.to_callers.empty());
+}
+
+TEST_F(request_admission_test, a_leaving_agent_ends_its_work_and_takes_no_more)
+{
+    send(part(1));
+    send(part(2));
+    m_agent.drain();
+    send(part(3));
+    EXPECT_EQ(last_answer().reason, answer_reason::draining);
+    EXPECT_EQ(last_answer().outcome, verdict::not_run);
+    end_run(verdict::ran, milliseconds(1));
+    EXPECT_EQ(last_answer().outcome, verdict::ran);
+    end_run(verdict::ran, milliseconds(1));
+    EXPECT_EQ(m_agent.counts().running + m_agent.counts().queued, 0U);
+    EXPECT_EQ(m_effects.to_upstream.size(), 2U);
+}
+
 TEST_F(request_admission_test, a_silent_run_is_stopped_and_then_abandoned)
 {
     send(part(1, "hold", milliseconds(100)));
