--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -149,7 +149,7 @@
 }
 
 void fake_cluster::carry_out(std::size_t host,
-                             std::vector<document_effect> effects)
+                             const std::vector<document_effect>& effects)
 {
     for (const document_effect& effect : effects)
     {
--- a/packages/replication/test/fake_cluster.hpp
+++ b/packages/replication/test/fake_cluster.hpp
@@ -102,7 +102,8 @@
     time_point now(const fake_host& host) const;
     void deliver();
     void write(std::size_t host);
-    void carry_out(std::size_t host, std::vector<document_effect> effects);
+    void carry_out(std::size_t host,
+                   const std::vector<document_effect>& effects);
     void event(std::size_t host, const document_event& one);
     void post(const replica_message& message);
     void check();
--- a/packages/replication/test/property_test.cpp
+++ b/packages/replication/test/property_test.cpp
@@ -5,15 +5,16 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <ostream>
 
 namespace crowlink::replication
 {
 
 // RapidCheck prints a counterexample with this.
-void showValue(const action& value, std::ostream& out)
+std::ostream& operator<<(std::ostream& out, const action& value)
 {
-    out << "{" << static_cast<int>(value.kind) << ", " << value.host << ", "
-        << value.amount << "}";
+    return out << "{" << static_cast<int>(value.kind) << ", " << value.host
+               << ", " << value.amount << "}";
 }
 
 namespace
