--- a/packages/client/src/server_connection.cpp
+++ b/packages/client/src/server_connection.cpp
@@ -106,7 +106,7 @@
         for (const auto& server : m_options.servers)
         {
             const auto left = end - clock.now();
-            const auto answer =
+            auto answer =
                 ask(server, call,
                     std::max<duration>(std::min<duration>(share, left),
                                        std::chrono::milliseconds(1)));
--- a/packages/console/src/html.hpp
+++ b/packages/console/src/html.hpp
@@ -18,7 +18,7 @@
                  std::string_view body);
 // A page for somebody who has not signed in.
 std::string open_page(std::string_view title, std::string_view body);
-std::string sign_in_page(std::string_view notice);
+std::string sign_in_page(std::string_view message);
 std::string error_page(std::string_view message);
 
 // A paragraph that stands out; read aloud by screen readers at once.
--- a/packages/console/src/request_fields.cpp
+++ b/packages/console/src/request_fields.cpp
@@ -46,7 +46,7 @@
     {
         return tl::unexpected<error>(text.error());
     }
-    const auto address = endpoint::parse(*text);
+    auto address = endpoint::parse(*text);
     if (!address || address->port == 0)
     {
         return refuse("address", "must be an IP address and a port");
--- a/packages/console/src/sessions.cpp
+++ b/packages/console/src/sessions.cpp
@@ -83,7 +83,7 @@
     }
     std::int64_t end = 0;
     std::from_chars(session.data() + first + 1, session.data() + last, end);
-    const auto name = from_hex(session.substr(0, first));
+    auto name = from_hex(session.substr(0, first));
     if (now.time_since_epoch().count() >= end || !name ||
         !m_tokens.lists(*name))
     {
--- a/packages/console/test/api_test.cpp
+++ b/packages/console/test/api_test.cpp
@@ -19,16 +19,16 @@
     for (const char* path : {"/v1/document", "/v1/history", "/v1/status",
                              "/v1/members", "/v1/explain"})
     {
-        EXPECT_EQ(client->Get(path)->status, 401) << path;
-        EXPECT_EQ(client->Get(path, {{"Authorization", "Bearer x"}})->status,
+        EXPECT_EQ(m_client->Get(path)->status, 401) << path;
+        EXPECT_EQ(m_client->Get(path, {{"Authorization", "Bearer x"}})->status,
                   401);
     }
     for (const char* path : {"/v1/document", "/v1/drain", "/v1/undrain",
                              "/v1/members", "/v1/preview"})
     {
-        EXPECT_EQ(client->Post(path, "{}", "application/json")->status, 401);
+        EXPECT_EQ(m_client->Post(path, "{}", "application/json")->status, 401);
     }
-    EXPECT_EQ(backend.effects(), 0U);
+    EXPECT_EQ(m_backend.effects(), 0U);
     EXPECT_NE(
         metrics_text().find("crowlink_console_refused_unauthorized_total 15\n"),
         std::string::npos)
@@ -60,7 +60,7 @@
               {"operation_id", "a"},
               {"document", R"({"regions":[],"services":[]} // empty)"}});
     EXPECT_EQ(answer->status, 200) << answer->body;
-    EXPECT_TRUE(backend.document()->document.services.empty());
+    EXPECT_TRUE(m_backend.document()->document.services.empty());
 }
 
 TEST_F(api, the_loser_of_a_race_sees_version_and_differences)
@@ -83,7 +83,7 @@
     EXPECT_EQ(body["changed_since"], between);
     EXPECT_EQ(body["difference"][0]["before"], 4);
     EXPECT_EQ(body["difference"][0]["after"], 2);
-    EXPECT_EQ(backend.effects(), 1U);
+    EXPECT_EQ(m_backend.effects(), 1U);
 }
 
 TEST_F(api, a_resend_gets_the_first_answer)
@@ -98,20 +98,22 @@
     const auto again = post("/v1/document", change);
     EXPECT_EQ(again->status, 200);
     EXPECT_EQ(body_of(again)["version"], 2);
-    EXPECT_EQ(backend.effects(), 2U);
+    EXPECT_EQ(m_backend.effects(), 2U);
 }
 
 TEST_F(api, of_many_racing_operators_one_wins)
 {
     const auto document = changed_document(2);
     std::atomic<int> won{0};
+    constexpr int count = 6;
     std::vector<std::thread> operators;
-    for (int at = 0; at < 6; ++at)
+    operators.reserve(count);
+    for (int at = 0; at < count; ++at)
     {
         operators.emplace_back(
             [this, at, &document, &won]
             {
-                httplib::Client own("127.0.0.1", port);
+                httplib::Client own("127.0.0.1", m_port);
                 const json change = {{"base_version", 1},
                                      {"operation_id", std::to_string(at)},
                                      {"document", document}};
@@ -125,7 +127,7 @@
         each.join();
     }
     EXPECT_EQ(won, 1);
-    EXPECT_EQ(backend.effects(), 1U);
+    EXPECT_EQ(m_backend.effects(), 1U);
 }
 
 TEST_F(api, all_errors_of_a_document_come_at_once)
@@ -138,7 +140,7 @@
     EXPECT_EQ(answer->status, 422);
     EXPECT_EQ(body_of(answer)["errors"].size(), 2U);
     EXPECT_EQ(body_of(answer)["errors"][0]["path"], "/drains/1");
-    EXPECT_EQ(backend.effects(), 0U);
+    EXPECT_EQ(m_backend.effects(), 0U);
 }
 
 TEST_F(api, requests_that_break_their_form_are_refused)
@@ -154,9 +156,9 @@
     {
         EXPECT_EQ(post("/v1/document", body)->status, 400) << body.dump();
     }
-    const auto twice = client->Post("/v1/document", bearer(),
-                                    R"({"base_version":1,"base_version":2})",
-                                    "application/json");
+    const auto twice = m_client->Post("/v1/document", bearer(),
+                                      R"({"base_version":1,"base_version":2})",
+                                      "application/json");
     EXPECT_EQ(twice->status, 400);
     EXPECT_EQ(post("/v1/document", {{"base_version", 1}, {"operation_id", "a"}})
                   ->status,
@@ -165,53 +167,53 @@
 
 TEST_F(api, without_a_quorum_it_says_when_to_try_again)
 {
-    backend.lose_quorum(true);
+    m_backend.lose_quorum(true);
     const auto answer =
         post("/v1/document", {{"base_version", 1},
                               {"operation_id", "a"},
                               {"document", changed_document(2)}});
     EXPECT_EQ(answer->status, 503);
     EXPECT_EQ(answer->get_header_value("Retry-After"), "1");
-    EXPECT_EQ(client->Get("/health/live")->status, 200);
-    EXPECT_EQ(client->Get("/health/ready")->status, 503);
-    backend.lose_quorum(false);
-    EXPECT_EQ(client->Get("/health/ready")->status, 200);
+    EXPECT_EQ(m_client->Get("/health/live")->status, 200);
+    EXPECT_EQ(m_client->Get("/health/ready")->status, 503);
+    m_backend.lose_quorum(false);
+    EXPECT_EQ(m_client->Get("/health/ready")->status, 200);
 }
 
 TEST_F(api, a_drain_is_tried_again_when_others_are_faster)
 {
-    backend.race(3);
+    m_backend.race(3);
     const json drain = {{"upstream", "u5"}, {"operation_id", "a"}};
     const auto answer = post("/v1/drain", drain);
     ASSERT_EQ(answer->status, 200) << answer->body;
     EXPECT_EQ(body_of(answer)["version"], 5);
-    const auto drains = backend.document()->document.drains;
+    const auto drains = m_backend.document()->document.drains;
     EXPECT_EQ(drains,
               (std::vector<upstream_id>{upstream_id("u2"), upstream_id("u5")}));
     EXPECT_EQ(body_of(post("/v1/drain", drain))["version"], 5);
     EXPECT_EQ(post("/v1/undrain", {{"upstream", "u2"}, {"operation_id", "b"}})
                   ->status,
               200);
-    EXPECT_EQ(backend.document()->document.drains,
+    EXPECT_EQ(m_backend.document()->document.drains,
               std::vector<upstream_id>{upstream_id("u5")});
 }
 
 TEST_F(api, a_resent_drain_does_not_undo_what_came_between)
 {
-    backend.lose_answers(1);
+    m_backend.lose_answers(1);
     const json drain = {{"upstream", "u5"}, {"operation_id", "a"}};
     EXPECT_EQ(post("/v1/drain", drain)->status, 503);
     ASSERT_EQ(post("/v1/undrain", {{"upstream", "u5"}, {"operation_id", "b"}})
                   ->status,
               200);
     EXPECT_EQ(body_of(post("/v1/drain", drain))["version"], 2);
-    EXPECT_EQ(backend.document()->document.drains,
+    EXPECT_EQ(m_backend.document()->document.drains,
               std::vector<upstream_id>{upstream_id("u2")});
 }
 
 TEST_F(api, a_drain_that_always_loses_ends)
 {
-    backend.race(1000);
+    m_backend.race(1000);
     EXPECT_EQ(
         post("/v1/drain", {{"upstream", "u5"}, {"operation_id", "a"}})->status,
         503);
@@ -231,7 +233,7 @@
                    {{"document", changed_document(1)}, {"base_version", 9}})
                   ->status,
               404);
-    EXPECT_EQ(backend.effects(), 0U);
+    EXPECT_EQ(m_backend.effects(), 0U);
 }
 
 TEST_F(api, members_are_added_replaced_and_removed)
@@ -281,8 +283,8 @@
 TEST_F(api, a_long_body_is_refused_and_counted)
 {
     const auto answer =
-        client->Post("/v1/document", bearer(), std::string(70U << 10U, 'x'),
-                     "application/json");
+        m_client->Post("/v1/document", bearer(), std::string(70U << 10U, 'x'),
+                       "application/json");
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->status, 413);
     EXPECT_NE(metrics_text().find("refused_too_large_total 1\n"),
--- a/packages/console/test/console_fixture.hpp
+++ b/packages/console/test/console_fixture.hpp
@@ -32,7 +32,7 @@
     std::filesystem::path write(const std::string& name,
                                 const std::string& text) const
     {
-        const auto file = m_path / name;
+        auto file = m_path / name;
         std::ofstream(file) << text;
         std::filesystem::permissions(file,
                                      std::filesystem::perms::owner_read |
@@ -60,14 +60,15 @@
 
     void SetUp() override
     {
-        settings.listen = endpoint::parse("127.0.0.1:0").value();
-        settings.tokens = files.write("tokens", tokens_text("maria", token));
-        settings.max_body_bytes = 64U << 10U;
-        server = std::make_unique<console>(settings, backend);
-        const auto where = server->start();
+        m_settings.listen = endpoint::parse("127.0.0.1:0").value();
+        m_settings.tokens =
+            m_files.write("tokens", tokens_text("maria", token));
+        m_settings.max_body_bytes = 64U << 10U;
+        m_server = std::make_unique<console>(m_settings, m_backend);
+        const auto where = m_server->start();
         ASSERT_TRUE(where) << to_string(where.error());
-        port = where->port;
-        client = std::make_unique<httplib::Client>("127.0.0.1", port);
+        m_port = where->port;
+        m_client = std::make_unique<httplib::Client>("127.0.0.1", m_port);
     }
 
     httplib::Headers bearer() const
@@ -77,12 +78,12 @@
 
     httplib::Result get(const std::string& path)
     {
-        return client->Get(path, bearer());
+        return m_client->Get(path, bearer());
     }
 
     httplib::Result post(const std::string& path, const nlohmann::json& body)
     {
-        return client->Post(path, bearer(), body.dump(), "application/json");
+        return m_client->Post(path, bearer(), body.dump(), "application/json");
     }
 
     static nlohmann::json body_of(const httplib::Result& answer)
@@ -98,14 +99,14 @@
         return document;
     }
 
-    std::string metrics_text() { return client->Get("/metrics")->body; }
+    std::string metrics_text() { return m_client->Get("/metrics")->body; }
 
-    scratch_folder files;
-    console_settings settings;
-    fake_backend backend;
-    std::uint16_t port = 0;
-    std::unique_ptr<console> server;
-    std::unique_ptr<httplib::Client> client;
+    scratch_folder m_files;
+    console_settings m_settings;
+    fake_backend m_backend;
+    std::uint16_t m_port = 0;
+    std::unique_ptr<console> m_server;
+    std::unique_ptr<httplib::Client> m_client;
 };
 
 } // namespace crowlink
--- a/packages/console/test/forms_test.cpp
+++ b/packages/console/test/forms_test.cpp
@@ -17,23 +17,23 @@
     {
         console_fixture::SetUp();
         const auto answer =
-            client->Post("/sign-in", items{{"token", token, "", ""}});
+            m_client->Post("/sign-in", items{{"token", token, "", ""}});
         ASSERT_EQ(answer->status, 303);
         const auto cookie = answer->get_header_value("Set-Cookie");
         EXPECT_NE(cookie.find("HttpOnly; SameSite=Strict"), std::string::npos);
-        session = {{"Cookie", cookie.substr(0, cookie.find(';'))}};
+        m_session = {{"Cookie", cookie.substr(0, cookie.find(';'))}};
     }
 
     std::string page(const std::string& path)
     {
-        const auto answer = client->Get(path, session);
+        const auto answer = m_client->Get(path, m_session);
         EXPECT_EQ(answer->status, 200) << path;
         return answer->body;
     }
 
     httplib::Result send(const std::string& path, const items& fields)
     {
-        return client->Post(path, session, fields);
+        return m_client->Post(path, m_session, fields);
     }
 
     // The value of the last input of this name; empty if there is none.
@@ -65,26 +65,26 @@
 
     std::vector<upstream_id> drains()
     {
-        return backend.document()->document.drains;
+        return m_backend.document()->document.drains;
     }
 
-    httplib::Headers session;
+    httplib::Headers m_session;
 };
 
 TEST_F(forms, without_a_session_there_is_only_the_sign_in)
 {
     for (const char* path : {"/", "/services", "/history", "/forms/drains"})
     {
-        const auto answer = client->Get(path);
+        const auto answer = m_client->Get(path);
         EXPECT_EQ(answer->status, 303) << path;
         EXPECT_EQ(answer->get_header_value("Location"), "/sign-in");
     }
-    EXPECT_EQ(client->Get("/sign-in")->status, 200);
-    EXPECT_EQ(client->Post("/sign-in", items{{"token", "x", "", ""}})->status,
+    EXPECT_EQ(m_client->Get("/sign-in")->status, 200);
+    EXPECT_EQ(m_client->Post("/sign-in", items{{"token", "x", "", ""}})->status,
               401);
-    auto forged = session.begin()->second;
+    auto forged = m_session.begin()->second;
     forged.back() = forged.back() == '0' ? '1' : '0';
-    EXPECT_EQ(client->Get("/", {{"Cookie", forged}})->status, 303);
+    EXPECT_EQ(m_client->Get("/", {{"Cookie", forged}})->status, 303);
 }
 
 TEST_F(forms, a_change_is_previewed_and_then_applied)
@@ -94,7 +94,7 @@
     const auto preview = send("/forms/drains/preview", fields);
     ASSERT_EQ(preview->status, 200);
     EXPECT_NE(preview->body.find("/drains/u3"), std::string::npos);
-    EXPECT_EQ(backend.effects(), 0U);
+    EXPECT_EQ(m_backend.effects(), 0U);
     const auto applied =
         send("/forms/drains/apply", with_operation(fields, preview->body));
     EXPECT_EQ(applied->status, 200);
@@ -109,7 +109,7 @@
     const auto fields = drain_fields(page("/forms/drains"), "u3");
     const auto preview = send("/forms/drains/preview", fields);
     const auto step = with_operation(fields, preview->body);
-    backend.lose_answers(1);
+    m_backend.lose_answers(1);
     const auto lost = send("/forms/drains/apply", step);
     EXPECT_EQ(lost->status, 503);
     EXPECT_EQ(input(lost->body, "operation_id"),
@@ -120,7 +120,7 @@
         EXPECT_EQ(again->status, 200);
         EXPECT_NE(again->body.find("version 2"), std::string::npos);
     }
-    EXPECT_EQ(backend.effects(), 1U);
+    EXPECT_EQ(m_backend.effects(), 1U);
 }
 
 TEST_F(forms, the_loser_keeps_what_was_typed_and_sees_the_change)
@@ -134,7 +134,7 @@
     EXPECT_NE(lost->body.find("/drains/u7"), std::string::npos);
     EXPECT_NE(lost->body.find("u2 u3</textarea>"), std::string::npos);
     EXPECT_EQ(input(lost->body, "base_version"), "2");
-    EXPECT_EQ(backend.effects(), 1U);
+    EXPECT_EQ(m_backend.effects(), 1U);
     // Also a preview of an outdated form tells at once.
     EXPECT_EQ(send("/forms/drains/preview", fields)->status, 409);
     // And what was kept can be sent on.
@@ -202,7 +202,7 @@
         send("/forms/sharing/apply", with_operation(fields, preview->body))
             ->status,
         200);
-    const auto declared = backend.document()->document.services[0];
+    const auto declared = m_backend.document()->document.services[0];
     EXPECT_EQ(declared.limits, (target_limits{6, 100}));
     EXPECT_EQ(declared.sharing.goal, service_goal::continuity);
     EXPECT_EQ(declared.sharing.cold_start, std::chrono::milliseconds(500));
@@ -223,7 +223,7 @@
     }
     auto preview = send("/forms/service/preview", fields);
     send("/forms/service/apply", with_operation(fields, preview->body));
-    ASSERT_EQ(backend.document()->document.services.size(), 3U);
+    ASSERT_EQ(m_backend.document()->document.services.size(), 3U);
     EXPECT_NE(page("/services").find("127.0.0.2:7300"), std::string::npos);
 
     items leaving = drain_fields(page("/forms/service?id=7"), "");
@@ -231,8 +231,8 @@
     leaving.push_back({"remove", "yes", "", ""});
     preview = send("/forms/service/preview", leaving);
     send("/forms/service/apply", with_operation(leaving, preview->body));
-    EXPECT_EQ(backend.document()->document.services.size(), 2U);
-    EXPECT_EQ(client->Get("/forms/service?id=7", session)->status, 404);
+    EXPECT_EQ(m_backend.document()->document.services.size(), 2U);
+    EXPECT_EQ(m_client->Get("/forms/service?id=7", m_session)->status, 404);
 }
 
 TEST_F(forms, places_and_the_whole_document)
@@ -242,14 +242,14 @@
     fields.push_back({"places_0", "quezon, pasig", "", ""});
     auto preview = send("/forms/places/preview", fields);
     send("/forms/places/apply", with_operation(fields, preview->body));
-    EXPECT_EQ(backend.document()->document.places.size(), 2U);
+    EXPECT_EQ(m_backend.document()->document.places.size(), 2U);
 
     items whole = drain_fields(page("/forms/document"), "");
     whole.push_back({"document", R"({"regions":[],"services":[]})", "", ""});
     preview = send("/forms/document/preview", whole);
     EXPECT_NE(preview->body.find("/services/2"), std::string::npos);
     send("/forms/document/apply", with_operation(whole, preview->body));
-    EXPECT_TRUE(backend.document()->document.services.empty());
+    EXPECT_TRUE(m_backend.document()->document.services.empty());
 }
 
 TEST_F(forms, back_to_the_form_keeps_what_was_typed)
@@ -257,7 +257,7 @@
     const auto fields = drain_fields(page("/forms/drains"), "u8 u9");
     const auto again = send("/forms/drains/edit", fields);
     EXPECT_NE(again->body.find("u8 u9</textarea>"), std::string::npos);
-    EXPECT_EQ(client->Get("/forms/other", session)->status, 404);
+    EXPECT_EQ(m_client->Get("/forms/other", m_session)->status, 404);
 }
 
 } // namespace
