--- a/packages/console/src/form_handlers.cpp
+++ b/packages/console/src/form_handlers.cpp
@@ -79,7 +79,7 @@
     return form_start(session, sent, "apply") +
            hidden_input("operation_id", sent.operation.value()) +
            hidden_values(sent.typed) +
-           fmt::format("<button autofocus>{}</button></form>", label);
+           fmt::format("<button>{}</button></form>", label);
 }
 
 void form_handlers::show_preview(response_type& response,
