--- a/packages/wire/include/crowlink/wire/datagram_codec.hpp
+++ b/packages/wire/include/crowlink/wire/datagram_codec.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <tl/expected.hpp>
 
@@ -54,6 +55,9 @@
     decode(std::span<const std::uint8_t> bytes) const;
 
 private:
+    // Why bytes are not authentic, if they are not.
+    std::optional<datagram_drop>
+    check(std::span<const std::uint8_t> bytes) const;
     const datagram_key* find_key(std::uint8_t id) const;
 
     key_ring m_keys;
--- a/packages/wire/src/datagram_decode.cpp
+++ b/packages/wire/src/datagram_decode.cpp
@@ -227,9 +227,23 @@
     return read;
 }
 
-decoded read_kind(std::uint8_t kind, byte_view message)
+// Prefix and message of a datagram.
+byte_view without_hash(byte_view bytes)
 {
-    switch (static_cast<datagram_kind>(kind))
+    return bytes.first(bytes.size() - internal::hash_size);
+}
+
+// The length that the prefix states.
+std::size_t authenticated_length(byte_view bytes)
+{
+    return std::size_t{bytes[prefix::length_at]} << 8U |
+           bytes[prefix::length_at + 1];
+}
+
+decoded read_kind(byte_view body)
+{
+    const byte_view message = body.subspan(prefix::size);
+    switch (static_cast<datagram_kind>(body[prefix::kind_at]))
     {
     case datagram_kind::forward:
         return read_message<forward_datagram>(message);
@@ -274,41 +288,50 @@
     return accepted ? &*m_keys.accepted : nullptr;
 }
 
-tl::expected<datagram, datagram_drop>
-datagram_codec::decode(std::span<const std::uint8_t> bytes) const
+std::optional<datagram_drop>
+datagram_codec::check(std::span<const std::uint8_t> bytes) const
 {
     if (bytes.size() < prefix::size + internal::hash_size ||
         bytes.size() > buffer_size)
     {
-        return drop(datagram_drop::truncated);
+        return datagram_drop::truncated;
     }
     if (bytes[prefix::version_at] != prefix::version)
     {
-        return drop(datagram_drop::unknown_version);
+        return datagram_drop::unknown_version;
     }
     const datagram_key* const key = find_key(bytes[prefix::key_at]);
     if (key == nullptr)
     {
-        return drop(datagram_drop::unknown_key);
+        return datagram_drop::unknown_key;
     }
-    const byte_view body = bytes.first(bytes.size() - internal::hash_size);
-    const std::size_t authenticated = std::size_t{bytes[prefix::length_at]}
-                                          << 8U |
-                                      bytes[prefix::length_at + 1];
+    const std::size_t authenticated = authenticated_length(bytes);
+    const byte_view body = without_hash(bytes);
     if (authenticated < prefix::size || authenticated > body.size())
     {
-        return drop(datagram_drop::truncated);
+        return datagram_drop::truncated;
     }
     const auto hash = internal::authenticate(*key, body.first(authenticated));
-    if (sodium_memcmp(hash.data(), bytes.data() + body.size(), hash.size()) !=
-        0)
+    const std::uint8_t* const sent = bytes.data() + body.size();
+    if (sodium_memcmp(hash.data(), sent, hash.size()) != 0)
     {
-        return drop(datagram_drop::not_authentic);
+        return datagram_drop::not_authentic;
     }
-    auto value = read_kind(bytes[prefix::kind_at], body.subspan(prefix::size));
-    if (value && !covers_all_but_payload(*value, body.subspan(authenticated)))
+    return std::nullopt;
+}
+
+tl::expected<datagram, datagram_drop>
+datagram_codec::decode(std::span<const std::uint8_t> bytes) const
+{
+    // One variable is returned on each way, so that it need not be copied.
+    const auto failed = check(bytes);
+    decoded value =
+        failed ? decoded(drop(*failed)) : read_kind(without_hash(bytes));
+    if (value &&
+        !covers_all_but_payload(
+            *value, without_hash(bytes).subspan(authenticated_length(bytes))))
     {
-        return drop(datagram_drop::malformed);
+        value = drop(datagram_drop::malformed);
     }
     return value;
 }
--- a/packages/wire/src/message_reader.cpp
+++ b/packages/wire/src/message_reader.cpp
@@ -34,12 +34,13 @@
 
 std::uint32_t message_reader::next_tag()
 {
-    if (m_failure)
+    const auto position = static_cast<std::size_t>(m_input.CurrentPosition());
+    if (m_failure || position == m_bytes.size())
     {
         return 0;
     }
     const std::uint32_t found = m_input.ReadTag();
-    if (found == 0 && !m_input.ConsumedEntireMessage())
+    if (found == 0)
     {
         fail(datagram_drop::malformed);
     }
