--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -92,7 +92,7 @@
     void find_or_place(time_point now, const packet_arrived& event);
     bool follow_redirect(const packet_arrived& event,
                          const internal::redirect_entry& known);
-    bool follow_mark(const packet_arrived& event,
+    bool follow_mark(time_point now, const packet_arrived& event,
                      const internal::redirect_entry& mark);
     void look_up(time_point now, const packet_arrived& event);
     void return_to_head(packet_header header, const packet_arrived& event);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -20,6 +20,21 @@
     return role == packet_role::any || role == packet_role::opens;
 }
 
+// The marks of a trail end one after another. Who starts to follow it needs
+// time to reach the last one, where the flow's owner is known.
+duration margin_of(packet_pass pass)
+{
+    switch (pass)
+    {
+    case packet_pass::lookup:
+        return std::chrono::seconds(1);
+    case packet_pass::walk:
+        return std::chrono::milliseconds(500);
+    default:
+        return duration::zero();
+    }
+}
+
 } // namespace
 
 agent::route agent::route_of(time_point now, const packet_arrived& event)
@@ -122,7 +137,7 @@
     }
     if (known != nullptr)
     {
-        const bool sent = known->is_mark() ? follow_mark(event, *known)
+        const bool sent = known->is_mark() ? follow_mark(now, event, *known)
                                            : follow_redirect(event, *known);
         if (sent)
         {
@@ -166,7 +181,7 @@
     return true;
 }
 
-bool agent::follow_mark(const packet_arrived& event,
+bool agent::follow_mark(time_point now, const packet_arrived& event,
                         const internal::redirect_entry& mark)
 {
     const packet_header& header = event.header;
@@ -178,6 +193,7 @@
     const bool applies = may_open(header.role) &&
                          header.pass != packet_pass::place && !from_walk &&
                          !is_behind && mark.to != m_self &&
+                         mark.expires - now > margin_of(header.pass) &&
                          !m_members.is_gone(mark.to.tag);
     if (!applies)
     {
