--- a/bench/membership/membership_bench.cpp
+++ b/bench/membership/membership_bench.cpp
@@ -33,23 +33,23 @@
         TCLAP::CmdLine line("measures membership and distribution", ' ', "1");
         TCLAP::SwitchArg short_form("", "short", "small sizes only", line);
         TCLAP::SwitchArg only_slopes("", "slopes", "no scenarios", line);
+        TCLAP::SwitchArg only_days("", "scenarios", "no slopes", line);
         line.parse(argc, argv);
         json out = {{"slopes", json::array()}};
-        const auto slopes =
-            crowlink::bench::measure_slopes(short_form.getValue());
-        for (const auto& each : slopes)
+        if (!only_days.getValue())
         {
-            out["slopes"].push_back(each.report());
-            print(out["slopes"].back());
+            const auto slopes =
+                crowlink::bench::measure_slopes(short_form.getValue());
+            for (const auto& each : slopes)
+            {
+                out["slopes"].push_back(each.report());
+                print(out["slopes"].back());
+            }
         }
         if (!only_slopes.getValue())
         {
             out["scenarios"] =
                 crowlink::bench::run_scenarios(short_form.getValue());
-            for (const json& each : out["scenarios"])
-            {
-                fmt::print(stderr, "{}\n", each.dump());
-            }
         }
         std::cout << out.dump(2) << '\n';
         return 0;
--- a/bench/membership/scenarios.cpp
+++ b/bench/membership/scenarios.cpp
@@ -4,6 +4,7 @@
 #include "measuring.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace crowlink::bench
 {
@@ -191,24 +192,29 @@
     }
     large_system system(size);
     json out = json::array();
+    const auto add = [&out](const json& next)
+    {
+        out.push_back(next);
+        fmt::print(stderr, "{}\n", next.dump());
+    };
     const processor_time used;
     const double start = system.run_until(
         [&system]
         { return system.members_known() && system.document_in_force(); },
         limit);
-    out.push_back(cost(system, "all start at once", start));
-    out.push_back(quiet_minute(system));
-    out.push_back(one_change(system));
-    out.push_back(hundred_changes(system));
-    out.push_back(rack_lost(system, size.places, size.upstreams));
-    out.push_back(place_lost(system, size.places));
-    out.push_back(region_heals(system, size.regions, size.upstreams));
+    add(cost(system, "all start at once", start));
+    add(quiet_minute(system));
+    add(one_change(system));
+    add(hundred_changes(system));
+    add(rack_lost(system, size.places, size.upstreams));
+    add(place_lost(system, size.places));
+    add(region_heals(system, size.regions, size.upstreams));
     if (!short_form)
     {
-        out.push_back(all_restarted(system, size.upstreams));
+        add(all_restarted(system, size.upstreams));
     }
-    out.push_back({{"name", "processor seconds of the simulation"},
-                   {"seconds", used.seconds()}});
+    add({{"name", "processor seconds of the simulation"},
+         {"seconds", used.seconds()}});
     return out;
 }
 
--- a/packages/membership/include/crowlink/membership/observer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/observer_settings.hpp
@@ -25,7 +25,9 @@
     duration digest_every = std::chrono::seconds(1);
     // A peer that nobody heard for this long is held to be dead.
     duration peer_timeout = std::chrono::seconds(5);
-    // The time that announcers have to find a new home when theirs died.
+    // The time that announcers have to find a new home when theirs died, or to
+    // come back after this host or their place was cut off. It must exceed the
+    // announcers' longest wait.
     duration orphan_grace = std::chrono::seconds(20);
     // Records of a region that is cut off, or of a lost place, are kept for
     // this long. It must be shorter than tombstone_life.
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -351,7 +351,8 @@
     for (auto& each : m_records)
     {
         time_point& until = each.second.lease_until;
-        until = std::max(until, now + m_settings.lease);
+        until =
+            std::max(until, now + m_settings.lease + m_settings.orphan_grace);
     }
 }
 
--- a/packages/membership/src/observer_judgement.cpp
+++ b/packages/membership/src/observer_judgement.cpp
@@ -104,10 +104,14 @@
     const bool silent = home.own ? held.lease_until < now : unheard;
     const bool suspect =
         home.own ? silent : home.orphaned || (reported && !home.cut);
-    if (suspect && (m_held_back || !held.suspect))
+    if (suspect && !held.suspect)
     {
         held.suspect_since = now;
     }
+    if (suspect && m_held_back)
+    {
+        held.suspect_since = now + m_settings.orphan_grace;
+    }
     held.suspect = suspect;
     const bool acted_on = settled(now, held);
     ++home.population;
@@ -197,7 +201,7 @@
     {
         if (each.second.record.where == where)
         {
-            each.second.suspect_since = now;
+            each.second.suspect_since = now + m_settings.orphan_grace;
         }
     }
 }
--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -63,11 +63,9 @@
     void add_control(const std::string& id, const std::string& place,
                      const std::string& region)
     {
-        controls.push_back(
-            control{{host_id(id), place_id(place), region_id(region)},
-                    nullptr,
-                    {},
-                    {}});
+        control next;
+        next.info = {host_id(id), place_id(place), region_id(region)};
+        controls.push_back(std::move(next));
     }
 
     void start_controls()
