--- a/bench/capacity/agent_slopes.cpp
+++ b/bench/capacity/agent_slopes.cpp
@@ -4,9 +4,11 @@
 #include "stopwatch.hpp"
 
 #include "crowlink/agent.hpp"
+#include "crowlink/forwarding/forwarding_table.hpp"
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <variant>
 #include <vector>
@@ -27,14 +29,17 @@
     std::uint64_t delivered = 0;
     std::uint64_t messages = 0;
     std::uint64_t told_flows = 0;
+    // What the agent sends to itself, as the head of the chain.
+    std::optional<packet_header> forwarded;
 
     void deliver(const flow_key& /*flow*/, payload_view /*payload*/)
     {
         ++delivered;
     }
-    void forward(const endpoint& /*to*/, const packet_header& /*header*/,
+    void forward(const endpoint& /*to*/, const packet_header& header,
                  payload_view /*payload*/)
     {
+        forwarded = header;
     }
     void answer(const endpoint& /*to*/, const flow_key& /*flow*/,
                 payload_view /*payload*/)
@@ -62,14 +67,14 @@
     void decide(const flow_decision& /*decision*/) {}
 };
 
-// One agent that owns so many flows, each admitted by a packet whose only
-// candidate it is.
+// One agent that owns so many flows, each admitted as their first candidate.
 class agent_bed
 {
 public:
     explicit agent_bed(std::size_t flows) : m_agent(settings(), m_now)
     {
         m_agent.handle(m_now, view_changed{view(members, flows)}, m_effects);
+        choose_flows(flows);
         // Past the time in which a started agent looks elsewhere first.
         run(std::chrono::seconds(30));
         for (std::uint32_t number = 0; number < flows; ++number)
@@ -108,6 +113,22 @@
     const counting_effects& effects() const { return m_effects; }
 
 private:
+    // The flows whose first candidate this agent is.
+    void choose_flows(std::size_t flows)
+    {
+        m_table = forwarding_table::build(*view(members, flows));
+        const upstream_record self = sample_record(0, 0);
+        for (std::uint32_t number = 0; m_numbers.size() < flows; ++number)
+        {
+            flow_key flow = sample_flow(0, number);
+            flow.protocol = transport::tcp;
+            if (m_table->chain(stable_hash(flow))[0].agent == self.agent)
+            {
+                m_numbers.push_back(number);
+            }
+        }
+    }
+
     static agent_settings settings()
     {
         agent_settings value;
@@ -131,13 +152,27 @@
     void packet(std::uint32_t number, packet_role role)
     {
         packet_header header;
-        const upstream_record self = sample_record(0, 0);
-        header.service = self.service;
-        header.flow = sample_flow(0, number);
+        header.service = sample_record(0, 0).service;
+        header.table = m_table->digest();
+        header.flow = sample_flow(0, m_numbers[number]);
         header.flow.protocol = transport::tcp;
         header.role = role;
-        header.current.push_back({self.agent, tag_of(self.id, self.started)});
+        header.current = m_table->chain(stable_hash(header.flow));
         header.return_to = service_endpoint(1);
+        handle(header);
+        if (m_effects.forwarded)
+        {
+            // The other candidates were asked, and this one is to take it.
+            header = *m_effects.forwarded;
+            m_effects.forwarded.reset();
+            header.position = 0;
+            header.pass = packet_pass::place;
+            handle(header);
+        }
+    }
+
+    void handle(const packet_header& header)
+    {
         m_agent.handle(
             m_now, packet_arrived{header, payload, answer_need::none, false},
             m_effects);
@@ -145,6 +180,8 @@
 
     time_point m_now{std::chrono::hours(1)};
     counting_effects m_effects;
+    std::shared_ptr<const forwarding_table> m_table;
+    std::vector<std::uint32_t> m_numbers;
     agent m_agent;
 };
 
--- a/bench/capacity/control_bed.cpp
+++ b/bench/capacity/control_bed.cpp
@@ -2,7 +2,9 @@
 
 #include "sample_views.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <stdexcept>
 
 namespace crowlink::capacity
 {
@@ -11,8 +13,7 @@
 {
 
 constexpr std::uint64_t seed = 1;
-constexpr int quiet_steps = 80;
-constexpr int most_steps = 6000;
+constexpr int most_steps = 60000;
 
 observer_info self()
 {
@@ -54,6 +55,8 @@
     const auto& bytes = record.agent.address.bytes();
     member->set_address(bytes.data() + 12, 4);
     member->set_port(record.agent.port);
+    // Only what changes a view is told to nodes: drained and ready in turn.
+    member->set_state(record.sequence % 2 == 0 ? 1 : 0);
     return message;
 }
 
@@ -185,15 +188,28 @@
     }
 }
 
+void control_bed::get_ready()
+{
+    run(std::chrono::seconds(15));
+}
+
 void control_bed::settle()
 {
-    int quiet = 0;
-    for (int steps = 0; quiet < quiet_steps && steps < most_steps; ++steps)
+    const auto knows_all = [](const std::unique_ptr<subscriber>& node)
     {
-        const std::uint64_t before = m_to_nodes.bytes;
+        return node->attached() && node->snapshots() > 0;
+    };
+    int steps = 0;
+    while (!std::all_of(m_nodes.begin(), m_nodes.end(), knows_all))
+    {
+        if (++steps > most_steps)
+        {
+            throw std::runtime_error("the nodes did not get to know all");
+        }
         run(step);
-        quiet = m_to_nodes.bytes == before ? quiet + 1 : 0;
     }
+    // What was still on its way, and the first digests.
+    run(std::chrono::seconds(6));
 }
 
 std::vector<service_view> control_bed::take_views()
--- a/bench/capacity/control_bed.hpp
+++ b/bench/capacity/control_bed.hpp
@@ -35,9 +35,11 @@
     void change(std::size_t service, std::size_t upstream,
                 std::uint64_t sequence);
 
+    // Moves time until the observer serves nodes: without peers it waits.
+    void get_ready();
     // Nodes that want everything or one service, not yet attached.
     void add_nodes(std::size_t count, bool all_services);
-    // Moves time, until nothing was sent to nodes for a while.
+    // Moves time until all nodes know everything that they want.
     void settle();
     void run(duration time);
     // One step of the control host alone; what it sends is dropped.
--- a/bench/capacity/node_slopes.cpp
+++ b/bench/capacity/node_slopes.cpp
@@ -33,18 +33,16 @@
     {
         control_bed bed;
         bed.announce(services, usual_members);
-        // An observer without peers waits before it serves.
-        bed.run(std::chrono::seconds(15));
+        bed.get_ready();
         bed.add_nodes(1, true);
         const double before = heap_bytes();
         const time_point begin = bed.now();
         const std::uint64_t sent = bed.to_nodes().bytes;
-        constexpr int most_steps = 60000;
-        for (int step = 0; step < most_steps && bed.node(0).snapshots() == 0;
-             ++step)
+        while (bed.node(0).snapshots() == 0)
         {
             bed.run(control_bed::step);
         }
+        const time_point end = bed.now();
         views_changed all;
         all.views = bed.take_views();
         balancer tables;
@@ -55,8 +53,7 @@
         snapshot.points.push_back(
             {upstreams, static_cast<double>(bed.to_nodes().bytes - sent)});
         seconds.points.push_back(
-            {upstreams,
-             std::chrono::duration<double>(bed.now() - begin).count()});
+            {upstreams, std::chrono::duration<double>(end - begin).count()});
     }
     return {bytes, snapshot, seconds};
 }
@@ -70,6 +67,7 @@
     {
         control_bed bed;
         bed.announce(1, members);
+        bed.get_ready();
         bed.add_nodes(1, true);
         bed.settle();
         bed.take_views();
@@ -101,16 +99,16 @@
     constexpr std::size_t services = 100;
     control_bed bed;
     bed.announce(services, usual_members);
+    bed.get_ready();
     bed.add_nodes(1, true);
     bed.settle();
-    std::uint64_t sequence = 1;
+    std::size_t next = 0;
     for (const std::size_t changes : limit.sizes({1, 4, 16, 64}))
     {
         const std::uint64_t before = bed.to_nodes().bytes;
-        ++sequence;
-        for (std::size_t index = 0; index < changes; ++index)
+        for (std::size_t count = 0; count < changes; ++count)
         {
-            bed.change(index, 0, sequence);
+            bed.change(next++, 0, 2);
         }
         bed.run(std::chrono::seconds(4));
         slope.points.push_back(
@@ -127,6 +125,7 @@
         "node_idle_bytes", "node", "bytes received and sent", "seconds", {}};
     control_bed bed;
     bed.announce(10, usual_members);
+    bed.get_ready();
     bed.add_nodes(1, true);
     bed.settle();
     for (const std::size_t seconds : limit.sizes({60, 240, 960, 3840}))
--- a/bench/capacity/observer_slopes.cpp
+++ b/bench/capacity/observer_slopes.cpp
@@ -92,6 +92,19 @@
     return slope;
 }
 
+// An observer whose nodes know everything; from here on they say nothing, so
+// that only the observer's own work is timed. They are dropped after 30 s.
+std::unique_ptr<control_bed> serving_bed(std::size_t nodes)
+{
+    auto bed = std::make_unique<control_bed>();
+    bed->announce(few_services, members);
+    bed->get_ready();
+    bed->add_nodes(nodes, true);
+    bed->settle();
+    bed->mute_nodes(true);
+    return bed;
+}
+
 // One upstream changes while so many nodes want to know: the host's own time
 // and bytes until all of them were told.
 std::vector<measured_slope> push(const effort& limit)
@@ -111,37 +124,34 @@
                         "ns a tick of 100 ms",
                         "nodes at the observer",
                         {}};
+    effort brief = limit;
+    brief.point_seconds = 0.0;
+    constexpr std::size_t ticks = 20;
     for (const std::size_t nodes : limit.sizes({64, 256, 1024, 4096}))
     {
-        control_bed bed;
-        bed.announce(few_services, members);
-        bed.add_nodes(nodes, true);
-        bed.settle();
-        bed.mute_nodes(true);
+        const auto at = static_cast<double>(nodes);
+        const auto bed = serving_bed(nodes);
         std::uint64_t sequence = 1;
-        const auto quiet_tick = [&bed]
-        {
-            bed.tick_host();
-        };
-        idle.points.push_back(
-            {static_cast<double>(nodes), ns_a_step(limit, 1, quiet_tick)});
-        const std::uint64_t before = bed.to_nodes().bytes;
         std::uint64_t changes = 0;
+        const std::uint64_t before = bed->to_nodes().bytes;
         const auto change = [&]
         {
-            bed.change(0, 0, ++sequence);
-            bed.tick_host();
+            bed->change(0, 0, ++sequence);
+            bed->tick_host();
             ++changes;
         };
-        // A few rounds only: nodes that say nothing are dropped in the end.
-        effort brief = limit;
-        brief.point_seconds = 0.0;
-        time.points.push_back(
-            {static_cast<double>(nodes), ns_a_step(brief, 1, change)});
+        time.points.push_back({at, ns_a_step(brief, 1, change)});
         bytes.points.push_back(
-            {static_cast<double>(nodes),
-             static_cast<double>(bed.to_nodes().bytes - before) /
-                 static_cast<double>(changes)});
+            {at, static_cast<double>(bed->to_nodes().bytes - before) /
+                     static_cast<double>(changes)});
+        const auto wait = [&bed]
+        {
+            for (std::size_t count = 0; count < ticks; ++count)
+            {
+                bed->tick_host();
+            }
+        };
+        idle.points.push_back({at, ns_a_step(brief, ticks, wait)});
     }
     return {time, bytes, idle};
 }
