--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -95,14 +95,24 @@
     bool follow_mark(const packet_arrived& event,
                      const internal::redirect_entry& mark);
     void look_up(time_point now, const packet_arrived& event);
-    void walk_on(time_point now, packet_header header,
-                 const packet_arrived& event);
+    void return_to_head(packet_header header, const packet_arrived& event);
+    void start_walk(time_point now, packet_header header,
+                    const packet_arrived& event);
+    void walk(time_point now, packet_header header,
+              const packet_arrived& event);
+    const candidate* next_on_walk(const packet_header& header,
+                                  std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
                   const packet_arrived& event);
+    void reset_unknown(const packet_header& header);
+    void start_admission(time_point now, packet_header header,
+                         const packet_arrived& event);
     void ask_to_admit(time_point now, packet_header header,
                       const packet_arrived& event);
     void ask_next(time_point now, packet_header header,
                   const packet_arrived& event);
+    void choose(time_point now, packet_header header,
+                const packet_arrived& event);
     void place(time_point now, const packet_header& header,
                const packet_arrived& event);
     void refuse(const packet_header& header, const packet_arrived& event);
@@ -112,10 +122,10 @@
     bool may_adopt(time_point now, packet_role role) const;
     void forward(packet_header header, const packet_arrived& event,
                  flow_action how, std::string_view reason);
-    void mark_placing(time_point now, const flow_key& flow,
-                      const candidate& to);
-    std::size_t next_position(const packet_header& header,
-                              std::size_t limit) const;
+    void leave_mark(time_point now, const packet_header& header,
+                    const candidate& to, internal::redirect_kind kind);
+    std::size_t next_usable(const packet_header& header,
+                            std::size_t from) const;
 
     // Flows.
     const endpoint* answered(time_point now, const upstream_answered& event);
@@ -137,13 +147,18 @@
     void check_redirects(time_point now, internal::flow_entry& entry,
                          bool renew);
     candidate_chain agents_to_tell(const flow_key& flow) const;
-    void publish(time_point now, internal::flow_entry& entry,
-                 const candidate& to);
+    void publish(const internal::flow_entry& entry, const candidate& to,
+                 duration age);
     void publish_opened(time_point now, internal::flow_entry& entry,
                         const packet_header& header);
+    void tell_head(time_point now, internal::flow_entry& entry,
+                   const packet_header& header);
     void withdraw(const internal::flow_entry& entry);
     void continue_check(time_point now);
+    void schedule_renewal(time_point now, internal::flow_entry& entry,
+                          bool repeat);
     void renew_due(time_point now);
+    void repeat_due(time_point now);
     void send(const endpoint& to, peer_message message);
 
     // Other events.
@@ -166,9 +181,11 @@
                  const shed_grant& message);
     void take_redirect(time_point now, const redirect_notice& message,
                        const owned_flow& owned);
+    bool keeps_against(time_point now, internal::flow_entry& entry,
+                       const candidate& rival, const owned_flow& owned);
     void set_state(upstream_state state);
     void assess(time_point now);
-    void tell_load(time_point now);
+    void tell_load();
     void ask_to_shed(time_point now);
     const candidate* warden(candidate_chain& chain) const;
     void send_batch();
@@ -188,6 +205,7 @@
     internal::effect_queue m_effects;
     internal::redirect_batch m_batch;
     internal::deadline_queue m_renewals;
+    internal::deadline_queue m_repeats;
     internal::deadline_queue m_watched;
     internal::deadline_queue m_lingering;
     agent_counts m_counts;
--- a/packages/agent/include/crowlink/agent/redirect_table.hpp
+++ b/packages/agent/include/crowlink/agent/redirect_table.hpp
@@ -14,15 +14,32 @@
 namespace crowlink::internal
 {
 
+// How an agent knows where to ask for a flow.
+enum class redirect_kind : std::uint8_t
+{
+    // Its owner published it.
+    published,
+    // The rest are marks, left where a packet of a flow that is being placed
+    // came by. Later packets follow them, so that one agent decides.
+    // On a walk in search of an owner.
+    walked,
+    // From the end of a walk to the first candidate.
+    ended,
+    // From one candidate to the next.
+    asked,
+    // To the candidate that was chosen.
+    chosen,
+};
+
 // Where to ask for a flow that this agent does not own.
 struct redirect_entry
 {
     flow_key flow;
     candidate to;
-    // False for a published redirect. True while the flow is being placed:
-    // whoever asks here is to ask there, so that one agent decides.
-    bool placing = false;
+    redirect_kind kind = redirect_kind::published;
     time_point expires{};
+
+    bool is_mark() const { return kind != redirect_kind::published; }
 };
 
 // The redirects of others and the marks of flows that are being placed. Soft
