--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -22,11 +22,20 @@
 void drop_repeated(packet_header& header);
 void add_unseen(packet_header& header, const candidate& next);
 
+// Adds an agent to the previous chain of a packet on a walk; where that is
+// full, in place of one that was met already.
+void add_on_walk(packet_header& header, const candidate& next);
+
 // Makes an agent the one addressed. One that isn't listed takes the last place
 // of the current chain; on the lookup pass, that of the whole previous chain.
 void address_to(packet_header& header, const candidate& to);
 void look_up_at(packet_header& header, const candidate& to);
 
+// Makes an agent the first of the current chain; the rest follows behind it.
+void ask_first(packet_header& header, const candidate& first);
+// Makes an agent the only one of the current chain.
+void ask_only(packet_header& header, const candidate& only);
+
 // An agent's place in the order of walks for a flow. All agents agree on it,
 // and it differs from flow to flow, so that no agent ends all walks.
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent);
