--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -51,6 +51,7 @@
                       .flow = packet.flow,
                       .role = packet.role,
                       .current = m_chains.chain(*tables->current, hash),
+                      .previous = candidate_chain(),
                       .return_to = m_return_to},
         packet.payload};
     packet_header& header = out.header;
