--- a/packages/forwarding/src/view_merge.cpp
+++ b/packages/forwarding/src/view_merge.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-// Enough for every member of a large service to be replaced a few times while
-// a late view is under way.
-constexpr std::size_t departed_limit = 64;
+// As many as there are members, so that a late view is known for what it is
+// after a replacement of all of them; some more for small services.
+constexpr std::size_t departed_least = 8;
 
 const upstream_record* find(const std::vector<upstream_record>& records,
                             const upstream_id& id)
@@ -74,9 +74,12 @@
     std::for_each(held.departed.begin(), held.departed.end(), keep_if_absent);
     std::for_each(held.view->members.begin(), held.view->members.end(),
                   keep_if_absent);
-    if (departed.size() > departed_limit)
+    const std::size_t limit = std::max(departed_least, members.size());
+    if (departed.size() > limit)
     {
-        departed.erase(departed.begin(), departed.end() - departed_limit);
+        const auto surplus =
+            static_cast<std::ptrdiff_t>(departed.size() - limit);
+        departed.erase(departed.begin(), departed.begin() + surplus);
     }
     return departed;
 }
--- a/packages/forwarding/test/forwarding_set_test.cpp
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -80,6 +80,7 @@
     EXPECT_EQ(without(set, 2, 4), set);
     const auto removed = without(set, 2, 5);
     EXPECT_EQ(find(removed, 2), nullptr);
+    EXPECT_EQ(removed->digest(), without(three_services(), 2, 5)->digest());
     EXPECT_EQ(with(removed, newer_view), removed);
     newer_view.version = config_version(6);
     EXPECT_NE(find(with(removed, newer_view), 2), nullptr);
@@ -110,6 +111,24 @@
     EXPECT_EQ(find(with(gone, back), 1)->current->size(), 3U);
 }
 
+TEST(forwarding_set, remembers_a_bounded_number_of_members_that_left)
+{
+    auto set = with(forwarding_set::empty(), sample::view(1, 12));
+    for (std::uint32_t round = 1; round < 20; ++round)
+    {
+        service_view next = sample::view(1, 12 * (round + 1));
+        next.members.erase(next.members.begin(),
+                           next.members.begin() + 12 * round);
+        set = with(set, next);
+        ASSERT_LE(find(set, 1)->departed.size(), 12U);
+    }
+    // The last ones to leave are known, and older records of them refused.
+    service_view late = *find(set, 1)->view;
+    late.members.push_back(find(set, 1)->departed.back());
+    --late.members.back().sequence;
+    EXPECT_EQ(with(set, late), set);
+}
+
 TEST(forwarding_set, a_moved_address_leads_to_the_newer_document)
 {
     service_view taker = sample::view(2, 4);
