--- a/packages/requests/test/request_admission_test.cpp
+++ b/packages/requests/test/request_admission_test.cpp
@@ -235,6 +235,23 @@
     EXPECT_EQ(m_effects.to_upstream.size(), 2U);
 }
 
+TEST_F(request_admission_test, requests_that_wait_for_parts_are_bounded)
+{
+    admission_settings small = settings();
+    small.body_bytes_limit = 1200;
+    m_agent.apply(m_now, small, m_effects);
+    for (std::uint64_t sequence = 1; sequence <= 2; ++sequence)
+    {
+        request_part first_of_two = part(sequence);
+        first_of_two.parts = 2;
+        send(first_of_two);
+    }
+    EXPECT_TRUE(m_effects.to_callers.empty());
+    send(part(3));
+    EXPECT_EQ(last_answer().reason, answer_reason::overloaded);
+    EXPECT_EQ(last_answer().outcome, verdict::not_run);
+}
+
 TEST_F(request_admission_test, a_silent_run_is_stopped_and_then_abandoned)
 {
     send(part(1, "hold", milliseconds(100)));
--- a/packages/requests/test/request_caller_test.cpp
+++ b/packages/requests/test/request_caller_test.cpp
@@ -204,6 +204,17 @@
     EXPECT_EQ(m_sent.size(), 3U);
 }
 
+TEST_F(request_caller_test, an_answer_after_a_resend_tells_no_time)
+{
+    submit(true, milliseconds(1000));
+    wait(milliseconds(60));
+    receive(0, ran(m_sent[0], 0, 1, ""));
+    submit(true, milliseconds(1000));
+    ASSERT_EQ(m_sent.size(), 3U);
+    wait(milliseconds(50));
+    EXPECT_EQ(m_sent.size(), 4U);
+}
+
 TEST_F(request_caller_test, a_late_refusal_is_not_taken_for_the_next_attempts)
 {
     submit(false, milliseconds(500));
