--- a/bench/processes/run.sh
+++ b/bench/processes/run.sh
@@ -86,8 +86,8 @@
 change() {
   document "$1" >"$work/document.jsonc"
   local tries=0
-  until operator apply --operation "bench-$$-$1" "$work/document.jsonc" \
-    >"$work/applied" 2>&1; do
+  until operator apply --operation "bench-$$-$1" --base $(($1 - 1)) \
+    "$work/document.jsonc" >"$work/applied" 2>&1; do
     tries=$((tries + 1))
     [ "$tries" -lt 40 ] || fail "change $1 was not taken: $(cat "$work/applied")"
     sleep 0.1
--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -127,13 +127,11 @@
         add(m_peer_router->socket());
         add(m_node_router->socket());
     }
-    for (auto& [host, dealer] : m_peers)
-    {
-        add(dealer.socket());
-    }
+    // Nobody sends on the connections to peers: their own ones bring messages.
     for (auto& [host, dealer] : m_control)
     {
         add(dealer.socket());
+        add(dealer.events());
     }
     // The last one is the wake event of `wait`.
     m_items.push_back(zmq::pollitem_t{nullptr, 0, ZMQ_POLLIN, 0});
@@ -152,6 +150,12 @@
         // Interrupted by a signal: as if the time had passed.
     }
     (void)wake.take();
+    // Lost connections to peers come back by themselves; their events must not
+    // pile up.
+    for (auto& [host, dealer] : m_peers)
+    {
+        (void)dealer.take_lost();
+    }
 }
 
 std::optional<inbound_message> control_links::next()
@@ -215,6 +219,19 @@
     return std::nullopt;
 }
 
+std::vector<host_id> control_links::take_lost_control()
+{
+    std::vector<host_id> lost;
+    for (auto& [host, dealer] : m_control)
+    {
+        if (dealer.take_lost())
+        {
+            lost.push_back(host);
+        }
+    }
+    return lost;
+}
+
 // The name must be that of the key's holder, and the key must still be allowed:
 // its connection may be older than the present grants.
 bool control_links::is_genuine(const received_message& message, link_kind link)
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control_links.hpp
@@ -58,6 +58,10 @@
     // The next message; empty if there is none.
     std::optional<inbound_message> next();
 
+    // The control hosts of this node whose connections were lost since this was
+    // last asked.
+    std::vector<host_id> take_lost_control();
+
     // Sends to another control host; false if it was not queued.
     bool send_to_peer(const host_id& to, message_channel channel,
                       std::string_view bytes);
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -123,6 +123,10 @@
     {
         send(each.tick(now));
     }
+    for (const host_id& lost : m_links.take_lost_control())
+    {
+        m_subscriber.connection_lost(now, lost);
+    }
     take(m_subscriber.tick(now), board);
     const config_version in_force = m_subscriber.applied_version();
     if (in_force > board.node_version.get())
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -29,6 +29,10 @@
 
     subscriber_output tick(time_point now);
 
+    // The connection to a control host broke or was refused. If it is the one
+    // that is asked, another one is asked soon, without waiting for silence.
+    void connection_lost(time_point now, const host_id& publisher);
+
     // The newest version of the document that is in force here as a whole.
     config_version applied_version() const { return m_applied; }
 
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -323,6 +323,21 @@
     return out;
 }
 
+void subscriber::connection_lost(time_point now, const host_id& publisher)
+{
+    if (m_order.empty() || publisher != source())
+    {
+        return;
+    }
+    if (m_phase == phase::waiting)
+    {
+        // Nothing was asked yet; the time to ask stays.
+        m_source = (m_source + 1) % m_order.size();
+        return;
+    }
+    next_publisher(now);
+}
+
 void subscriber::attach(time_point now, subscriber_output& out)
 {
     m_phase = phase::attaching;
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -100,6 +100,52 @@
     subscriber m_core;
 };
 
+// Ticks until the node asks for a stream; yields whom it asks.
+host_id next_asked(subscriber& core, time_point& now, duration longest)
+{
+    const time_point end = now + longest;
+    while (now < end)
+    {
+        now += std::chrono::milliseconds(50);
+        for (const membership_send& each : core.tick(now).sends)
+        {
+            if (each.message.has_attach_request())
+            {
+                return each.to;
+            }
+        }
+    }
+    return {};
+}
+
+TEST(subscriber, leaves_a_publisher_whose_connection_broke_at_once)
+{
+    subscriber_settings settings;
+    settings.wants.all_services = true;
+    for (const char* name : {"a", "b", "c"})
+    {
+        settings.publishers.push_back(
+            {host_id(name), place_id("p"), region_id("r")});
+    }
+    time_point now{};
+    subscriber core(settings, 1, now);
+    const host_id first = next_asked(core, now, std::chrono::seconds(2));
+    ASSERT_NE(first, host_id());
+    const host_id bystander(first == host_id("a") ? "b" : "a");
+
+    core.connection_lost(now, bystander);
+    EXPECT_EQ(core.source(), first);
+    core.connection_lost(now, first);
+    const host_id second = core.source();
+    EXPECT_NE(second, first);
+    // The next one is refused as well, before it was asked.
+    core.connection_lost(now, second);
+    const host_id third = next_asked(core, now, std::chrono::seconds(1));
+    EXPECT_NE(third, first);
+    EXPECT_NE(third, second);
+    EXPECT_NE(third, host_id());
+}
+
 } // namespace
 
 TEST_F(subscriber_parts, an_older_record_is_not_taken)
--- a/packages/transport/include/crowlink/transport/dealer_socket.hpp
+++ b/packages/transport/include/crowlink/transport/dealer_socket.hpp
@@ -37,16 +37,24 @@
 
     // The next message, or empty if there is none.
     std::optional<message> receive();
+    // Readable when the connection broke or was refused.
+    zmq::socket_ref events() { return m_events; }
+    // Takes what `events` holds; whether the connection is lost for now.
+    bool take_lost();
+
     // Queues a message; false if the queue is full.
     bool send(message_channel channel, std::string_view bytes);
 
 private:
-    dealer_socket(zmq::socket_t socket, host_id self)
-        : m_socket(std::move(socket)), m_self(std::move(self))
+    dealer_socket(zmq::socket_t socket, zmq::socket_t events, host_id self)
+        : m_socket(std::move(socket))
+        , m_events(std::move(events))
+        , m_self(std::move(self))
     {
     }
 
     zmq::socket_t m_socket;
+    zmq::socket_t m_events;
     host_id m_self;
 };
 
--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -47,6 +47,20 @@
     return static_cast<message_channel>(*frame.data<char>());
 }
 
+// Lets `events` tell when a connection of the socket is lost or refused.
+void watch(zmq::socket_t& socket, zmq::socket_t& events)
+{
+    const std::string address =
+        fmt::format("inproc://crowlink.events.{}", socket.handle());
+    constexpr int lost = ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_CONNECT_RETRIED;
+    if (zmq_socket_monitor(socket.handle(), address.c_str(), lost) != 0)
+    {
+        throw zmq::error_t();
+    }
+    events.set(zmq::sockopt::linger, 0);
+    events.connect(address);
+}
+
 // Takes all frames of the next message; false if there is none.
 bool receive_frames(zmq::socket_t& socket, std::vector<zmq::message_t>& frames)
 {
@@ -175,7 +189,9 @@
     try
     {
         dealer_socket made(zmq::socket_t(context, zmq::socket_type::dealer),
+                           zmq::socket_t(context, zmq::socket_type::pair),
                            self);
+        watch(made.m_socket, made.m_events);
         set_common(made.m_socket);
         made.m_socket.set(zmq::sockopt::reconnect_ivl,
                           first_reconnect_milliseconds);
@@ -216,6 +232,18 @@
     }
 }
 
+bool dealer_socket::take_lost()
+{
+    bool lost = false;
+    std::vector<zmq::message_t> frames;
+    while (receive_frames(m_events, frames))
+    {
+        lost = true;
+        frames.clear();
+    }
+    return lost;
+}
+
 bool dealer_socket::send(message_channel channel, std::string_view bytes)
 {
     const auto more = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
--- a/packages/transport/test/message_sockets_test.cpp
+++ b/packages/transport/test/message_sockets_test.cpp
@@ -33,21 +33,9 @@
             dealer_socket::connect(client, host_id("n1"), m_server.local(),
                                    pair, m_server_pair.public_key);
         ASSERT_TRUE(made);
-        // The handshake fails or passes; both are events of this monitor.
-        zmq::socket_t events = monitor(client, *made);
-        ASSERT_TRUE(readable(events));
-    }
-
-    static zmq::socket_t monitor(zmq::context_t& client, dealer_socket& made)
-    {
-        constexpr int judged = ZMQ_EVENT_HANDSHAKE_SUCCEEDED |
-                               ZMQ_EVENT_HANDSHAKE_FAILED_AUTH |
-                               ZMQ_EVENT_DISCONNECTED;
-        zmq_socket_monitor(made.socket().handle(), "inproc://events", judged);
-        zmq::socket_t events(client, zmq::socket_type::pair);
-        events.set(zmq::sockopt::linger, 0);
-        events.connect("inproc://events");
-        return events;
+        // A refused handshake ends the connection.
+        ASSERT_TRUE(readable(made->events()));
+        EXPECT_TRUE(made->take_lost());
     }
 
     static key_grant grant(const curve_key_pair& pair, node_role role)
@@ -149,6 +137,22 @@
     EXPECT_EQ(server->malformed(), 1U);
 }
 
+TEST(message_sockets, tell_that_the_peer_is_gone)
+{
+    zmq::context_t context;
+    auto server = router_socket::bind(context, any_port, std::nullopt, "");
+    ASSERT_TRUE(server);
+    auto dealer = dealer_socket::connect(context, host_id("n1"),
+                                         server->local(), std::nullopt, "");
+    ASSERT_TRUE(dealer);
+    ASSERT_TRUE(dealer->send(message_channel::membership, "x"));
+    ASSERT_TRUE(readable(server->socket()));
+    EXPECT_FALSE(dealer->take_lost());
+    server = fail(error_kind::unavailable, "", "gone");
+    ASSERT_TRUE(readable(dealer->events()));
+    EXPECT_TRUE(dealer->take_lost());
+}
+
 TEST(message_sockets, an_address_in_use_is_an_error)
 {
     zmq::context_t context;
