--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -154,7 +154,7 @@
     // pile up.
     for (auto& [host, dealer] : m_peers)
     {
-        (void)dealer.take_lost();
+        (void)dealer.is_lost();
     }
 }
 
@@ -219,12 +219,12 @@
     return std::nullopt;
 }
 
-std::vector<host_id> control_links::take_lost_control()
+std::vector<host_id> control_links::lost_control()
 {
     std::vector<host_id> lost;
     for (auto& [host, dealer] : m_control)
     {
-        if (dealer.take_lost())
+        if (dealer.is_lost())
         {
             lost.push_back(host);
         }
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control_links.hpp
@@ -58,9 +58,9 @@
     // The next message; empty if there is none.
     std::optional<inbound_message> next();
 
-    // The control hosts of this node whose connections were lost since this was
-    // last asked.
-    std::vector<host_id> take_lost_control();
+    // The control hosts that this node has no connection to, since it broke or
+    // was refused.
+    std::vector<host_id> lost_control();
 
     // Sends to another control host; false if it was not queued.
     bool send_to_peer(const host_id& to, message_channel channel,
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -123,7 +123,7 @@
     {
         send(each.tick(now));
     }
-    for (const host_id& lost : m_links.take_lost_control())
+    for (const host_id& lost : m_links.lost_control())
     {
         m_subscriber.connection_lost(now, lost);
     }
--- a/packages/transport/include/crowlink/transport/dealer_socket.hpp
+++ b/packages/transport/include/crowlink/transport/dealer_socket.hpp
@@ -37,10 +37,11 @@
 
     // The next message, or empty if there is none.
     std::optional<message> receive();
-    // Readable when the connection broke or was refused.
+    // Readable when the state of the connection changes.
     zmq::socket_ref events() { return m_events; }
-    // Takes what `events` holds; whether the connection is lost for now.
-    bool take_lost();
+    // Takes in what `events` holds. Whether the connection broke or was
+    // refused, and was not made again since.
+    bool is_lost();
 
     // Queues a message; false if the queue is full.
     bool send(message_channel channel, std::string_view bytes);
@@ -55,6 +56,7 @@
 
     zmq::socket_t m_socket;
     zmq::socket_t m_events;
+    bool m_is_lost = false;
     host_id m_self;
 };
 
--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/transport/dealer_socket.hpp"
 #include "crowlink/transport/router_socket.hpp"
 
+#include <cstring>
 #include <fmt/format.h>
 #include <iterator>
 #include <vector>
@@ -47,13 +48,14 @@
     return static_cast<message_channel>(*frame.data<char>());
 }
 
-// Lets `events` tell when a connection of the socket is lost or refused.
+// Lets `events` tell when a connection of the socket is made, lost or refused.
 void watch(zmq::socket_t& socket, zmq::socket_t& events)
 {
     const std::string address =
         fmt::format("inproc://crowlink.events.{}", socket.handle());
-    constexpr int lost = ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_CONNECT_RETRIED;
-    if (zmq_socket_monitor(socket.handle(), address.c_str(), lost) != 0)
+    constexpr int changes = ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_CONNECT_RETRIED |
+                            ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+    if (zmq_socket_monitor(socket.handle(), address.c_str(), changes) != 0)
     {
         throw zmq::error_t();
     }
@@ -232,16 +234,18 @@
     }
 }
 
-bool dealer_socket::take_lost()
+bool dealer_socket::is_lost()
 {
-    bool lost = false;
     std::vector<zmq::message_t> frames;
     while (receive_frames(m_events, frames))
     {
-        lost = true;
+        // The first two bytes of an event are its number.
+        std::uint16_t number = 0;
+        std::memcpy(&number, frames.front().data(), sizeof(number));
+        m_is_lost = number != ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
         frames.clear();
     }
-    return lost;
+    return m_is_lost;
 }
 
 bool dealer_socket::send(message_channel channel, std::string_view bytes)
--- a/packages/transport/test/message_sockets_test.cpp
+++ b/packages/transport/test/message_sockets_test.cpp
@@ -35,7 +35,7 @@
         ASSERT_TRUE(made);
         // A refused handshake ends the connection.
         ASSERT_TRUE(readable(made->events()));
-        EXPECT_TRUE(made->take_lost());
+        EXPECT_TRUE(made->is_lost());
     }
 
     static key_grant grant(const curve_key_pair& pair, node_role role)
@@ -147,10 +147,12 @@
     ASSERT_TRUE(dealer);
     ASSERT_TRUE(dealer->send(message_channel::membership, "x"));
     ASSERT_TRUE(readable(server->socket()));
-    EXPECT_FALSE(dealer->take_lost());
+    // The handshake is an event too.
+    ASSERT_TRUE(readable(dealer->events()));
+    EXPECT_FALSE(dealer->is_lost());
     server = fail(error_kind::unavailable, "", "gone");
     ASSERT_TRUE(readable(dealer->events()));
-    EXPECT_TRUE(dealer->take_lost());
+    EXPECT_TRUE(dealer->is_lost());
 }
 
 TEST(message_sockets, an_address_in_use_is_an_error)
