--- a/packages/agent/include/crowlink/agent/agent_settings.hpp
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -36,7 +36,7 @@
     // Bounds the redirects of others that are kept.
     std::uint32_t redirects_kept = 65536;
     // Flows without any packet for so long are closed.
-    duration udp_idle = std::chrono::minutes(30);
+    duration udp_idle = std::chrono::hours(4);
     duration tcp_idle = std::chrono::hours(24);
     // A flow that both ends have finished is kept for so long.
     duration linger = std::chrono::seconds(10);
--- a/packages/agent/test/mesh.cpp
+++ b/packages/agent/test/mesh.cpp
@@ -434,6 +434,12 @@
     publish();
 }
 
+void mesh::push(std::uint32_t flow)
+{
+    const flow_key pushed = key(flow);
+    handle(owners(flow).front(), upstream_answered{pushed, {}});
+}
+
 void mesh::set_answering(std::size_t index, bool on)
 {
     m_nodes[index].answering = on;
--- a/packages/agent/test/mesh.hpp
+++ b/packages/agent/test/mesh.hpp
@@ -74,6 +74,8 @@
     // Another upstream comes up under the address of a dead one.
     void revive_as_another(std::size_t node);
     void set_answering(std::size_t node, bool on);
+    // The upstream that has a flow speaks first.
+    void push(std::uint32_t flow);
 
     std::size_t nodes() const { return m_nodes.size(); }
     bool alive(std::size_t node) const { return m_nodes[node].alive; }
--- /dev/null
+++ b/packages/agent/test/ownership_test.cpp
@@ -0,0 +1,180 @@
+#include "agent_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+redirect_notice claim(const agent_fixture& one, std::uint16_t number,
+                      duration age)
+{
+    return redirect_notice{service_id(5),
+                           one.core->tag(),
+                           agent_fixture::identity(1),
+                           10min,
+                           {owned_flow{agent_fixture::flow(number), age}}};
+}
+
+const redirect_notice& last_notice(const recording_effects& effects)
+{
+    const auto found = std::find_if(
+        effects.sent.rbegin(), effects.sent.rend(),
+        [](const auto& sent)
+        { return std::holds_alternative<redirect_notice>(sent.second); });
+    return std::get<redirect_notice>(found->second);
+}
+
+} // namespace
+
+TEST(ownership, packets_of_another_service_or_tag_are_dropped_and_counted)
+{
+    agent_fixture one(3);
+    packet_header other = one.header(1);
+    other.service = service_id(6);
+    one.handle(packet_arrived{other, {}});
+    packet_header past = one.header(1);
+    past.current = candidate_chain();
+    past.current.push_back(
+        candidate{agent_fixture::address(0), one.core->tag() + 1});
+    one.handle(packet_arrived{past, {}});
+    EXPECT_TRUE(one.effects.delivered.empty());
+    EXPECT_EQ(one.core->counts().wrong_service, 1U);
+    EXPECT_EQ(one.core->counts().wrong_tag, 1U);
+    // The same of a flow that the agent has.
+    one.call(1);
+    one.handle(packet_arrived{other, {}});
+    one.handle(packet_arrived{past, {}});
+    EXPECT_EQ(one.effects.delivered.size(), 1U);
+}
+
+TEST(ownership, of_two_owners_the_later_one_yields)
+{
+    agent_fixture one(3);
+    one.call(1);
+    one.tell(claim(one, 1, 1h));
+    const bool compares = one.core->tag() < agent_fixture::identity(1).tag;
+    EXPECT_EQ(one.core->owns(agent_fixture::flow(1)), !compares);
+    if (!compares)
+    {
+        // The other one compares, and says what came of it.
+        one.tell(claim(one, 1, owned_flow::decided));
+    }
+    EXPECT_FALSE(one.core->owns(agent_fixture::flow(1)));
+    EXPECT_EQ(one.effects.upstream_resets.size(), 1U);
+    EXPECT_GE(one.core->counts().duplicate_owners, 1U);
+    one.call(1);
+    ASSERT_EQ(one.effects.forwards.size(), 1U);
+    EXPECT_EQ(one.effects.forwards.front().to, agent_fixture::address(1));
+}
+
+TEST(ownership, of_two_owners_the_earlier_one_answers_the_claim)
+{
+    agent_fixture one(3);
+    one.call(1);
+    one.advance(1min);
+    one.tell(claim(one, 1, 1s));
+    EXPECT_TRUE(one.core->owns(agent_fixture::flow(1)));
+    const redirect_notice& answer = last_notice(one.effects);
+    EXPECT_EQ(answer.receiver, agent_fixture::identity(1).tag);
+    EXPECT_EQ(answer.owner, agent_fixture::identity(0));
+}
+
+TEST(ownership, a_redirect_ends_by_withdrawal_or_lifetime)
+{
+    agent_fixture one(3);
+    one.tell(claim(one, 1, 1s));
+    one.tell(claim(one, 2, 1s));
+    one.call(1);
+    one.call(2);
+    EXPECT_EQ(one.effects.forwards.size(), 2U);
+    redirect_notice withdrawal = claim(one, 1, 0s);
+    withdrawal.lifetime = 0s;
+    one.tell(withdrawal);
+    one.call(1);
+    EXPECT_TRUE(one.core->owns(agent_fixture::flow(1)));
+    one.advance(11min);
+    EXPECT_EQ(one.core->redirects(), 0U);
+    one.call(2);
+    EXPECT_TRUE(one.core->owns(agent_fixture::flow(2)));
+}
+
+// The owner that a redirect names does not know the flow: its packet comes
+// back, and the flow is placed anew.
+TEST(ownership, a_stale_redirect_is_forgotten_when_its_packet_returns)
+{
+    agent_fixture one(3);
+    one.tell(claim(one, 1, 1s));
+    one.call(1);
+    ASSERT_EQ(one.effects.forwards.size(), 1U);
+    packet_header back = one.effects.forwards.front().header;
+    back.position = 0;
+    ++back.hops;
+    one.handle(packet_arrived{back, {}});
+    EXPECT_TRUE(one.core->owns(agent_fixture::flow(1)));
+}
+
+TEST(ownership, redirects_are_paced_and_the_most_active_flows_come_first)
+{
+    agent_fixture one(1);
+    constexpr std::uint16_t flows = 1000;
+    for (std::uint16_t number = 0; number < flows; ++number)
+    {
+        one.call(number);
+        one.now += 2ms;
+    }
+    one.advance(5s);
+    one.call(7);
+    auto view = std::make_shared<service_view>();
+    view->declared.id = service_id(5);
+    for (std::size_t i = 1; i < 4; ++i)
+    {
+        view->members.push_back(agent_fixture::member(i));
+    }
+    one.effects.sent.clear();
+    one.handle(view_changed{view});
+    one.advance(100ms);
+    std::size_t told = 0;
+    bool has_active = false;
+    for (const auto& sent : one.effects.sent)
+    {
+        if (const auto* notice = std::get_if<redirect_notice>(&sent.second))
+        {
+            told += notice->flows.size();
+            has_active = has_active ||
+                         notice->flows.front().flow == agent_fixture::flow(7);
+            EXPECT_LE(notice->flows.size(), redirect_notice::most_flows);
+        }
+    }
+    EXPECT_LE(told, 257U);
+    EXPECT_GE(told, 250U);
+    EXPECT_TRUE(has_active);
+    one.advance(1s);
+    EXPECT_EQ(one.core->counts().redirects_published, 2U * flows);
+}
+
+TEST(ownership, an_older_view_is_ignored)
+{
+    agent_fixture one(3);
+    auto newer = std::make_shared<service_view>();
+    newer->version = config_version(9);
+    newer->declared.id = service_id(5);
+    newer->declared.limits.connections = 1;
+    newer->members.push_back(agent_fixture::member(0));
+    auto older = std::make_shared<service_view>(*newer);
+    older->version = config_version(8);
+    older->declared.limits.connections = 100;
+    one.handle(view_changed{newer});
+    one.handle(view_changed{older});
+    one.advance(11s);
+    one.call(1);
+    one.call(2);
+    EXPECT_EQ(one.core->flows(), 1U);
+    EXPECT_EQ(one.effects.refusals.size(), 1U);
+}
+
+} // namespace crowlink::test
--- /dev/null
+++ b/packages/agent/test/shedding_test.cpp
@@ -0,0 +1,128 @@
+#include "agent_fixture.hpp"
+#include "crowlink/agent/load_units.hpp"
+#include "crowlink/agent/progress_judge.hpp"
+#include "crowlink/agent/shed_warden.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using internal::full_share;
+
+constexpr time_point start{1h};
+
+} // namespace
+
+TEST(shedding, a_cold_upstream_warms_with_time_and_answers)
+{
+    internal::progress_judge judge(2s, start);
+    judge.assess(start, false, 10s);
+    EXPECT_EQ(judge.share(), full_share / 10);
+    for (int i = 0; i < 16; ++i)
+    {
+        judge.progressed(start + 5s);
+    }
+    judge.assess(start + 5s, false, 10s);
+    EXPECT_NEAR(judge.share(), 550000, 1000);
+    // Time alone does not warm an upstream that is asked and never answers.
+    internal::progress_judge deaf(2s, start);
+    deaf.assess(start + 60s, true, 10s);
+    EXPECT_EQ(deaf.share(), full_share / 10);
+}
+
+TEST(shedding, a_stalled_upstream_falls_and_one_that_answers_recovers)
+{
+    internal::progress_judge judge(2s, start);
+    judge.assume_warm();
+    judge.progressed(start);
+    time_point now = start;
+    judge.assess(now, true, 10s);
+    EXPECT_EQ(judge.share(), full_share);
+    for (int i = 0; i < 5; ++i)
+    {
+        now += 2s;
+        judge.assess(now, true, 10s);
+    }
+    EXPECT_TRUE(judge.wants_to_shed());
+    EXPECT_LE(judge.share(), full_share / 8);
+    // Hysteresis: the first sign of life doesn't end it, more do.
+    judge.progressed(now);
+    judge.assess(now, true, 10s);
+    EXPECT_TRUE(judge.wants_to_shed());
+    for (int i = 0; i < 3; ++i)
+    {
+        judge.progressed(now);
+        judge.assess(now, true, 10s);
+    }
+    EXPECT_FALSE(judge.wants_to_shed());
+}
+
+TEST(shedding, at_most_a_third_gets_leave_also_across_wardens)
+{
+    internal::shed_warden warden(5s);
+    warden.appoint(start, true);
+    EXPECT_FALSE(warden.grant(start + 9s, 1, 7));
+    const time_point now = start + 10s;
+    EXPECT_TRUE(warden.grant(now, 1, 7));
+    EXPECT_TRUE(warden.grant(now, 2, 7));
+    EXPECT_FALSE(warden.grant(now, 3, 7));
+    EXPECT_TRUE(warden.grant(now, 1, 7));
+    EXPECT_TRUE(warden.grant(now + 6s, 3, 7));
+    EXPECT_FALSE(warden.grant(now + 6s, 4, 2));
+}
+
+TEST(shedding, without_leave_a_stalled_upstream_still_takes_flows)
+{
+    for (const bool granted : {false, true})
+    {
+        agent_fixture one(7);
+        one.call(1);
+        one.answer(1);
+        for (int i = 0; i < 100; ++i)
+        {
+            one.call(1);
+            one.advance(200ms);
+            if (granted)
+            {
+                one.tell(shed_grant{service_id(5), one.core->tag(), 5s});
+            }
+        }
+        EXPECT_EQ(one.core->sheds(one.now), granted);
+        // The first one is the trial; the second shows the difference.
+        one.call(2);
+        one.call(3);
+        EXPECT_TRUE(one.core->owns(agent_fixture::flow(2)));
+        EXPECT_EQ(one.core->owns(agent_fixture::flow(3)), !granted);
+        EXPECT_EQ(one.effects.refusals.size(), granted ? 1U : 0U);
+    }
+}
+
+TEST(shedding, an_upstream_recovers_by_its_trials)
+{
+    agent_fixture one(7);
+    one.call(1);
+    one.answer(1);
+    std::uint16_t next = 2;
+    for (int i = 0; i < 100; ++i)
+    {
+        one.call(1);
+        one.advance(200ms);
+        one.tell(shed_grant{service_id(5), one.core->tag(), 5s});
+    }
+    ASSERT_TRUE(one.core->sheds(one.now));
+    for (int i = 0; i < 10; ++i)
+    {
+        one.call(next);
+        one.answer(next);
+        ++next;
+        one.advance(1s);
+    }
+    EXPECT_FALSE(one.core->sheds(one.now));
+}
+
+} // namespace crowlink::test
