--- a/packages/agent/test/ownership_test.cpp
+++ b/packages/agent/test/ownership_test.cpp
@@ -59,9 +59,9 @@
 {
     bool met_lower = false;
     bool met_higher = false;
-    for (std::size_t rival = 1; rival < 8; ++rival)
+    for (std::size_t rival = 1; rival < 40; ++rival)
     {
-        agent_fixture one(8);
+        agent_fixture one(40);
         one.call(1);
         one.tell(claim(one, 1, 1h, rival));
         const bool compares =
