--- a/packages/agent/include/crowlink/agent/redirect_notice.hpp
+++ b/packages/agent/include/crowlink/agent/redirect_notice.hpp
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace crowlink
@@ -17,8 +18,9 @@
 // of lower tag compares, so that both come to the same end.
 struct owned_flow
 {
-    // In place of the age: it was compared, and the receiver is to yield.
-    static constexpr duration decided = duration::max();
+    // In place of the age: it was compared, and the receiver is to yield. The
+    // highest age that travels, which is in 32 bits of milliseconds.
+    static constexpr duration decided = std::chrono::milliseconds(UINT32_MAX);
 
     flow_key flow;
     duration age{};
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t least_share_unpermitted = full_share / 2;
 constexpr duration trial_interval = std::chrono::seconds(1);
 // Where continuity comes first, a head this far above the mean keeps the flow.
-constexpr std::uint32_t continuity_excess_percent = 25;
+constexpr std::uint32_t continuity_excess_percent = 10;
 
 std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
 {
--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -27,6 +27,14 @@
     return agents.empty() ? 0 : static_cast<std::uint32_t>(hash) | 1U;
 }
 
+// Short of the value that stands for a decision.
+duration age_of(const internal::flow_entry& entry, time_point now)
+{
+    constexpr duration highest =
+        owned_flow::decided - std::chrono::milliseconds(1);
+    return std::min<duration>(now - entry.opened, highest);
+}
+
 bool holds(const candidate_chain& agents, const candidate& wanted)
 {
     return std::find(agents.begin(), agents.end(), wanted) != agents.end();
@@ -67,7 +75,7 @@
                                          next.tag) != m_renewed.end();
         if (is_new || renew || restarted)
         {
-            publish(entry, next, now - entry.opened);
+            publish(entry, next, age_of(entry, now));
             any = true;
         }
     }
@@ -113,7 +121,7 @@
         const bool is_other = !chain.empty() && chain[0] != m_self;
         if (is_other && !holds(told, chain[0]))
         {
-            publish(entry, chain[0], now - entry.opened);
+            publish(entry, chain[0], age_of(entry, now));
         }
     };
     // Heads by other tables, which balancers may still use.
@@ -137,7 +145,7 @@
         return;
     }
     entry.head_told_at = now;
-    publish(entry, header.current[0], now - entry.opened);
+    publish(entry, header.current[0], age_of(entry, now));
     send_batch();
 }
 
@@ -282,11 +290,11 @@
                           const candidate& rival, const owned_flow& owned)
 {
     ++m_counts.duplicate_owners;
-    if (owned.age == owned_flow::decided)
+    if (owned.age >= owned_flow::decided)
     {
         return false;
     }
-    const duration age = now - entry.opened;
+    const duration age = age_of(entry, now);
     if (rival.tag < m_tag)
     {
         publish(entry, rival, age);
