--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -6,22 +6,12 @@
 namespace
 {
 
-// The two chains of a flow by a service's tables. The previous one is left
-// empty where it would say the same again.
-void fill_chains(const service_tables& tables, const flow_key& flow,
-                 candidate_chain& current, candidate_chain& previous)
+// The chain by the table before, left empty where it would say the same as the
+// current one.
+candidate_chain unless_equal(const candidate_chain& previous,
+                             const candidate_chain& current)
 {
-    const std::uint64_t hash = stable_hash(flow);
-    current = tables.current->chain(hash);
-    if (!tables.previous)
-    {
-        return;
-    }
-    previous = tables.previous->chain(hash);
-    if (previous == current)
-    {
-        previous = candidate_chain();
-    }
+    return previous == current ? candidate_chain() : previous;
 }
 
 route_reason reason_of(const candidate_chain& current,
@@ -37,8 +27,9 @@
 
 } // namespace
 
-traffic_path::traffic_path(const key_ring& keys, const endpoint& return_to)
-    : m_codec(keys), m_return_to(return_to)
+traffic_path::traffic_path(const key_ring& keys, const endpoint& return_to,
+                           std::size_t cached_chains)
+    : m_codec(keys), m_chains(cached_chains), m_return_to(return_to)
 {
 }
 
@@ -46,25 +37,33 @@
 traffic_path::route(const forwarding_set& set, const caller_packet& packet,
                     std::span<std::uint8_t> buffer)
 {
-    const service_tables* const tables =
-        set.find(packet.flow.protocol, packet.flow.service);
+    const table_pair* const tables =
+        set.tables_at(packet.flow.protocol, packet.flow.service);
     if (tables == nullptr)
     {
         return drop(route_drop::no_service);
     }
-    forward_datagram out;
+    const std::uint64_t hash = stable_hash(packet.flow);
+    // Made in one piece, since the chains are large to copy.
+    forward_datagram out{
+        packet_header{.service = tables->service,
+                      .table = tables->current->digest(),
+                      .flow = packet.flow,
+                      .role = packet.role,
+                      .current = m_chains.chain(*tables->current, hash),
+                      .previous = candidate_chain(),
+                      .return_to = m_return_to},
+        packet.payload};
     packet_header& header = out.header;
-    fill_chains(*tables, packet.flow, header.current, header.previous);
+    if (tables->previous != nullptr)
+    {
+        header.previous = unless_equal(m_chains.chain(*tables->previous, hash),
+                                       header.current);
+    }
     if (header.current.empty() && header.previous.empty())
     {
         return drop(route_drop::no_candidate);
     }
-    header.service = tables->service();
-    header.table = tables->current->digest();
-    header.flow = packet.flow;
-    header.role = packet.role;
-    header.return_to = m_return_to;
-    out.payload = packet.payload;
     const std::size_t size = m_codec.encode(out, buffer);
     if (size == 0)
     {
@@ -110,14 +109,20 @@
 {
     route_decision decision;
     decision.flow = flow;
-    const service_tables* const tables = set.find(flow.protocol, flow.service);
+    const table_pair* const tables = set.tables_at(flow.protocol, flow.service);
     if (tables == nullptr)
     {
         return decision;
     }
-    decision.service = tables->service();
+    decision.service = tables->service;
     decision.table = tables->current->digest();
-    fill_chains(*tables, flow, decision.current, decision.previous);
+    const std::uint64_t hash = stable_hash(flow);
+    decision.current = tables->current->chain(hash);
+    if (tables->previous != nullptr)
+    {
+        decision.previous =
+            unless_equal(tables->previous->chain(hash), decision.current);
+    }
     decision.reason = reason_of(decision.current, decision.previous);
     if (decision.reason != route_reason::no_candidate)
     {
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -16,14 +16,12 @@
 
 std::size_t address_hash::operator()(const service_address& value) const
 {
-    std::array<std::uint8_t, ip_address::byte_count + 3> bytes{};
+    constexpr unsigned protocol_shift = 16;
+    const auto protocol = static_cast<std::uint64_t>(value.protocol);
     const auto& address = value.address.address.bytes();
-    std::uint8_t* out =
-        std::copy(address.begin(), address.end(), bytes.begin());
-    *out++ = static_cast<std::uint8_t>(value.address.port >> 8U);
-    *out++ = static_cast<std::uint8_t>(value.address.port & 0xffU);
-    *out = static_cast<std::uint8_t>(value.protocol);
-    return XXH3_64bits(bytes.data(), bytes.size());
+    return XXH3_64bits_withSeed(address.data(), address.size(),
+                                protocol << protocol_shift |
+                                    value.address.port);
 }
 
 } // namespace internal
@@ -51,17 +49,11 @@
     return place != all.end() && (*place)->service() == wanted;
 }
 
-std::uint64_t digest_of(const services& all)
+std::uint64_t digest_of(const service_tables& tables)
 {
-    std::uint64_t digest = all.size();
-    for (const auto& tables : all)
-    {
-        digest = combine_hash(digest, tables->current->digest());
-        const bool has_previous = tables->previous != nullptr;
-        digest =
-            combine_hash(digest, has_previous ? tables->previous->digest() : 0);
-    }
-    return digest;
+    const bool has_previous = tables.previous != nullptr;
+    return combine_hash(tables.current->digest(),
+                        has_previous ? tables.previous->digest() : 0);
 }
 
 } // namespace
@@ -113,8 +105,10 @@
     {
         return false;
     }
+    m_digest += digest_of(*tables);
     if (known)
     {
+        m_digest -= digest_of(**place);
         *place = std::move(tables);
         return true;
     }
@@ -132,6 +126,7 @@
     }
     if (known)
     {
+        m_digest -= digest_of(**place);
         m_services.erase(place);
     }
     return remember(removed) || known;
@@ -168,7 +163,13 @@
 
 void forwarding_set::finish(const forwarding_set& prior)
 {
-    m_digest = digest_of(m_services);
+    m_tables.clear();
+    m_tables.reserve(m_services.size());
+    for (const auto& tables : m_services)
+    {
+        m_tables.push_back(table_pair{tables->service(), tables->current.get(),
+                                      tables->previous.get()});
+    }
     if (!same_addresses(prior))
     {
         m_index = make_index();
@@ -218,12 +219,30 @@
     return index;
 }
 
-const service_tables* forwarding_set::find(transport protocol,
-                                           const endpoint& address) const
+std::optional<std::uint32_t>
+forwarding_set::place_at(transport protocol, const endpoint& address) const
 {
     const auto found =
         m_index->find(internal::service_address{address, protocol});
-    return found == m_index->end() ? nullptr : m_services[found->second].get();
+    if (found == m_index->end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+const table_pair* forwarding_set::tables_at(transport protocol,
+                                            const endpoint& address) const
+{
+    const auto place = place_at(protocol, address);
+    return place ? &m_tables[*place] : nullptr;
+}
+
+const service_tables* forwarding_set::find(transport protocol,
+                                           const endpoint& address) const
+{
+    const auto place = place_at(protocol, address);
+    return place ? m_services[*place].get() : nullptr;
 }
 
 const service_tables* forwarding_set::find(service_id service) const
@@ -240,6 +259,7 @@
     std::size_t total = sizeof *this;
     total += m_services.capacity() * sizeof(services::value_type);
     total += m_index->size() * node + m_index->bucket_count() * sizeof(void*);
+    total += m_tables.capacity() * sizeof(table_pair);
     total += m_removed.capacity() * sizeof(removed_service);
     for (const auto& tables : m_services)
     {
--- /dev/null
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "crowlink/base/metrics.hpp"
+#include "crowlink/base/time.hpp"
+#include "crowlink/membership/digest_book.hpp"
+#include "crowlink/membership/observed_record.hpp"
+#include "crowlink/membership/observer_output.hpp"
+#include "crowlink/membership/observer_settings.hpp"
+#include "crowlink/membership/peer_board.hpp"
+#include "crowlink/membership/record_key.hpp"
+#include "crowlink/membership/region_age.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace crowlink
+{
+
+// Holds the newest record of every upstream and balancer as soft state, and
+// the leases of those whose home it is. Only changes flow between observers;
+// digests repair what was missed. A record merges by its version, so that
+// order and duplication do not matter; a gone record wins over a living one of
+// the same version.
+//
+// Silence is judged before it is believed: see docs/design/membership.md.
+// The shell calls tick about every 100 ms.
+class observer
+{
+public:
+    observer(observer_settings settings, time_point now);
+
+    // Takes a message of an announcer or of another observer; others are
+    // ignored.
+    observer_output handle(time_point now, const host_id& from,
+                           const wire::membership_message& in);
+
+    observer_output tick(time_point now);
+
+    // Whether it knows enough to publish.
+    bool ready() const { return m_ready; }
+
+    // Records that are not gone.
+    std::size_t living() const { return m_living; }
+
+    // The record of a member, or null if it is unknown.
+    const upstream_record* find(service_id service,
+                                const upstream_id& id) const;
+
+    // Places that are held to be lost.
+    const std::set<place_id>& lost_places() const { return m_lost_places; }
+
+    // Regions that are cut off, with the age of what is known of them.
+    std::vector<region_age> cut_regions(time_point now) const;
+
+    const metrics& counters() const { return m_metrics; }
+
+private:
+    using table = std::map<internal::record_key, internal::observed_record>;
+    struct place_count
+    {
+        std::size_t living = 0;
+        // Silent, whether judged or still within a grace period.
+        std::size_t silent = 0;
+        // Silent for long enough to be acted on.
+        std::size_t settled = 0;
+        std::size_t own = 0;
+        std::size_t own_silent = 0;
+    };
+    // What holds for all records of one home during one judgement.
+    struct home_status
+    {
+        bool own = false;
+        // Its region is cut off: its records are kept as they are.
+        bool cut = false;
+        bool silent = false;
+        // Silent for longer than its announcers need to find a new home, or
+        // cut off for longer than records are kept.
+        bool orphaned = false;
+        std::size_t population = 0;
+        std::size_t expired_in_window = 0;
+    };
+
+    void announced(time_point now, const host_id& from,
+                   const wire::announcement& in, observer_output& out);
+    void renewed(time_point now, const host_id& from, const wire::renewal& in,
+                 observer_output& out);
+    void changes(time_point now, const wire::observer_changes& in,
+                 observer_output& out);
+    void heartbeat(time_point now, const host_id& from,
+                   const wire::observer_heartbeat& in);
+    void digest(time_point now, const host_id& from,
+                const wire::observer_digest& in, observer_output& out);
+
+    bool merge(internal::observed_record next, observer_output& out);
+    void store(internal::observed_record& held, internal::observed_record next,
+               observer_output& out);
+    void send_changes(observer_output& out);
+    void send_heartbeats(time_point now, observer_output& out) const;
+    void send_digest(const host_id& to, observer_output& out) const;
+    void send_next_digest(observer_output& out);
+    std::vector<bool> buckets_to_send(const wire::observer_digest& in);
+    void forgive_pause(time_point now);
+
+    void judge(time_point now, observer_output& out);
+    void refresh_homes(time_point now);
+    home_status& status_of(time_point now, const host_id& home);
+    void count(time_point now, internal::observed_record& held);
+    void judge_places(time_point now, observer_output& out);
+    void report_places(time_point now);
+    void place_lost(time_point now, const place_id& where,
+                    observer_output& out);
+    void place_back(time_point now, const place_id& where,
+                    observer_output& out);
+    void expire_silent(time_point now, observer_output& out);
+    bool may_expire(time_point now, const internal::observed_record& held);
+    bool may_be_whole_place(time_point now, const place_id& where) const;
+    bool within_cap(time_point now, const internal::observed_record& held,
+                    home_status& status) const;
+    bool settled(time_point now, const internal::observed_record& held) const;
+    bool seems_cut_off(time_point now) const;
+    bool purge(time_point now, const internal::observed_record& held) const;
+
+    observer_settings m_settings;
+    internal::peer_board m_peers;
+    table m_records;
+    internal::digest_book m_book;
+    std::size_t m_living = 0;
+    // Own changes that the peers must still hear.
+    std::set<internal::record_key> m_unsent;
+    std::map<host_id, home_status> m_homes;
+    std::map<place_id, place_count> m_counts;
+    std::map<place_id, time_point> m_own_reports;
+    std::set<place_id> m_lost_places;
+    std::map<place_id, time_point> m_lost_since;
+    std::size_t m_next_peer = 0;
+    std::size_t m_first_bucket = 0;
+    time_point m_window_start;
+    time_point m_started;
+    time_point m_last_tick;
+    time_point m_next_heartbeat;
+    time_point m_next_digest;
+    time_point m_next_judgement;
+    bool m_ready = false;
+    // The silence seems to be this host's own.
+    bool m_held_back = false;
+    metrics m_metrics;
+};
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/replication/test/cluster_test.cpp
@@ -0,0 +1,46 @@
+#include "scenario.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+TEST(cluster, founds_a_log_with_1_3_and_5_voters)
+{
+    for (const std::size_t voters : {1U, 3U, 5U})
+    {
+        fake_cluster cluster(voters, 0, voters);
+        make_versions(cluster, 3, "a");
+        EXPECT_TRUE(cluster.run_until([&] { return everywhere(cluster, 3); }));
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
+TEST(cluster, passes_changes_on_to_the_leader)
+{
+    fake_cluster cluster(3, 0, 7);
+    const std::size_t follower = (settle(cluster) + 1) % 3;
+    cluster.propose(follower, "a", 0);
+    ASSERT_TRUE(
+        cluster.run_until([&] { return cluster.answer("a") != nullptr; }));
+    EXPECT_EQ(cluster.answer("a")->result, change_result::applied);
+}
+
+TEST(cluster, catches_up_by_snapshot)
+{
+    fake_cluster cluster(3, 0, 8);
+    const std::size_t away = (settle(cluster) + 1) % 3;
+    cluster.crash(away);
+    make_versions(cluster, 40, "a");
+    cluster.restart(away);
+    EXPECT_TRUE(cluster.run_until([&] { return everywhere(cluster, 40); }));
+    EXPECT_GT(cluster.status(away).snapshot_index, 0U);
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+} // namespace
+
+} // namespace crowlink::replication
--- a/packages/wire/include/crowlink/wire/datagram_codec.hpp
+++ b/packages/wire/include/crowlink/wire/datagram_codec.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <tl/expected.hpp>
 
@@ -28,6 +29,9 @@
     static constexpr std::size_t overhead_limit = 384;
     // The most that an IP packet holds.
     static constexpr std::size_t payload_limit = 65535;
+    // The most that an agent's message to another agent holds, so that it fits
+    // an Ethernet frame.
+    static constexpr std::size_t peer_limit = 1400;
     // Enough for any datagram.
     static constexpr std::size_t buffer_size = payload_limit + overhead_limit;
 
@@ -46,6 +50,8 @@
                        std::span<std::uint8_t> out) const;
     std::size_t encode(const withdrawal_datagram& value,
                        std::span<std::uint8_t> out) const;
+    std::size_t encode(const peer_datagram& value,
+                       std::span<std::uint8_t> out) const;
     std::size_t encode(const datagram& value,
                        std::span<std::uint8_t> out) const;
 
@@ -54,6 +60,9 @@
     decode(std::span<const std::uint8_t> bytes) const;
 
 private:
+    // Why bytes are not authentic, if they are not.
+    std::optional<datagram_drop>
+    check(std::span<const std::uint8_t> bytes) const;
     const datagram_key* find_key(std::uint8_t id) const;
 
     key_ring m_keys;
--- a/packages/wire/src/datagram_decode.cpp
+++ b/packages/wire/src/datagram_decode.cpp
@@ -42,6 +42,14 @@
         in.varint(static_cast<std::uint32_t>(last)));
 }
 
+// A position as it travels: one more, so that zero stands for none.
+std::uint8_t read_best(message_reader& in)
+{
+    const std::uint32_t found = in.varint(2 * candidate_chain::capacity);
+    return found == 0 ? packet_header::no_position
+                      : static_cast<std::uint8_t>(found - 1);
+}
+
 void read_field(message_reader& in, std::uint32_t found,
                 forward_datagram& value)
 {
@@ -62,7 +70,7 @@
         header.role = read_enumerator(in, packet_role::resets);
         break;
     case tags::pass:
-        header.pass = read_enumerator(in, packet_pass::admit);
+        header.pass = read_enumerator(in, last_packet_pass);
         break;
     case tags::position:
         header.position = static_cast<std::uint8_t>(in.varint(UINT8_MAX));
@@ -79,6 +87,12 @@
     case tags::return_to:
         header.return_to = in.read_endpoint();
         break;
+    case tags::best:
+        header.best = read_best(in);
+        break;
+    case tags::best_load:
+        header.best_load = in.varint();
+        break;
     case internal::payload_tag:
         value.payload = in.bytes();
         break;
@@ -102,6 +116,19 @@
     }
 }
 
+// A verdict travels as its number and one, so that zero is none.
+verdict read_outcome(message_reader& in)
+{
+    const std::uint32_t number = in.varint();
+    if (number == 0 ||
+        number > static_cast<std::uint32_t>(verdict::may_have_run) + 1)
+    {
+        in.fail(datagram_drop::out_of_range);
+        return verdict::may_have_run;
+    }
+    return static_cast<verdict>(number - 1);
+}
+
 void read_field(message_reader& in, std::uint32_t found, notice_datagram& value)
 {
     namespace tags = internal::notice_tag;
@@ -111,7 +138,7 @@
         value.flow = in.read_flow();
         break;
     case tags::outcome:
-        value.outcome = read_enumerator(in, verdict::may_have_run);
+        value.outcome = read_outcome(in);
         break;
     case tags::reason:
         value.reason = read_enumerator(in, notice_reason::no_service);
@@ -171,12 +198,24 @@
     read_owner_field(in, found, value);
 }
 
+void read_field(message_reader& in, std::uint32_t found, peer_datagram& value)
+{
+    if (found == internal::peer_tag::message)
+    {
+        value.message = in.bytes();
+        return;
+    }
+    in.skip(found);
+}
+
 // The tag of the field that every host sends in each message.
 template <class Value>
 constexpr std::uint32_t flow_field = internal::answer_tag::flow;
 template <>
 constexpr std::uint32_t flow_field<forward_datagram> =
     internal::forward_tag::flow;
+template <>
+constexpr std::uint32_t flow_field<peer_datagram> = internal::peer_tag::message;
 
 bool plausible(const forward_datagram& value)
 {
@@ -190,11 +229,13 @@
     return true;
 }
 
+// Reads into the result itself: the value is large.
 template <class Value>
 decoded read_message(byte_view message)
 {
     message_reader in(message);
-    Value value;
+    decoded read(tl::in_place, std::in_place_type<Value>);
+    Value& value = *std::get_if<Value>(&*read);
     bool has_flow = false;
     while (const std::uint32_t found = in.next_tag())
     {
@@ -203,18 +244,32 @@
     }
     if (in.failure())
     {
-        return drop(*in.failure());
+        read = drop(*in.failure());
     }
-    if (!has_flow || !plausible(value))
+    else if (!has_flow || !plausible(value))
     {
-        return drop(datagram_drop::out_of_range);
+        read = drop(datagram_drop::out_of_range);
     }
-    return datagram(value);
+    return read;
+}
+
+// Prefix and message of a datagram.
+byte_view without_hash(byte_view bytes)
+{
+    return bytes.first(bytes.size() - internal::hash_size);
+}
+
+// The length that the prefix states.
+std::size_t authenticated_length(byte_view bytes)
+{
+    return std::size_t{bytes[prefix::length_at]} << 8U |
+           bytes[prefix::length_at + 1];
 }
 
-decoded read_kind(std::uint8_t kind, byte_view message)
+decoded read_kind(byte_view body)
 {
-    switch (static_cast<datagram_kind>(kind))
+    const byte_view message = body.subspan(prefix::size);
+    switch (static_cast<datagram_kind>(body[prefix::kind_at]))
     {
     case datagram_kind::forward:
         return read_message<forward_datagram>(message);
@@ -226,6 +281,8 @@
         return read_message<redirect_datagram>(message);
     case datagram_kind::withdrawal:
         return read_message<withdrawal_datagram>(message);
+    case datagram_kind::peer:
+        return read_message<peer_datagram>(message);
     }
     return drop(datagram_drop::malformed);
 }
@@ -259,41 +316,50 @@
     return accepted ? &*m_keys.accepted : nullptr;
 }
 
-tl::expected<datagram, datagram_drop>
-datagram_codec::decode(std::span<const std::uint8_t> bytes) const
+std::optional<datagram_drop>
+datagram_codec::check(std::span<const std::uint8_t> bytes) const
 {
     if (bytes.size() < prefix::size + internal::hash_size ||
         bytes.size() > buffer_size)
     {
-        return drop(datagram_drop::truncated);
+        return datagram_drop::truncated;
     }
     if (bytes[prefix::version_at] != prefix::version)
     {
-        return drop(datagram_drop::unknown_version);
+        return datagram_drop::unknown_version;
     }
     const datagram_key* const key = find_key(bytes[prefix::key_at]);
     if (key == nullptr)
     {
-        return drop(datagram_drop::unknown_key);
+        return datagram_drop::unknown_key;
     }
-    const byte_view body = bytes.first(bytes.size() - internal::hash_size);
-    const std::size_t authenticated = std::size_t{bytes[prefix::length_at]}
-                                          << 8U |
-                                      bytes[prefix::length_at + 1];
+    const std::size_t authenticated = authenticated_length(bytes);
+    const byte_view body = without_hash(bytes);
     if (authenticated < prefix::size || authenticated > body.size())
     {
-        return drop(datagram_drop::truncated);
+        return datagram_drop::truncated;
     }
     const auto hash = internal::authenticate(*key, body.first(authenticated));
-    if (sodium_memcmp(hash.data(), bytes.data() + body.size(), hash.size()) !=
-        0)
+    const std::uint8_t* const sent = bytes.data() + body.size();
+    if (sodium_memcmp(hash.data(), sent, hash.size()) != 0)
     {
-        return drop(datagram_drop::not_authentic);
+        return datagram_drop::not_authentic;
     }
-    auto value = read_kind(bytes[prefix::kind_at], body.subspan(prefix::size));
-    if (value && !covers_all_but_payload(*value, body.subspan(authenticated)))
+    return std::nullopt;
+}
+
+tl::expected<datagram, datagram_drop>
+datagram_codec::decode(std::span<const std::uint8_t> bytes) const
+{
+    // One variable is returned on each way, so that it need not be copied.
+    const auto failed = check(bytes);
+    decoded value =
+        failed ? decoded(drop(*failed)) : read_kind(without_hash(bytes));
+    if (value &&
+        !covers_all_but_payload(
+            *value, without_hash(bytes).subspan(authenticated_length(bytes))))
     {
-        return drop(datagram_drop::malformed);
+        value = drop(datagram_drop::malformed);
     }
     return value;
 }
