--- a/packages/replication/test/failure_test.cpp
+++ b/packages/replication/test/failure_test.cpp
@@ -125,6 +125,38 @@
     }
 }
 
+TEST(failure, an_answer_waits_for_the_disks_of_a_quorum)
+{
+    fake_cluster cluster(3, 0, 20);
+    const std::size_t leader = settle(cluster);
+    cluster.crash((leader + 1) % 3);
+    cluster.slow_disk((leader + 2) % 3, 50);
+    cluster.propose(leader, "a", 0);
+    cluster.run(40);
+    EXPECT_EQ(cluster.answer("a"), nullptr);
+    EXPECT_EQ(wait_for(cluster, "a").result, change_result::applied);
+}
+
+// Another host may be elected an election timeout after it last heard from the
+// leader, by its own clock; by then no clock gives the leader its lease still.
+TEST(failure, a_lease_ends_before_another_host_may_be_elected)
+{
+    std::size_t still_leader = 0;
+    for (std::uint64_t seed = 0; seed < 20; ++seed)
+    {
+        fake_cluster cluster(3, 0, 200 + seed);
+        const std::size_t leader = settle(cluster);
+        cluster.run(50);
+        EXPECT_TRUE(cluster.may_read(leader));
+        cluster.isolate(leader);
+        cluster.run(95);
+        const replica_role role = cluster.status(leader).role;
+        still_leader += role == replica_role::leader ? 1 : 0;
+        EXPECT_FALSE(cluster.may_read(leader));
+    }
+    EXPECT_GT(still_leader, 0U);
+}
+
 TEST(failure, a_second_host_lost_right_after_a_replacement_loses_nothing)
 {
     for (std::uint64_t seed = 0; seed < 20; ++seed)
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -159,7 +159,8 @@
         }
         else if (const auto* kept = std::get_if<persist>(&effect))
         {
-            m_hosts[host].writes.emplace_back(m_step + m_random() % 3,
+            m_hosts[host].writes.emplace_back(m_step + m_random() % 3 +
+                                                  m_hosts[host].disk_delay,
                                               kept->request);
         }
         else if (const auto* reply = std::get_if<change_answered>(&effect))
@@ -295,6 +296,11 @@
     m_hosts[host].disk = fake_disk();
 }
 
+void fake_cluster::slow_disk(std::size_t host, std::uint64_t steps)
+{
+    m_hosts[host].disk_delay = steps;
+}
+
 void fake_cluster::isolate(std::size_t host)
 {
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
--- a/packages/replication/test/fake_cluster.hpp
+++ b/packages/replication/test/fake_cluster.hpp
@@ -59,6 +59,8 @@
     void crash(std::size_t host);
     void restart(std::size_t host);
     void lose_disk(std::size_t host);
+    // Its writes take so many steps more.
+    void slow_disk(std::size_t host, std::uint64_t steps);
     void isolate(std::size_t host);
     void block(std::size_t from, std::size_t to);
     void heal() { m_blocked.clear(); }
@@ -74,9 +76,9 @@
     fake_disk& disk(std::size_t host) { return m_hosts[host].disk; }
     replica_status status(std::size_t host) const;
     std::uint64_t version(std::size_t host) const;
-    const replicated_document& document(std::size_t host) const
+    bool may_read(std::size_t host) const
     {
-        return *m_hosts[host].document;
+        return m_hosts[host].document->can_read(now(m_hosts[host]));
     }
     const history_checker& checker() const { return m_checker; }
     std::string violation() const { return m_checker.violation(); }
@@ -91,6 +93,7 @@
         std::optional<replicated_document> document;
         // What the disk is to write, and when it comes to it.
         std::deque<std::pair<std::uint64_t, persist_request>> writes;
+        std::uint64_t disk_delay = 0;
         double clock_rate = 1.0;
     };
     struct fake_message
--- a/packages/replication/test/property_test.cpp
+++ b/packages/replication/test/property_test.cpp
@@ -43,6 +43,7 @@
                                                              {4, heal},
                                                              {2, disturb},
                                                              {2, lose_disk},
+                                                             {3, slow_disk},
                                                              {6, admit},
                                                              {1, remove}});
     return rc::gen::build<action>(
--- a/packages/replication/test/schedule.cpp
+++ b/packages/replication/test/schedule.cpp
@@ -114,6 +114,9 @@
             m_cluster.lose_disk(host);
         }
         break;
+    case action_kind::slow_disk:
+        m_cluster.slow_disk(host, one.amount);
+        break;
     case action_kind::admit:
         if (leader)
         {
@@ -139,6 +142,10 @@
 {
     m_cluster.heal();
     m_cluster.disturb(0, 0);
+    for (std::size_t i = 0; i < m_cluster.size(); ++i)
+    {
+        m_cluster.slow_disk(i, 0);
+    }
     return m_cluster.run_until(
         [this]
         {
--- a/packages/replication/test/schedule.hpp
+++ b/packages/replication/test/schedule.hpp
@@ -26,6 +26,7 @@
     heal,
     disturb,
     lose_disk,
+    slow_disk,
     admit,
     remove,
 };
