--- a/packages/replication/test/failure_test.cpp
+++ b/packages/replication/test/failure_test.cpp
@@ -129,6 +129,8 @@
 {
     fake_cluster cluster(3, 0, 20);
     const std::size_t leader = settle(cluster);
+    // Until all hold the leader's term.
+    cluster.run(50);
     cluster.crash((leader + 1) % 3);
     cluster.slow_disk((leader + 2) % 3, 50);
     cluster.propose(leader, "a", 0);
