--- a/bench/capacity/voter_slopes.cpp
+++ b/bench/capacity/voter_slopes.cpp
@@ -287,7 +287,7 @@
                         "bytes of the document",
                         {}};
     for (const std::size_t size :
-         limit.sizes({1024, 4096, 16384, 65536, 262144}))
+         limit.sizes({1024, 4096, 16384, 65536, 262144, 1048576}))
     {
         const scratch_folder folder;
         voter_group group(folder);
--- a/packages/plan/include/crowlink/plan/cost.hpp
+++ b/packages/plan/include/crowlink/plan/cost.hpp
@@ -28,12 +28,17 @@
     agent_flow_bytes,
     // Nanoseconds of an agent's work on a new table, per open flow.
     agent_change_ns,
-    // Nanoseconds of a voter for one durable change, per byte of the document.
+    // Nanoseconds until one change is durable on three voters, per byte of the
+    // document.
     voter_change_ns,
-    // Bytes of a voter's log on disk, per change.
+    // Bytes that one change adds to a voter's log, per byte of the document.
     voter_log_bytes,
     // Nanoseconds of an observer for one lease renewal, per upstream it holds.
     observer_renewal_ns,
+    // Nanoseconds of an observer's tick of 100 ms, per upstream.
+    observer_tick_ns,
+    // Nanoseconds of such a tick for attached nodes, per node.
+    observer_node_tick_ns,
     // Bytes of an observer's state, per upstream.
     observer_bytes,
     // Nanoseconds of an observer to push one change, per interested node.
@@ -42,8 +47,12 @@
     observer_push_bytes,
     // Nanoseconds of a node to apply one change, per member of the service.
     node_change_ns,
+    // Nanoseconds of a balancer to make a new set, per service it knows.
+    balancer_change_ns,
     // Bytes that a node receives, per change.
     node_change_bytes,
+    // Bytes between a node and its observer, per second without changes.
+    node_idle_bytes,
     // Bytes of a node's state, per record that it holds.
     node_bytes,
     // Bytes of the snapshot that a restarted node receives, per record.
--- a/packages/plan/src/capacity_plan.cpp
+++ b/packages/plan/src/capacity_plan.cpp
@@ -29,6 +29,12 @@
 constexpr std::uint64_t least_entry_hosts = 2;
 // A host below this share of its planned processor carries both control roles.
 constexpr double shared_below = 0.25;
+// Observers judge and publish ten times a second.
+constexpr double ticks_per_second = 10.0;
+// Nodes that one observer serves at most.
+constexpr double sessions_per_observer = 4096.0;
+// Cores; keeps the count finite where an observer's own part fills the host.
+constexpr double least_room = 0.01;
 
 double members_per_service(const deployment& sizes)
 {
@@ -102,11 +108,15 @@
     return with_spare(std::max(by_processor, by_network), sizes.places);
 }
 
-// What all observers together spend.
+// What observers spend: a part that more of them share, and a part that each
+// has, since each holds every record.
 struct observer_load
 {
-    double cores = 0.0;
-    double bytes_per_second = 0.0;
+    double shared_cores = 0.0;
+    double own_cores = 0.0;
+    double shared_bytes_per_second = 0.0;
+    // Balancers and agents that subscribe.
+    double sessions = 0.0;
 };
 
 observer_load observers_load(const deployment& sizes, double nodes,
@@ -115,24 +125,38 @@
     const auto upstreams = static_cast<double>(sizes.upstreams);
     const double renewals = (upstreams + nodes) / renewal_seconds;
     const double changes = peak_changes_per_second(sizes);
+    // Every balancer wants every change, and of agents those of the service.
+    const double told = nodes + members_per_service(sizes);
     observer_load load;
-    load.cores = (renewals * costs[cost::observer_renewal_ns].at(upstreams) +
-                  changes * costs[cost::observer_push_ns].at(nodes)) /
-                 ns_per_second;
-    load.bytes_per_second =
+    load.sessions = nodes + upstreams;
+    load.shared_cores =
+        (renewals * costs[cost::observer_renewal_ns].at(upstreams) +
+         changes * costs[cost::observer_push_ns].at(told) +
+         ticks_per_second *
+             costs[cost::observer_node_tick_ns].at(load.sessions)) /
+        ns_per_second;
+    load.own_cores = ticks_per_second *
+                     costs[cost::observer_tick_ns].at(upstreams) /
+                     ns_per_second;
+    load.shared_bytes_per_second =
         renewals * renewal_bytes +
-        changes * costs[cost::observer_push_bytes].at(nodes);
+        changes * costs[cost::observer_push_bytes].at(told) +
+        load.sessions * costs[cost::node_idle_bytes].per_unit;
     return load;
 }
 
 std::uint64_t observers_for(const observer_load& load, const host_limits& host,
                             std::uint64_t places)
 {
-    const double by_processor = load.cores / (host.cores * host.planned_share);
+    const double room =
+        std::max(host.cores * host.planned_share - load.own_cores, least_room);
+    const double by_processor = load.shared_cores / room;
     const double by_network =
-        load.bytes_per_second /
+        load.shared_bytes_per_second /
         (host.network_bytes_per_second * host.planned_share);
-    return with_spare(std::max(by_processor, by_network), places);
+    const double by_sessions = load.sessions / sessions_per_observer;
+    return with_spare(std::max({by_processor, by_network, by_sessions}),
+                      places);
 }
 
 void add_entry_limits(capacity_plan& plan, const deployment& sizes,
@@ -156,9 +180,11 @@
 {
     const double members = members_per_service(sizes);
     const double changes = peak_changes_per_second(sizes);
-    const double change_ns = costs[cost::node_change_ns].at(members) +
-                             costs[cost::table_build_ns].at(members);
+    const double change_ns =
+        costs[cost::node_change_ns].at(members) +
+        costs[cost::balancer_change_ns].at(static_cast<double>(sizes.services));
     const double change_bytes = costs[cost::node_change_bytes].at(1.0);
+    const double idle_bytes = costs[cost::node_idle_bytes].per_unit;
     const double state =
         costs[cost::node_bytes].at(static_cast<double>(sizes.upstreams));
     plan.limits.push_back({limit::node_control_processor,
@@ -168,7 +194,7 @@
         {limit::node_control_memory, state, host.control_memory_bytes});
     plan.limits.push_back(
         {limit::node_control_network,
-         changes * change_bytes + renewal_bytes / renewal_seconds,
+         changes * change_bytes + idle_bytes + renewal_bytes / renewal_seconds,
          host.control_bytes_per_second});
 }
 
@@ -186,8 +212,8 @@
 double control_cores(const capacity_plan& plan, const deployment& sizes,
                      const observer_load& load, const measured_costs& costs)
 {
-    const double observer =
-        load.cores / after_place_lost(plan.observers, sizes.places);
+    const double left = after_place_lost(plan.observers, sizes.places);
+    const double observer = load.own_cores + load.shared_cores / left;
     const double voter = voter_cores(sizes, costs);
     return plan.shared ? observer + voter : std::max(observer, voter);
 }
@@ -208,7 +234,8 @@
                            host.cores * host.planned_share});
     plan.limits.push_back(
         {limit::control_memory, state, host.memory_bytes * host.planned_share});
-    plan.limits.push_back({limit::control_network, load.bytes_per_second / left,
+    plan.limits.push_back({limit::control_network,
+                           load.shared_bytes_per_second / left,
                            host.network_bytes_per_second * host.planned_share});
 }
 
--- a/packages/plan/src/cost.cpp
+++ b/packages/plan/src/cost.cpp
@@ -39,6 +39,10 @@
         return "voter_log_bytes";
     case cost::observer_renewal_ns:
         return "observer_renewal_ns";
+    case cost::observer_tick_ns:
+        return "observer_tick_ns";
+    case cost::observer_node_tick_ns:
+        return "observer_node_tick_ns";
     case cost::observer_bytes:
         return "observer_bytes";
     case cost::observer_push_ns:
@@ -47,6 +51,10 @@
         return "observer_push_bytes";
     case cost::node_change_ns:
         return "node_change_ns";
+    case cost::balancer_change_ns:
+        return "balancer_change_ns";
+    case cost::node_idle_bytes:
+        return "node_idle_bytes";
     case cost::node_change_bytes:
         return "node_change_bytes";
     case cost::node_bytes:
--- a/packages/plan/test/plan_test.cpp
+++ b/packages/plan/test/plan_test.cpp
@@ -26,6 +26,8 @@
     set(cost::node_change_ns, 1000.0, 0.0);
     set(cost::node_change_bytes, 200.0, 0.0);
     set(cost::node_bytes, 0.0, 500.0);
+    set(cost::node_idle_bytes, 0.0, 30.0);
+    set(cost::observer_tick_ns, 0.0, 100.0);
     return measured_costs(lines);
 }
 
@@ -94,11 +96,23 @@
     sizes.burst_changes_per_minute = 6000.0;
     const capacity_plan plan = make_plan(sizes, {}, round_costs());
     EXPECT_DOUBLE_EQ(use_of(plan, limit::node_control_network).used,
-                     100.0 * 200.0 + 128.0);
+                     100.0 * 200.0 + 30.0 + 128.0);
     EXPECT_FALSE(plan.feasible());
     EXPECT_EQ(plan.first_limit().which, limit::node_control_network);
 }
 
+TEST(capacity_plan, each_observer_serves_so_many_nodes)
+{
+    deployment sizes = small();
+    sizes.upstreams = 40000;
+    sizes.entry_hosts = 960;
+    sizes.places = 2;
+    const capacity_plan plan = make_plan(sizes, {}, round_costs());
+    // 40,960 sessions are ten observers, and as many again in the other place.
+    EXPECT_EQ(plan.observers, 20U);
+    EXPECT_EQ(plan.entry_hosts, 960U);
+}
+
 TEST(capacity_plan, more_load_never_needs_fewer_hosts)
 {
     std::uint64_t before = 0;
