--- a/packages/agent/test/mesh.hpp
+++ b/packages/agent/test/mesh.hpp
@@ -62,6 +62,8 @@
     void drain(std::size_t node, bool on);
     void leave(std::size_t node);
     void reweigh(std::size_t node, std::uint32_t weight);
+    // Ends an upstream that drains and has no flow left.
+    void retire_if_idle(std::size_t index);
     // The agent starts anew beside its upstream, which lives on.
     void restart_agent(std::size_t node);
     void replace_balancer(std::size_t index);
@@ -72,6 +74,8 @@
     // Another upstream comes up under the address of a dead one.
     void revive_as_another(std::size_t node);
     void set_answering(std::size_t node, bool on);
+    // The upstream that has a flow speaks first.
+    void push(std::uint32_t flow);
 
     std::size_t nodes() const { return m_nodes.size(); }
     bool alive(std::size_t node) const { return m_nodes[node].alive; }
