--- a/packages/membership/include/crowlink/membership/observer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/observer_settings.hpp
@@ -25,7 +25,9 @@
     duration digest_every = std::chrono::seconds(1);
     // A peer that nobody heard for this long is held to be dead.
     duration peer_timeout = std::chrono::seconds(5);
-    // The time that announcers have to find a new home when theirs died.
+    // The time that announcers have to find a new home when theirs died, or to
+    // come back after this host or their place was cut off. It must exceed the
+    // announcers' longest wait.
     duration orphan_grace = std::chrono::seconds(20);
     // Records of a region that is cut off, or of a lost place, are kept for
     // this long. It must be shorter than tombstone_life.
@@ -44,7 +46,7 @@
     // at least half of the own region's observers are heard.
     duration confirm_after = std::chrono::seconds(10);
     // A home that reports a place as lost gives the others this long to agree.
-    duration report_wait = std::chrono::seconds(3);
+    duration report_wait = std::chrono::seconds(4);
     duration judge_every = std::chrono::milliseconds(500);
     // A started observer may publish once a peer's digest equalled its own, or
     // after this time if it heard no peer at all.
