--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -76,6 +76,7 @@
                      std::string reason);
     const membership& members() const { return m_memberships.current(); }
     bool is_voter() const;
+    bool may_campaign() const;
     bool is_blank() const;
 
     // replica_election.cpp: becoming a follower, a candidate, a leader.
@@ -126,6 +127,8 @@
     void on(const replica_message& message, const forwarded_answer& body);
     void say_hello();
     void found();
+    void admit_observer();
+    void forget_strangers();
     result<membership> changed_members(const member_change& change) const;
     result<disk_id> admitted_disk(const member_change& change) const;
     std::optional<error> unsafe(const membership& changed) const;
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -85,11 +85,13 @@
 bool fake_cluster::run_until(const std::function<bool()>& reached,
                              std::size_t steps)
 {
-    for (std::size_t i = 0; i < steps && !reached(); ++i)
+    bool done = reached();
+    for (std::size_t i = 0; i < steps && !done; ++i)
     {
         step();
+        done = reached();
     }
-    return reached();
+    return done;
 }
 
 void fake_cluster::deliver()
@@ -147,7 +149,7 @@
 }
 
 void fake_cluster::carry_out(std::size_t host,
-                             std::vector<document_effect> effects)
+                             const std::vector<document_effect>& effects)
 {
     for (const document_effect& effect : effects)
     {
@@ -157,7 +159,8 @@
         }
         else if (const auto* kept = std::get_if<persist>(&effect))
         {
-            m_hosts[host].writes.emplace_back(m_step + m_random() % 3,
+            m_hosts[host].writes.emplace_back(m_step + m_random() % 3 +
+                                                  m_hosts[host].disk_delay,
                                               kept->request);
         }
         else if (const auto* reply = std::get_if<change_answered>(&effect))
@@ -202,7 +205,7 @@
     }
 }
 
-std::size_t fake_cluster::index_of(const host_id& host) const
+std::size_t fake_cluster::index_of(const host_id& host)
 {
     std::size_t index = 0;
     while (name(index) != host)
@@ -263,11 +266,19 @@
         log_storage<fake_disk>::open(at.disk, disk_id(m_random() | 1), storage);
     if (!opened)
     {
+        // Power may go again while the folder is read; no crash may leave a
+        // folder that cannot be opened.
+        if (!at.disk.halted())
+        {
+            m_checker.report(to_string(opened.error()));
+        }
+        at.disk.crash(m_random);
         return;
     }
     at.storage.emplace(*std::move(opened));
     replica_settings settings = m_settings;
     settings.self = name(host);
+    settings.admit_observers = m_rules.admit_observers;
     const auto self =
         std::find(settings.peers.begin(), settings.peers.end(), settings.self);
     settings.peers.erase(self);
@@ -286,6 +297,11 @@
     m_hosts[host].disk = fake_disk();
 }
 
+void fake_cluster::slow_disk(std::size_t host, std::uint64_t steps)
+{
+    m_hosts[host].disk_delay = steps;
+}
+
 void fake_cluster::isolate(std::size_t host)
 {
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
