--- a/packages/wire/src/message_reader.cpp
+++ b/packages/wire/src/message_reader.cpp
@@ -34,12 +34,13 @@
 
 std::uint32_t message_reader::next_tag()
 {
-    if (m_failure)
+    const auto position = static_cast<std::size_t>(m_input.CurrentPosition());
+    if (m_failure || position == m_bytes.size())
     {
         return 0;
     }
     const std::uint32_t found = m_input.ReadTag();
-    if (found == 0 && !m_input.ConsumedEntireMessage())
+    if (found == 0)
     {
         fail(datagram_drop::malformed);
     }
@@ -102,7 +103,8 @@
         return {};
     }
     const auto start = static_cast<std::size_t>(m_input.CurrentPosition());
-    if (size > m_bytes.size() - start || !m_input.Skip(static_cast<int>(size)))
+    // Fails for a size beyond the end, and for one that is no int.
+    if (!m_input.Skip(static_cast<int>(size)))
     {
         fail(datagram_drop::malformed);
         return {};
