--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -45,12 +45,15 @@
     }
     const std::uint64_t hash = stable_hash(packet.flow);
     // Made in one piece, since the chains are large to copy.
-    forward_datagram out{packet_header{tables->service,
-                                       tables->current->digest(), packet.flow,
-                                       packet.role, packet_pass::lookup, 0, 0,
-                                       m_chains.chain(*tables->current, hash),
-                                       candidate_chain(), m_return_to},
-                         packet.payload};
+    forward_datagram out{
+        packet_header{.service = tables->service,
+                      .table = tables->current->digest(),
+                      .flow = packet.flow,
+                      .role = packet.role,
+                      .current = m_chains.chain(*tables->current, hash),
+                      .previous = candidate_chain(),
+                      .return_to = m_return_to},
+        packet.payload};
     packet_header& header = out.header;
     if (tables->previous != nullptr)
     {
--- a/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
@@ -37,6 +37,9 @@
     walk,
 };
 
+// The codec takes nothing beyond this one.
+constexpr packet_pass last_packet_pass = packet_pass::walk;
+
 // What travels in front of each caller's packet from a balancer to an agent
 // and from agent to agent. It carries all that an agent needs, so that tables
 // need not be equal everywhere at one moment.
--- a/packages/wire/src/message_writer.hpp
+++ b/packages/wire/src/message_writer.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <google/protobuf/io/coded_stream.h>
+#include <span>
 
 namespace crowlink::internal
 {
@@ -86,6 +87,14 @@
         end_nested(length);
     }
 
+    void put_bytes(std::uint32_t tag, std::span<const std::uint8_t> value)
+    {
+        put_byte(tag);
+        m_out = output::WriteVarint32ToArray(
+            static_cast<std::uint32_t>(value.size()), m_out);
+        m_out = std::copy(value.begin(), value.end(), m_out);
+    }
+
     // The tag and length of a payload, without the payload itself.
     void put_payload_head(std::size_t size)
     {
