--- a/packages/replication/include/crowlink/replication/internal/log_storage.ipp
+++ b/packages/replication/include/crowlink/replication/internal/log_storage_open.ipp
@@ -1,6 +1,9 @@
 #pragma once
 
+// The reading half of log_storage.
+
 #include "crowlink/replication/internal/record_codec.hpp"
+#include "crowlink/replication/internal/storage_names.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -8,16 +11,6 @@
 namespace crowlink::replication
 {
 
-namespace internal
-{
-
-constexpr std::string_view identity_name = "identity";
-constexpr std::string_view segment_prefix = "log-";
-constexpr std::string_view snapshot_prefix = "snapshot-";
-constexpr std::string_view unfinished_suffix = ".new";
-
-} // namespace internal
-
 template <file_system FileSystem>
 log_storage<FileSystem>::log_storage(FileSystem& files,
                                      storage_settings settings)
@@ -278,152 +271,4 @@
     return {};
 }
 
-template <file_system FileSystem>
-result<void> log_storage<FileSystem>::write(const persist_request& request)
-{
-    if (m_failed)
-    {
-        return fail(error_kind::storage, "data folder",
-                    "an earlier write failed; restart after mending the disk");
-    }
-    result<void> done;
-    if (request.new_snapshot)
-    {
-        done = write_snapshot(*request.new_snapshot);
-    }
-    if (done)
-    {
-        done = write_record(request);
-    }
-    if (done && request.new_snapshot)
-    {
-        done = remove_obsolete(request.new_snapshot->index,
-                               request.discard_log);
-    }
-    m_failed = !done;
-    return done;
-}
-
-template <file_system FileSystem>
-result<void> log_storage<FileSystem>::write_snapshot(const snapshot& taken)
-{
-    const std::string name =
-        internal::numbered_name(internal::snapshot_prefix, taken.index);
-    return write_new_file(name, internal::encode_snapshot(taken));
-}
-
-template <file_system FileSystem>
-result<void>
-log_storage<FileSystem>::write_record(const persist_request& request)
-{
-    const bool full = m_segments.empty() ||
-                      m_segments.back().bytes >= m_settings.segment_bytes;
-    const bool discards = request.discard_log || m_void_log;
-    const bool begins = full || discards;
-    if (begins)
-    {
-        const result<void> begun = begin_segment();
-        if (!begun)
-        {
-            return begun;
-        }
-    }
-    segment& active = m_segments.back();
-    const std::string name =
-        internal::numbered_name(internal::segment_prefix, active.number);
-    const std::string bytes = internal::encode_record(
-        internal::encode_log_record(request, discards));
-    m_void_log = false;
-    active.bytes += bytes.size();
-    for (const log_entry& entry : request.entries)
-    {
-        active.highest = std::max(active.highest, entry.index);
-    }
-    return m_files->append(name, bytes).and_then(
-        [this, &name, begins]() -> result<void>
-        {
-            const result<void> synced = sync_file(name);
-            return synced && begins ? sync_folder() : synced;
-        });
-}
-
-template <file_system FileSystem>
-result<void> log_storage<FileSystem>::begin_segment()
-{
-    const std::uint64_t number =
-        m_segments.empty() ? 1 : m_segments.back().number + 1;
-    m_segments.push_back(segment{number, 0, 0});
-    return {};
-}
-
-template <file_system FileSystem>
-result<void>
-log_storage<FileSystem>::write_new_file(const std::string& name,
-                                        const std::string& bytes)
-{
-    const std::string unfinished =
-        name + std::string(internal::unfinished_suffix);
-    const auto names = m_files->list();
-    if (!names)
-    {
-        return tl::unexpected<error>(names.error());
-    }
-    // Left behind by a crash.
-    if (std::find(names->begin(), names->end(), unfinished) != names->end())
-    {
-        const result<void> removed = m_files->remove(unfinished);
-        if (!removed)
-        {
-            return removed;
-        }
-    }
-    return m_files->append(unfinished, internal::encode_record(bytes))
-        .and_then([&] { return sync_file(unfinished); })
-        .and_then([&] { return m_files->rename(unfinished, name); })
-        .and_then([&] { return sync_folder(); });
-}
-
-// Only what is older than the newest snapshot goes, oldest first, so that what
-// is left has no gap whenever a crash comes.
-template <file_system FileSystem>
-result<void> log_storage<FileSystem>::remove_obsolete(log_index covered,
-                                                      bool discard)
-{
-    const std::string kept =
-        internal::numbered_name(internal::snapshot_prefix, covered);
-    if (!m_snapshot_name.empty() && m_snapshot_name != kept)
-    {
-        const result<void> removed = m_files->remove(m_snapshot_name);
-        if (!removed)
-        {
-            return removed;
-        }
-    }
-    m_snapshot_name = kept;
-    while (m_segments.size() > 1 &&
-           (discard || m_segments.front().highest <= covered))
-    {
-        const result<void> removed = m_files->remove(internal::numbered_name(
-            internal::segment_prefix, m_segments.front().number));
-        if (!removed)
-        {
-            return removed;
-        }
-        m_segments.pop_front();
-    }
-    return {};
-}
-
-template <file_system FileSystem>
-result<void> log_storage<FileSystem>::sync_file(const std::string& name)
-{
-    return m_settings.sync ? m_files->sync_file(name) : result<void>();
-}
-
-template <file_system FileSystem>
-result<void> log_storage<FileSystem>::sync_folder()
-{
-    return m_settings.sync ? m_files->sync_folder() : result<void>();
-}
-
 } // namespace crowlink::replication
--- a/packages/replication/include/crowlink/replication/log_storage.hpp
+++ b/packages/replication/include/crowlink/replication/log_storage.hpp
@@ -79,4 +79,5 @@
 
 } // namespace crowlink::replication
 
-#include "crowlink/replication/internal/log_storage.ipp"
+#include "crowlink/replication/internal/log_storage_open.ipp"
+#include "crowlink/replication/internal/log_storage_write.ipp"
