--- a/bench/replication/replication_bench.cpp
+++ b/bench/replication/replication_bench.cpp
@@ -4,6 +4,8 @@
 
 #include "loopback_cluster.hpp"
 
+#include "crowlink/replication/message_codec.hpp"
+
 #include <benchmark/benchmark.h>
 #include <cstdlib>
 #include <filesystem>
@@ -163,6 +165,26 @@
     ->Arg(1 << 26)
     ->Unit(benchmark::kMillisecond);
 
+// One heartbeat through the codec, there and back.
+void heartbeat(benchmark::State& state)
+{
+    const replica_message message{host_id("control-quezon-1"),
+                                  disk_id(~0ULL),
+                                  host_id("control-pasig-1"),
+                                  disk_id(~0ULL),
+                                  ~0ULL,
+                                  12,
+                                  append_request{100000, 12, 100000, {}, -1}};
+    std::string bytes;
+    for (auto _ : state)
+    {
+        bytes = encode_message(message);
+        benchmark::DoNotOptimize(decode_message(bytes));
+    }
+    state.counters["bytes"] = static_cast<double>(bytes.size());
+}
+BENCHMARK(heartbeat);
+
 // Argument: bytes of a change. The heap that a restored log takes per entry.
 void memory_of_entry(benchmark::State& state)
 {
--- a/packages/replication/test/property_test.cpp
+++ b/packages/replication/test/property_test.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr std::size_t actions_of_a_case = 120;
-constexpr std::uint64_t cases = 60;
+constexpr std::size_t least_acknowledged = 100;
 
 // Read by RapidCheck when it checks its first property.
 const bool fixed_seed =
@@ -75,7 +75,7 @@
                   });
     EXPECT_TRUE(held);
     // The cases must not pass by doing nothing.
-    EXPECT_GT(acknowledged, cases);
+    EXPECT_GT(acknowledged, least_acknowledged);
 }
 
 TEST(property, one_voter_keeps_its_promises)
