--- a/packages/membership/test/distribution_test.cpp
+++ b/packages/membership/test/distribution_test.cpp
@@ -146,7 +146,7 @@
     cluster.controls[1].lags = true;
     system_document old = cluster.document;
     old.services[0].limits.slots = 1;
-    old.drains.push_back(upstream_id("u1"));
+    old.drains.emplace_back("u1");
     for (auto& each : cluster.controls)
     {
         each.core->document_changed(config_version(3), old);
--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -376,6 +376,7 @@
             out[record.id] = record;
         }
         std::vector<upstream_record> sorted;
+        sorted.reserve(out.size());
         for (const auto& each : out)
         {
             sorted.push_back(each.second);
--- a/packages/membership/test/fake_network.hpp
+++ b/packages/membership/test/fake_network.hpp
@@ -31,9 +31,9 @@
     filter drop;
 
     void send(time_point now, const host_id& from,
-              std::vector<membership_send> sends)
+              const std::vector<membership_send>& sends)
     {
-        for (membership_send& each : sends)
+        for (const membership_send& each : sends)
         {
             if (drop && drop(from, each.to, each.message))
             {
--- a/packages/membership/test/merge_test.cpp
+++ b/packages/membership/test/merge_test.cpp
@@ -63,7 +63,9 @@
     {
         seeded_random random(seed);
         std::vector<wire::membership_message> messages;
-        for (int index = 0; index < 60; ++index)
+        constexpr std::size_t count = 60;
+        messages.reserve(2 * count);
+        for (std::size_t index = 0; index < count; ++index)
         {
             messages.push_back(draw(random));
         }
