--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -8,6 +8,9 @@
 namespace crowlink::internal
 {
 
+// Whether a packet of this role may open a flow.
+bool may_open(packet_role role);
+
 // The two chains of a header as one list, by position.
 
 // The candidate at a position, or null behind the last one.
--- /dev/null
+++ b/packages/agent/src/agent_admission.cpp
@@ -0,0 +1,155 @@
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
+
+namespace crowlink
+{
+
+using internal::redirect_kind;
+
+void agent::start_admission(time_point now, packet_header header,
+                            const packet_arrived& event)
+{
+    header.pass = packet_pass::admit;
+    header.best = packet_header::no_position;
+    const std::size_t first = next_usable(header, 0);
+    if (first == header.current.size())
+    {
+        refuse(header, event);
+        return;
+    }
+    header.position = static_cast<std::uint8_t>(first);
+    const candidate head = header.current[first];
+    if (head == m_self)
+    {
+        ask_to_admit(now, header, event);
+        return;
+    }
+    leave_mark(now, header, head, redirect_kind::ended);
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "no_owner");
+}
+
+void agent::ask_to_admit(time_point now, packet_header header,
+                         const packet_arrived& event)
+{
+    const std::size_t flows = m_flows.size();
+    if (m_admission.can_admit(now, flows))
+    {
+        const bool is_first = header.best == packet_header::no_position;
+        const bool any_will_do =
+            m_admission.sharing().goal == service_goal::continuity;
+        const bool at_once = m_admission.admits_at_once(now, flows);
+        if (m_admission.wants_trial(now) ||
+            (at_once && (is_first || any_will_do)))
+        {
+            take(now, header, event, flow_action::admitted, "low_load");
+            return;
+        }
+        const std::uint32_t own = m_admission.load(flows);
+        if (is_first || own < header.best_load)
+        {
+            header.best = header.position;
+            header.best_load = own;
+        }
+    }
+    ask_next(now, header, event);
+}
+
+void agent::ask_next(time_point now, packet_header header,
+                     const packet_arrived& event)
+{
+    const std::size_t next = next_usable(header, header.position + 1U);
+    if (next >= header.current.size())
+    {
+        choose(now, header, event);
+        return;
+    }
+    header.position = static_cast<std::uint8_t>(next);
+    leave_mark(now, header, header.current[next], redirect_kind::asked);
+    ++m_counts.handed_off;
+    forward(header, event, flow_action::handed_off, "compare_load");
+}
+
+void agent::choose(time_point now, packet_header header,
+                   const packet_arrived& event)
+{
+    if (header.best == packet_header::no_position)
+    {
+        refuse(header, event);
+        return;
+    }
+    const candidate chosen = *internal::candidate_at(header, header.best);
+    if (chosen == m_self)
+    {
+        take(now, header, event, flow_action::admitted, "least_load");
+        return;
+    }
+    header.position = header.best;
+    header.pass = packet_pass::place;
+    leave_mark(now, header, chosen, redirect_kind::chosen);
+    ++m_counts.handed_off;
+    forward(header, event, flow_action::handed_off, "least_load");
+}
+
+void agent::place(time_point now, const packet_header& header,
+                  const packet_arrived& event)
+{
+    if (may_adopt(now, header.role))
+    {
+        take(now, header, event, flow_action::adopted, "upstream_lived_on");
+        return;
+    }
+    if (!internal::may_open(header.role) ||
+        !m_admission.can_admit(now, m_flows.size()))
+    {
+        refuse(header, event);
+        return;
+    }
+    take(now, header, event, flow_action::admitted, "least_load");
+}
+
+void agent::refuse(const packet_header& header, const packet_arrived& event)
+{
+    const refusal_reason reason = m_admission.is_draining()
+                                      ? refusal_reason::leaving
+                                      : refusal_reason::full;
+    const flow_refusal told{verdict::not_run, reason, m_settings.retry_after};
+    ++m_counts.refused;
+    m_effects.add(internal::refuse_effect{header.return_to, header.flow,
+                                          event.payload, told});
+    decide(flow_action::refused, header.flow, header.table, candidate(),
+           to_string(reason));
+}
+
+void agent::take(time_point now, const packet_header& header,
+                 const packet_arrived& event, flow_action how,
+                 std::string_view reason)
+{
+    m_redirects.erase(header.flow);
+    internal::flow_entry& entry = m_flows.open(header.flow, now);
+    entry.return_to = header.return_to;
+    entry.checked = m_check;
+    const bool adopted = how == flow_action::adopted;
+    ++(adopted ? m_counts.adopted : m_counts.admitted);
+    m_admission.admitted(now);
+    note_caller_packet(now, entry, event.need);
+    m_effects.add(internal::deliver_effect{header.flow, event.payload});
+    decide(how, header.flow, header.table, m_self, reason);
+    publish_opened(now, entry, header);
+}
+
+bool agent::may_adopt(time_point now, packet_role role) const
+{
+    if (now >= m_adopt_until)
+    {
+        return false;
+    }
+    // Whether a datagram opens a flow can't be told: an upstream that leaves
+    // must not get new ones.
+    const bool has_room =
+        m_flows.size() < 2 * std::size_t{m_admission.limits().connections};
+    return has_room &&
+           (role == packet_role::continues || !m_admission.is_draining());
+}
+
+} // namespace crowlink
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -1,8 +1,6 @@
 #include "crowlink/agent/agent.hpp"
 #include "crowlink/agent/chain_walk.hpp"
 
-#include <algorithm>
-
 namespace crowlink
 {
 
@@ -15,11 +13,6 @@
 // one, and a few detours.
 constexpr std::uint8_t hop_limit = 32;
 
-bool may_open(packet_role role)
-{
-    return role == packet_role::any || role == packet_role::opens;
-}
-
 // The marks of a trail end one after another. Who starts to follow it needs
 // time to reach the last one, where the flow's owner is known.
 duration margin_of(packet_pass pass)
@@ -190,7 +183,7 @@
     const bool from_walk = mark.kind == redirect_kind::walked;
     const bool is_behind =
         mark.kind == redirect_kind::ended && header.pass == packet_pass::admit;
-    const bool applies = may_open(header.role) &&
+    const bool applies = internal::may_open(header.role) &&
                          header.pass != packet_pass::place && !from_walk &&
                          !is_behind && mark.to != m_self &&
                          mark.expires - now > margin_of(header.pass) &&
@@ -237,7 +230,7 @@
     const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
     const bool others_look = mark != nullptr;
     const bool settled = !m_members.may_be_owned_elsewhere(now, header.table);
-    if (may_open(header.role) && settled && !others_look)
+    if (internal::may_open(header.role) && settled && !others_look)
     {
         start_admission(now, header, event);
         return;
@@ -260,294 +253,6 @@
     forward(header, event, flow_action::looked_up, "not_the_owner");
 }
 
-void agent::start_walk(time_point now, packet_header header,
-                       const packet_arrived& event)
-{
-    internal::drop_repeated(header);
-    m_members.widen(header, now);
-    header.pass = packet_pass::walk;
-    header.best = packet_header::no_position;
-    const candidate* first = next_on_walk(header, 0);
-    if (first == nullptr || *first == m_self)
-    {
-        walk(now, header, event);
-        return;
-    }
-    internal::address_to(header, *first);
-    ++m_counts.looked_up;
-    forward(header, event, flow_action::looked_up, "owner_unknown");
-}
-
-// Agents are met in one order, and each packet goes where the one before it
-// went as well as along its own chains. So two packets whose chains share an
-// agent end up at the same last one, and that one decides. What an agent on
-// the way knows beyond the packet's chains joins them.
-void agent::walk(time_point now, packet_header header,
-                 const packet_arrived& event)
-{
-    internal::address_to(header, m_self);
-    const bool is_likely_owner =
-        header.role == packet_role::continues || header.position == 0;
-    if (header.best == packet_header::no_position && is_likely_owner &&
-        may_adopt(now, header.role))
-    {
-        header.best = header.position;
-    }
-    const candidate_chain known_before = header.previous;
-    m_members.widen(header, now);
-    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
-    if (mark != nullptr && mark->kind == redirect_kind::walked &&
-        may_open(header.role))
-    {
-        internal::add_on_walk(header, mark->to);
-    }
-    const candidate* missed = missed_on_walk(header, known_before);
-    const std::uint64_t here =
-        internal::walk_order(stable_hash(header.flow), m_self);
-    const candidate* next =
-        missed != nullptr ? missed : next_on_walk(header, here);
-    if (next == nullptr)
-    {
-        end_walk(now, header, event);
-        return;
-    }
-    const candidate to = *next;
-    if (missed == nullptr)
-    {
-        leave_mark(now, header, to, redirect_kind::walked);
-    }
-    internal::address_to(header, to);
-    ++m_counts.looked_up;
-    forward(header, event, flow_action::looked_up, "owner_unknown");
-}
-
-// The first of those that joined the packet's chains here and come before
-// this agent in the order of the walk; the walk goes on from there.
-const candidate* agent::missed_on_walk(const packet_header& header,
-                                       const candidate_chain& before) const
-{
-    const std::uint64_t hash = stable_hash(header.flow);
-    const candidate* first = nullptr;
-    std::uint64_t first_order = internal::walk_order(hash, m_self);
-    for (const candidate& next : header.previous)
-    {
-        const bool is_new =
-            std::find(before.begin(), before.end(), next) == before.end();
-        const std::uint64_t order = internal::walk_order(hash, next);
-        if (is_new && order < first_order && !m_members.is_gone(next.tag))
-        {
-            first = &next;
-            first_order = order;
-        }
-    }
-    return first;
-}
-
-const candidate* agent::next_on_walk(const packet_header& header,
-                                     std::uint64_t after) const
-{
-    const std::uint64_t hash = stable_hash(header.flow);
-    const std::size_t count = header.current.size() + header.previous.size();
-    const candidate* best = nullptr;
-    std::uint64_t best_order = 0;
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        const candidate* next = internal::candidate_at(header, i);
-        const std::uint64_t order = internal::walk_order(hash, *next);
-        const bool is_nearer = best == nullptr || order < best_order;
-        if (order > after && is_nearer && !m_members.is_gone(next->tag))
-        {
-            best = next;
-            best_order = order;
-        }
-    }
-    return best;
-}
-
-void agent::end_walk(time_point now, packet_header header,
-                     const packet_arrived& event)
-{
-    if (header.best != packet_header::no_position)
-    {
-        header.position = header.best;
-        const candidate adopter = *internal::candidate_at(header, header.best);
-        header.pass = packet_pass::place;
-        if (adopter == m_self)
-        {
-            place(now, header, event);
-            return;
-        }
-        leave_mark(now, header, adopter, redirect_kind::chosen);
-        forward(header, event, flow_action::looked_up, "may_adopt");
-        return;
-    }
-    if (header.role == packet_role::continues)
-    {
-        reset_unknown(header);
-        return;
-    }
-    if (may_open(header.role))
-    {
-        start_admission(now, header, event);
-    }
-}
-
-void agent::reset_unknown(const packet_header& header)
-{
-    ++m_counts.unknown_flows;
-    const flow_refusal told{verdict::may_have_run, refusal_reason::unknown_flow,
-                            duration::zero()};
-    m_effects.add(
-        internal::reset_caller_effect{header.return_to, header.flow, told});
-    decide(flow_action::reset, header.flow, header.table, candidate(),
-           to_string(told.reason));
-}
-
-void agent::start_admission(time_point now, packet_header header,
-                            const packet_arrived& event)
-{
-    header.pass = packet_pass::admit;
-    header.best = packet_header::no_position;
-    const std::size_t first = next_usable(header, 0);
-    if (first == header.current.size())
-    {
-        refuse(header, event);
-        return;
-    }
-    header.position = static_cast<std::uint8_t>(first);
-    const candidate head = header.current[first];
-    if (head == m_self)
-    {
-        ask_to_admit(now, header, event);
-        return;
-    }
-    leave_mark(now, header, head, redirect_kind::ended);
-    ++m_counts.looked_up;
-    forward(header, event, flow_action::looked_up, "no_owner");
-}
-
-void agent::ask_to_admit(time_point now, packet_header header,
-                         const packet_arrived& event)
-{
-    const std::size_t flows = m_flows.size();
-    if (m_admission.can_admit(now, flows))
-    {
-        const bool is_first = header.best == packet_header::no_position;
-        const bool any_will_do =
-            m_admission.sharing().goal == service_goal::continuity;
-        const bool at_once = m_admission.admits_at_once(now, flows);
-        if (m_admission.wants_trial(now) ||
-            (at_once && (is_first || any_will_do)))
-        {
-            take(now, header, event, flow_action::admitted, "low_load");
-            return;
-        }
-        const std::uint32_t own = m_admission.load(flows);
-        if (is_first || own < header.best_load)
-        {
-            header.best = header.position;
-            header.best_load = own;
-        }
-    }
-    ask_next(now, header, event);
-}
-
-void agent::ask_next(time_point now, packet_header header,
-                     const packet_arrived& event)
-{
-    const std::size_t next = next_usable(header, header.position + 1U);
-    if (next >= header.current.size())
-    {
-        choose(now, header, event);
-        return;
-    }
-    header.position = static_cast<std::uint8_t>(next);
-    leave_mark(now, header, header.current[next], redirect_kind::asked);
-    ++m_counts.handed_off;
-    forward(header, event, flow_action::handed_off, "compare_load");
-}
-
-void agent::choose(time_point now, packet_header header,
-                   const packet_arrived& event)
-{
-    if (header.best == packet_header::no_position)
-    {
-        refuse(header, event);
-        return;
-    }
-    const candidate chosen = *internal::candidate_at(header, header.best);
-    if (chosen == m_self)
-    {
-        take(now, header, event, flow_action::admitted, "least_load");
-        return;
-    }
-    header.position = header.best;
-    header.pass = packet_pass::place;
-    leave_mark(now, header, chosen, redirect_kind::chosen);
-    ++m_counts.handed_off;
-    forward(header, event, flow_action::handed_off, "least_load");
-}
-
-void agent::place(time_point now, const packet_header& header,
-                  const packet_arrived& event)
-{
-    if (may_adopt(now, header.role))
-    {
-        take(now, header, event, flow_action::adopted, "upstream_lived_on");
-        return;
-    }
-    if (!may_open(header.role) || !m_admission.can_admit(now, m_flows.size()))
-    {
-        refuse(header, event);
-        return;
-    }
-    take(now, header, event, flow_action::admitted, "least_load");
-}
-
-void agent::refuse(const packet_header& header, const packet_arrived& event)
-{
-    const refusal_reason reason = m_admission.is_draining()
-                                      ? refusal_reason::leaving
-                                      : refusal_reason::full;
-    const flow_refusal told{verdict::not_run, reason, m_settings.retry_after};
-    ++m_counts.refused;
-    m_effects.add(internal::refuse_effect{header.return_to, header.flow,
-                                          event.payload, told});
-    decide(flow_action::refused, header.flow, header.table, candidate(),
-           to_string(reason));
-}
-
-void agent::take(time_point now, const packet_header& header,
-                 const packet_arrived& event, flow_action how,
-                 std::string_view reason)
-{
-    m_redirects.erase(header.flow);
-    internal::flow_entry& entry = m_flows.open(header.flow, now);
-    entry.return_to = header.return_to;
-    entry.checked = m_check;
-    const bool adopted = how == flow_action::adopted;
-    ++(adopted ? m_counts.adopted : m_counts.admitted);
-    m_admission.admitted(now);
-    note_caller_packet(now, entry, event.need);
-    m_effects.add(internal::deliver_effect{header.flow, event.payload});
-    decide(how, header.flow, header.table, m_self, reason);
-    publish_opened(now, entry, header);
-}
-
-bool agent::may_adopt(time_point now, packet_role role) const
-{
-    if (now >= m_adopt_until)
-    {
-        return false;
-    }
-    // Whether a datagram opens a flow can't be told: an upstream that leaves
-    // must not get new ones.
-    const bool has_room =
-        m_flows.size() < 2 * std::size_t{m_admission.limits().connections};
-    return has_room &&
-           (role == packet_role::continues || !m_admission.is_draining());
-}
-
 void agent::forward(packet_header header, const packet_arrived& event,
                     flow_action how, std::string_view reason)
 {
@@ -562,7 +267,7 @@
 {
     const internal::redirect_entry* known = m_redirects.find(header.flow, now);
     const bool is_published = known != nullptr && !known->is_mark();
-    if (is_published || !may_open(header.role))
+    if (is_published || !internal::may_open(header.role))
     {
         return;
     }
--- /dev/null
+++ b/packages/agent/src/agent_walk.cpp
@@ -0,0 +1,154 @@
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
+
+#include <algorithm>
+
+namespace crowlink
+{
+
+using internal::redirect_kind;
+
+void agent::start_walk(time_point now, packet_header header,
+                       const packet_arrived& event)
+{
+    internal::drop_repeated(header);
+    m_members.widen(header, now);
+    header.pass = packet_pass::walk;
+    header.best = packet_header::no_position;
+    const candidate* first = next_on_walk(header, 0);
+    if (first == nullptr || *first == m_self)
+    {
+        walk(now, header, event);
+        return;
+    }
+    internal::address_to(header, *first);
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "owner_unknown");
+}
+
+// Agents are met in one order, and each packet goes where the one before it
+// went as well as along its own chains. So two packets whose chains share an
+// agent end up at the same last one, and that one decides. What an agent on
+// the way knows beyond the packet's chains joins them.
+void agent::walk(time_point now, packet_header header,
+                 const packet_arrived& event)
+{
+    internal::address_to(header, m_self);
+    const bool is_likely_owner =
+        header.role == packet_role::continues || header.position == 0;
+    if (header.best == packet_header::no_position && is_likely_owner &&
+        may_adopt(now, header.role))
+    {
+        header.best = header.position;
+    }
+    const candidate_chain known_before = header.previous;
+    m_members.widen(header, now);
+    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
+    if (mark != nullptr && mark->kind == redirect_kind::walked &&
+        internal::may_open(header.role))
+    {
+        internal::add_on_walk(header, mark->to);
+    }
+    const candidate* missed = missed_on_walk(header, known_before);
+    const std::uint64_t here =
+        internal::walk_order(stable_hash(header.flow), m_self);
+    const candidate* next =
+        missed != nullptr ? missed : next_on_walk(header, here);
+    if (next == nullptr)
+    {
+        end_walk(now, header, event);
+        return;
+    }
+    const candidate to = *next;
+    if (missed == nullptr)
+    {
+        leave_mark(now, header, to, redirect_kind::walked);
+    }
+    internal::address_to(header, to);
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "owner_unknown");
+}
+
+// The first of those that joined the packet's chains here and come before
+// this agent in the order of the walk; the walk goes on from there.
+const candidate* agent::missed_on_walk(const packet_header& header,
+                                       const candidate_chain& before) const
+{
+    const std::uint64_t hash = stable_hash(header.flow);
+    const candidate* first = nullptr;
+    std::uint64_t first_order = internal::walk_order(hash, m_self);
+    for (const candidate& next : header.previous)
+    {
+        const bool is_new =
+            std::find(before.begin(), before.end(), next) == before.end();
+        const std::uint64_t order = internal::walk_order(hash, next);
+        if (is_new && order < first_order && !m_members.is_gone(next.tag))
+        {
+            first = &next;
+            first_order = order;
+        }
+    }
+    return first;
+}
+
+const candidate* agent::next_on_walk(const packet_header& header,
+                                     std::uint64_t after) const
+{
+    const std::uint64_t hash = stable_hash(header.flow);
+    const std::size_t count = header.current.size() + header.previous.size();
+    const candidate* best = nullptr;
+    std::uint64_t best_order = 0;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const candidate* next = internal::candidate_at(header, i);
+        const std::uint64_t order = internal::walk_order(hash, *next);
+        const bool is_nearer = best == nullptr || order < best_order;
+        if (order > after && is_nearer && !m_members.is_gone(next->tag))
+        {
+            best = next;
+            best_order = order;
+        }
+    }
+    return best;
+}
+
+void agent::end_walk(time_point now, packet_header header,
+                     const packet_arrived& event)
+{
+    if (header.best != packet_header::no_position)
+    {
+        header.position = header.best;
+        const candidate adopter = *internal::candidate_at(header, header.best);
+        header.pass = packet_pass::place;
+        if (adopter == m_self)
+        {
+            place(now, header, event);
+            return;
+        }
+        leave_mark(now, header, adopter, redirect_kind::chosen);
+        forward(header, event, flow_action::looked_up, "may_adopt");
+        return;
+    }
+    if (header.role == packet_role::continues)
+    {
+        reset_unknown(header);
+        return;
+    }
+    if (internal::may_open(header.role))
+    {
+        start_admission(now, header, event);
+    }
+}
+
+void agent::reset_unknown(const packet_header& header)
+{
+    ++m_counts.unknown_flows;
+    const flow_refusal told{verdict::may_have_run, refusal_reason::unknown_flow,
+                            duration::zero()};
+    m_effects.add(
+        internal::reset_caller_effect{header.return_to, header.flow, told});
+    decide(flow_action::reset, header.flow, header.table, candidate(),
+           to_string(told.reason));
+}
+
+} // namespace crowlink
--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -5,6 +5,11 @@
 namespace crowlink::internal
 {
 
+bool may_open(packet_role role)
+{
+    return role == packet_role::any || role == packet_role::opens;
+}
+
 const candidate* candidate_at(const packet_header& header, std::size_t position)
 {
     const std::size_t in_current = header.current.size();
--- a/packages/agent/test/mesh.cpp
+++ b/packages/agent/test/mesh.cpp
@@ -1,4 +1,4 @@
-#include "mesh.hpp"
+#include "mesh_effects.hpp"
 
 #include <algorithm>
 #include <cstring>
@@ -20,88 +20,8 @@
     return endpoint{ip_address::from_v4(bytes), 4000};
 }
 
-std::uint32_t request_of(payload_view payload)
-{
-    std::uint32_t number = 0;
-    std::memcpy(&number, payload.data(), sizeof number);
-    return number;
-}
-
 } // namespace
 
-// Carries an agent's effects into the mesh.
-struct mesh::node_effects
-{
-    mesh& net;
-    std::size_t index;
-
-    void deliver(const flow_key& flow, payload_view payload)
-    {
-        net.run_at_upstream(index, flow, payload);
-    }
-    void forward(const endpoint& to, const packet_header& header,
-                 payload_view payload)
-    {
-        ++net.forwards;
-        const std::vector<std::uint8_t> bytes(payload.begin(), payload.end());
-        net.over_network([this_net = &net, to, header, bytes]
-                         { this_net->arrive(to, header, bytes); });
-    }
-    void answer(const endpoint& to, const flow_key& flow, payload_view)
-    {
-        const bool known = net.takes_answers(to);
-        const std::uint32_t number = net.m_numbers.at(flow);
-        if (known)
-        {
-            ++net.m_callers[number].answered;
-        }
-    }
-    void refuse(const endpoint&, const flow_key& flow, payload_view payload,
-                const flow_refusal& told)
-    {
-        caller_state& state = net.m_callers[net.m_numbers.at(flow)];
-        ++state.refused;
-        state.last_told = told;
-        state.refused_requests.insert(request_of(payload));
-    }
-    void reset_caller(const endpoint&, const flow_key& flow,
-                      const flow_refusal& told)
-    {
-        caller_state& state = net.m_callers[net.m_numbers.at(flow)];
-        ++state.reset;
-        state.last_told = told;
-        net.m_reference.erase(flow);
-    }
-    void reset_upstream(const flow_key& flow, refusal_reason)
-    {
-        net.m_nodes[index].open.erase(flow);
-    }
-    void close(const flow_key& flow) { net.m_nodes[index].open.erase(flow); }
-    void send(const endpoint& to, const peer_message& message)
-    {
-        ++net.messages;
-        const endpoint from = net.m_nodes[index].record.agent;
-        net.over_network(
-            [this_net = &net, to, from, message]
-            {
-                const std::size_t target = this_net->node_at(to);
-                if (target < this_net->m_nodes.size())
-                {
-                    this_net->handle(target, message_arrived{from, message});
-                }
-            });
-    }
-    void announce(const upstream_record& record)
-    {
-        net.m_nodes[index].record = record;
-        net.publish();
-    }
-    void decide(const flow_decision& decision)
-    {
-        net.decisions.push_back(decision);
-    }
-};
-
 mesh::mesh(const mesh_settings& settings)
     : m_settings(settings), m_random(settings.seed)
 {
@@ -214,17 +134,6 @@
     return static_cast<std::size_t>(found - m_nodes.begin());
 }
 
-template <class Event>
-void mesh::handle(std::size_t index, const Event& event)
-{
-    if (!m_nodes[index].alive)
-    {
-        return;
-    }
-    node_effects effects{*this, index};
-    m_nodes[index].core->handle(m_now, event, effects);
-}
-
 void mesh::run_at_upstream(std::size_t index, const flow_key& flow,
                            payload_view payload)
 {
@@ -349,102 +258,6 @@
     }
 }
 
-void mesh::drain(std::size_t index, bool on)
-{
-    m_nodes[index].record.state =
-        on ? upstream_state::draining : upstream_state::ready;
-    ++m_nodes[index].record.sequence;
-    publish();
-}
-
-void mesh::leave(std::size_t index)
-{
-    handle(index, leave_requested{});
-}
-
-void mesh::retire_if_idle(std::size_t index)
-{
-    member_node& here = m_nodes[index];
-    if (here.alive && here.record.state == upstream_state::draining &&
-        here.core->flows() == 0)
-    {
-        here.alive = false;
-        publish();
-    }
-}
-
-void mesh::reweigh(std::size_t index, std::uint32_t weight)
-{
-    m_nodes[index].record.weight = weight;
-    ++m_nodes[index].record.sequence;
-    publish();
-}
-
-void mesh::restart_agent(std::size_t index)
-{
-    m_nodes[index].record.sequence += 1000;
-    start_agent(index);
-    handle(index, upstream_lived_on{});
-    handle(index, view_changed{view()});
-    publish();
-}
-
-void mesh::replace_balancer(std::size_t index)
-{
-    // The new one starts with what control knows now, and no table before it.
-    balancer& here = m_balancers[index];
-    m_retired[here.address] = m_now + 2 * m_settings.most_lag;
-    here.address.port = static_cast<std::uint16_t>(here.address.port + 1);
-    here.current = forwarding_table::build(*view());
-    here.previous = nullptr;
-    publish();
-}
-
-void mesh::kill_balancer(std::size_t index)
-{
-    m_balancers.erase(m_balancers.begin() + static_cast<std::ptrdiff_t>(index));
-    publish();
-}
-
-bool mesh::takes_answers(const endpoint& address) const
-{
-    const auto retired = m_retired.find(address);
-    const bool drains = retired != m_retired.end() && m_now < retired->second;
-    return drains || std::any_of(m_balancers.begin(), m_balancers.end(),
-                                 [&address](const balancer& other)
-                                 { return other.address == address; });
-}
-
-void mesh::kill_upstream(std::size_t index)
-{
-    handle(index, upstream_failed{});
-    m_nodes[index].alive = false;
-    m_nodes[index].open.clear();
-    publish();
-}
-
-void mesh::revive_as_another(std::size_t index)
-{
-    member_node& here = m_nodes[index];
-    here.record.started = incarnation(++m_lives);
-    here.record.state = upstream_state::ready;
-    here.alive = true;
-    start_agent(index);
-    handle(index, view_changed{view()});
-    publish();
-}
-
-void mesh::push(std::uint32_t flow)
-{
-    const flow_key pushed = key(flow);
-    handle(owners(flow).front(), upstream_answered{pushed, {}});
-}
-
-void mesh::set_answering(std::size_t index, bool on)
-{
-    m_nodes[index].answering = on;
-}
-
 std::vector<std::size_t> mesh::owners(std::uint32_t flow)
 {
     std::vector<std::size_t> found;
--- a/packages/agent/test/mesh.hpp
+++ b/packages/agent/test/mesh.hpp
@@ -59,21 +59,21 @@
 
     // Planned changes; each is told to the nodes at times of their own.
     std::size_t join();
-    void drain(std::size_t node, bool on);
-    void leave(std::size_t node);
-    void reweigh(std::size_t node, std::uint32_t weight);
+    void drain(std::size_t index, bool on);
+    void leave(std::size_t index);
+    void reweigh(std::size_t index, std::uint32_t weight);
     // Ends an upstream that drains and has no flow left.
     void retire_if_idle(std::size_t index);
     // The agent starts anew beside its upstream, which lives on.
-    void restart_agent(std::size_t node);
+    void restart_agent(std::size_t index);
     void replace_balancer(std::size_t index);
     // A balancer dies without notice.
     void kill_balancer(std::size_t index);
     // Unplanned ones.
-    void kill_upstream(std::size_t node);
+    void kill_upstream(std::size_t index);
     // Another upstream comes up under the address of a dead one.
-    void revive_as_another(std::size_t node);
-    void set_answering(std::size_t node, bool on);
+    void revive_as_another(std::size_t index);
+    void set_answering(std::size_t index, bool on);
     // The upstream that has a flow speaks first.
     void push(std::uint32_t flow);
 
