--- a/packages/daemon/src/document_controller.cpp
+++ b/packages/daemon/src/document_controller.cpp
@@ -85,13 +85,12 @@
 }
 
 void document_controller::change(time_point now,
-                                 replication::document_change change,
+                                 const replication::document_change& change,
                                  change_reply reply, blackboard& board)
 {
     const std::uint64_t request = m_next_request++;
     m_changes.emplace(request, std::move(reply));
-    carry_out(m_core.handle(
-                  now, replication::propose_change{request, std::move(change)}),
+    carry_out(m_core.handle(now, replication::propose_change{request, change}),
               board);
 }
 
--- a/packages/daemon/src/document_controller.hpp
+++ b/packages/daemon/src/document_controller.hpp
@@ -36,7 +36,7 @@
     void advance(time_point now, blackboard& board);
 
     // The reply comes later, from the control thread, exactly once.
-    void change(time_point now, replication::document_change change,
+    void change(time_point now, const replication::document_change& change,
                 change_reply reply, blackboard& board);
     void change_members(time_point now,
                         const replication::member_change& change,
--- a/packages/daemon/src/health_server.cpp
+++ b/packages/daemon/src/health_server.cpp
@@ -22,8 +22,8 @@
 
 result<std::unique_ptr<health_server>>
 health_server::start(const endpoint& listen,
-                     std::function<std::string()> render_metrics,
-                     std::function<bool()> is_ready)
+                     const std::function<std::string()>& render_metrics,
+                     const std::function<bool()>& is_ready)
 {
     std::unique_ptr<health_server> made(new health_server());
     httplib::Server& server = *made->m_server;
@@ -45,7 +45,7 @@
     server.Get("/metrics", [render_metrics](const httplib::Request&,
                                             httplib::Response& answer)
                { answer.set_content(render_metrics(), metrics_text); });
-    if (!server.bind_to_port(listen.address.to_string().c_str(), listen.port))
+    if (!server.bind_to_port(listen.address.to_string(), listen.port))
     {
         return fail(error_kind::unavailable, listen.to_string(),
                     "cannot be listened on");
--- a/packages/daemon/src/health_server.hpp
+++ b/packages/daemon/src/health_server.hpp
@@ -22,8 +22,9 @@
 {
 public:
     static result<std::unique_ptr<health_server>>
-    start(const endpoint& listen, std::function<std::string()> render_metrics,
-          std::function<bool()> is_ready);
+    start(const endpoint& listen,
+          const std::function<std::string()>& render_metrics,
+          const std::function<bool()>& is_ready);
 
     health_server(const health_server&) = delete;
     health_server& operator=(const health_server&) = delete;
--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/membership_controller.cpp
@@ -111,14 +111,12 @@
 void membership_controller::note(time_point now, const host_id& node,
                                  const wire::membership_message& message)
 {
-    if (message.has_alive())
+    if (message.has_alive() || message.has_attach_request())
     {
-        m_nodes.heard(now, node, config_version(message.alive().version()));
-    }
-    else if (message.has_attach_request())
-    {
-        m_nodes.heard(now, node,
-                      config_version(message.attach_request().version()));
+        const std::uint64_t version = message.has_alive()
+                                          ? message.alive().version()
+                                          : message.attach_request().version();
+        m_nodes.heard(now, node, config_version(version));
     }
 }
 
