--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -95,7 +95,8 @@
     bool follow_mark(time_point now, const packet_arrived& event,
                      const internal::redirect_entry& mark);
     void look_up(time_point now, const packet_arrived& event);
-    void return_to_head(packet_header header, const packet_arrived& event);
+    void return_to_head(time_point now, packet_header header,
+                        const packet_arrived& event);
     void start_walk(time_point now, packet_header header,
                     const packet_arrived& event);
     void walk(time_point now, packet_header header,
@@ -121,7 +122,7 @@
     void take(time_point now, const packet_header& header,
               const packet_arrived& event, flow_action how,
               std::string_view reason);
-    bool may_adopt(time_point now, packet_role role) const;
+    bool may_adopt(time_point now, packet_role role, bool was_redirected) const;
     void forward(packet_header header, const packet_arrived& event,
                  flow_action how, std::string_view reason);
     void leave_mark(time_point now, const packet_header& header,
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -94,13 +94,17 @@
 void agent::place(time_point now, const packet_header& header,
                   const packet_arrived& event)
 {
-    if (may_adopt(now, header.role))
+    if (may_adopt(now, header.role, false))
     {
         take(now, header, event, flow_action::adopted, "upstream_lived_on");
         return;
     }
-    if (!internal::may_open(header.role) ||
-        !m_admission.can_admit(now, m_flows.size()))
+    if (header.role == packet_role::continues)
+    {
+        reset_unknown(header);
+        return;
+    }
+    if (!m_admission.can_admit(now, m_flows.size()))
     {
         refuse(header, event);
         return;
@@ -138,18 +142,21 @@
     publish_opened(now, entry, header);
 }
 
-bool agent::may_adopt(time_point now, packet_role role) const
+bool agent::may_adopt(time_point now, packet_role role,
+                      bool was_redirected) const
 {
-    if (now >= m_adopt_until)
+    const bool may_be_old =
+        role == packet_role::any || role == packet_role::continues;
+    const bool has_room =
+        m_flows.size() < 2 * std::size_t{m_admission.limits().connections};
+    if (now >= m_adopt_until || !may_be_old || !has_room)
     {
         return false;
     }
-    // Whether a datagram opens a flow can't be told: an upstream that leaves
-    // must not get new ones.
-    const bool has_room =
-        m_flows.size() < 2 * std::size_t{m_admission.limits().connections};
-    return has_room &&
-           (role == packet_role::continues || !m_admission.is_draining());
+    // Whether a datagram opens a flow can't be told, unless a redirect says
+    // so: an upstream that leaves must not get new ones.
+    return role == packet_role::continues || was_redirected ||
+           !m_admission.is_draining();
 }
 
 } // namespace crowlink
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -219,12 +219,12 @@
     if (header.position != 0)
     {
         // Who sent it here took this agent for the owner.
-        if (may_adopt(now, header.role))
+        if (may_adopt(now, header.role, true))
         {
-            place(now, header, event);
+            take(now, header, event, flow_action::adopted, "upstream_lived_on");
             return;
         }
-        return_to_head(header, event);
+        return_to_head(now, header, event);
         return;
     }
     const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
@@ -238,14 +238,13 @@
     start_walk(now, header, event);
 }
 
-void agent::return_to_head(packet_header header, const packet_arrived& event)
+void agent::return_to_head(time_point now, packet_header header,
+                           const packet_arrived& event)
 {
     const candidate* head = internal::candidate_at(header, 0);
     if (*head == m_self || m_members.is_gone(head->tag))
     {
-        // Nobody is left to decide; the caller's next packet finds a head.
-        decide(flow_action::dropped, header.flow, header.table, candidate(),
-               "no_head");
+        start_walk(now, header, event);
         return;
     }
     header.position = 0;
--- a/packages/agent/test/ownership_test.cpp
+++ b/packages/agent/test/ownership_test.cpp
@@ -170,6 +170,30 @@
     EXPECT_EQ(one.core->counts().redirects_published, 2U * flows);
 }
 
+// While it may take flows up again, an agent doesn't take up what ends one,
+// and while it leaves, of datagrams only what a redirect sent to it.
+TEST(ownership, adoption_leaves_alone_what_can_be_no_old_flow)
+{
+    agent_fixture one(3);
+    one.handle(upstream_lived_on{});
+    packet_header reset = one.header(1);
+    reset.role = packet_role::resets;
+    one.handle(packet_arrived{reset, {}});
+    EXPECT_EQ(one.core->flows(), 0U);
+    one.handle(leave_requested{});
+    one.call(2);
+    EXPECT_EQ(one.core->flows(), 0U);
+    packet_header redirected = one.header(3);
+    redirected.current = candidate_chain();
+    redirected.current.push_back(agent_fixture::identity(1));
+    redirected.previous.push_back(agent_fixture::identity(0));
+    redirected.position = 1;
+    redirected.hops = 1;
+    one.handle(packet_arrived{redirected, {}});
+    EXPECT_TRUE(one.core->owns(agent_fixture::flow(3)));
+    EXPECT_EQ(one.core->counts().adopted, 1U);
+}
+
 TEST(ownership, an_older_view_is_ignored)
 {
     agent_fixture one(3);
