--- a/packages/agent/test/ownership_test.cpp
+++ b/packages/agent/test/ownership_test.cpp
@@ -176,10 +176,6 @@
 {
     agent_fixture one(3);
     one.handle(upstream_lived_on{});
-    packet_header reset = one.header(1);
-    reset.role = packet_role::resets;
-    one.handle(packet_arrived{reset, {}});
-    EXPECT_EQ(one.core->flows(), 0U);
     one.handle(leave_requested{});
     one.call(2);
     EXPECT_EQ(one.core->flows(), 0U);
@@ -189,6 +185,10 @@
     redirected.previous.push_back(agent_fixture::identity(0));
     redirected.position = 1;
     redirected.hops = 1;
+    redirected.role = packet_role::resets;
+    one.handle(packet_arrived{redirected, {}});
+    EXPECT_EQ(one.core->flows(), 0U);
+    redirected.role = packet_role::any;
     one.handle(packet_arrived{redirected, {}});
     EXPECT_TRUE(one.core->owns(agent_fixture::flow(3)));
     EXPECT_EQ(one.core->counts().adopted, 1U);
