--- a/packages/daemon/src/agent_exchange.hpp
+++ b/packages/daemon/src/agent_exchange.hpp
@@ -19,7 +19,8 @@
     wake_event to_agent;
     // From the agent.
     snapshot_slot<upstream_record> wanted;
-    std::atomic<const wake_event*> to_control{nullptr};
+    // Shared, since the control thread ends before the agent's.
+    snapshot_slot<wake_event> to_control;
 };
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -335,7 +335,8 @@
 void agent_loop<Delivery>::announce(const upstream_record& record)
 {
     m_exchange.wanted.publish(std::make_shared<const upstream_record>(record));
-    const wake_event* control = m_exchange.to_control.load();
+    const std::shared_ptr<const wake_event> control =
+        m_exchange.to_control.read();
     if (control != nullptr)
     {
         control->signal();
--- a/packages/daemon/src/agent_role.cpp
+++ b/packages/daemon/src/agent_role.cpp
@@ -36,9 +36,9 @@
     return made;
 }
 
-void agent_role::wake_on_change(const wake_event& wake)
+void agent_role::wake_on_change(std::shared_ptr<const wake_event> wake)
 {
-    m_exchange.to_control = &wake;
+    m_exchange.to_control.publish(std::move(wake));
 }
 
 void agent_role::read_wanted(blackboard& board) const
--- a/packages/daemon/src/agent_role.hpp
+++ b/packages/daemon/src/agent_role.hpp
@@ -28,7 +28,7 @@
 
     // Lets the agent's thread wake the control thread. Called once, before the
     // control thread runs.
-    void wake_on_change(const wake_event& wake);
+    void wake_on_change(std::shared_ptr<const wake_event> wake);
 
     // Puts what the agent wants announced on the blackboard.
     void read_wanted(blackboard& board) const;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -36,7 +36,7 @@
     , m_links(std::move(links))
     , m_balancer(balancer)
     , m_agents(agents)
-    , m_commands(m_wake, most_commands)
+    , m_commands(*m_wake, most_commands)
 {
 }
 
@@ -74,8 +74,8 @@
 {
     // Zero is no disk.
     const replication::disk_id fresh_disk(random_bits() | 1U);
-    auto storage =
-        storage_thread::open(settings.control->data_folder, fresh_disk, m_wake);
+    auto storage = storage_thread::open(settings.control->data_folder,
+                                        fresh_disk, *m_wake);
     if (!storage)
     {
         return tl::unexpected(storage.error());
@@ -107,7 +107,7 @@
 control_thread::~control_thread()
 {
     m_stopping = true;
-    m_wake.signal();
+    m_wake->signal();
     if (m_thread.joinable())
     {
         m_thread.join();
@@ -133,7 +133,7 @@
     const duration tick = m_documents ? control_tick : node_tick;
     while (!m_stopping)
     {
-        m_links->wait(tick, m_wake);
+        m_links->wait(tick, *m_wake);
         const time_point now = m_clock.now();
         take_messages(now);
         take_commands(now);
@@ -165,7 +165,7 @@
         }
     }
     // What is left comes in the next round, at once.
-    m_wake.signal();
+    m_wake->signal();
 }
 
 void control_thread::take_commands(time_point now)
--- a/packages/daemon/src/control_thread.hpp
+++ b/packages/daemon/src/control_thread.hpp
@@ -91,7 +91,7 @@
     std::unique_ptr<control_links> m_links;
     balancer_role* m_balancer;
     std::vector<std::unique_ptr<agent_role>>& m_agents;
-    wake_event m_wake;
+    std::shared_ptr<wake_event> m_wake = std::make_shared<wake_event>();
     mailbox<command> m_commands;
     blackboard m_board;
     std::unique_ptr<storage_thread> m_storage;
--- a/packages/daemon/test/running_daemon_test.cpp
+++ b/packages/daemon/test/running_daemon_test.cpp
@@ -1,5 +1,8 @@
 #include "running_daemon.hpp"
 
+#include "crowlink/requests/message_codec.hpp"
+#include "crowlink/requests/udp_request_client.hpp"
+
 #include <cstdlib>
 #include <filesystem>
 #include <gtest/gtest.h>
@@ -74,13 +77,15 @@
 
     // Applies a document with one service; until a leader is there, changes
     // are refused as not run.
-    result<change_outcome> declare_service()
+    result<change_outcome>
+    declare_service(const std::vector<request_kind>& kinds = {})
     {
         control_backend backend(m_settings, (*m_daemon)->control(),
                                 [] { return std::string(); });
         service declared;
         declared.id = service_id(1);
         declared.name = "s";
+        declared.kinds = kinds;
         declared.addresses = {service_address()};
         declared.sharing.cold_start = duration();
         change_request request;
@@ -97,6 +102,34 @@
         return outcome;
     }
 
+    // As an upstream of requests: answers each run with its body.
+    void run_requests()
+    {
+        if (m_poller.wait(patience).empty())
+        {
+            return;
+        }
+        const std::size_t count = m_upstream.receive(m_batch);
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            const auto command =
+                decode_upstream_command(text_of(m_batch.bytes(at)));
+            ASSERT_TRUE(command);
+            const auto* run = std::get_if<upstream_run>(&*command);
+            if (run == nullptr)
+            {
+                continue;
+            }
+            ++m_runs;
+            upstream_answer done;
+            done.id = run->id;
+            done.outcome = verdict::ran;
+            done.body = "done " + run->kind + " " + run->body;
+            const std::string bytes = encode(done);
+            (void)m_upstream.send(bytes_of(bytes), m_batch.peer(at));
+        }
+    }
+
     // Answers what reached the upstream within the patience.
     void serve_upstream()
     {
@@ -135,6 +168,7 @@
     udp_socket m_upstream = *udp_socket::bind(any_port);
     poller m_poller;
     datagram_batch m_batch;
+    int m_runs = 0;
     daemon_settings m_settings = settings();
     result<std::unique_ptr<running_daemon>> m_daemon =
         fail(error_kind::unavailable, "", "not started");
@@ -150,6 +184,39 @@
     EXPECT_EQ(call(caller, "hello"), "to hello");
 }
 
+TEST_F(one_daemon, admits_requests_of_a_service_with_kinds)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    ASSERT_TRUE(declare_service({request_kind{"hold", 2, false}}));
+    auto client = udp_request_client::open({}, {service_address()});
+    ASSERT_TRUE(client);
+    std::vector<request_outcome> outcomes;
+    for (int tries = 0; tries < most_tries; ++tries)
+    {
+        // What is refused or times out before the upstream is there did not
+        // run, so that another one may be sent.
+        outgoing_request request;
+        request.kind = "hold";
+        request.deadline = std::chrono::seconds(1);
+        request.body = "toy";
+        client->send(request);
+        outcomes.clear();
+        while (outcomes.empty())
+        {
+            outcomes = client->poll(std::chrono::milliseconds(20));
+            run_requests();
+        }
+        if (outcomes.front().answer.outcome == verdict::ran)
+        {
+            break;
+        }
+        ASSERT_EQ(m_runs, 0);
+    }
+    ASSERT_EQ(outcomes.front().answer.outcome, verdict::ran);
+    EXPECT_EQ(outcomes.front().answer.body, "done hold toy");
+    EXPECT_EQ(m_runs, 1);
+}
+
 TEST_F(one_daemon, keeps_its_flows_and_takes_no_new_one_while_it_drains)
 {
     ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -72,6 +72,12 @@
 {
     host_settings host;
     host.name = host_id(reader.text("name"));
+    // The slash sets a host's roles apart in messages.
+    if (host.name.value().find('/') != std::string::npos)
+    {
+        reader.refuse("name", "found \"" + host.name.value() +
+                                  "\"; allowed: a name without '/'");
+    }
     host.place = place_id(reader.text("place"));
     host.region = region_id(reader.text("region"));
     return host;
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -74,6 +74,13 @@
                       "allowed: \"key_value\" or \"json\""));
 }
 
+TEST(settings, refuses_a_host_name_with_a_slash)
+{
+    const std::string text = replaced(valid_node, "entry-1", "entry/1");
+    EXPECT_TRUE(names(parse_settings(text, "f"), "f: /host/name",
+                      "allowed: a name without '/'"));
+}
+
 TEST(settings, refuses_a_field_given_twice)
 {
     const std::string text = replaced(valid_node, "\"service\": 1",
