--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -19,6 +19,12 @@
     return map[std::string(name)];
 }
 
+// A sample's name without its labels.
+std::string_view family_of(std::string_view name)
+{
+    return name.substr(0, name.find('{'));
+}
+
 } // namespace
 
 double summary::mean() const
@@ -58,9 +64,18 @@
 std::string metrics::render() const
 {
     std::string text;
+    std::string_view last;
     for (const auto& [name, value] : m_counters)
     {
-        text += fmt::format("# TYPE {0} counter\n{0} {1}\n", name, value);
+        // The samples of one family differ in their labels only, and lie side
+        // by side.
+        const std::string_view family = family_of(name);
+        if (family != last)
+        {
+            text += fmt::format("# TYPE {} counter\n", family);
+            last = family;
+        }
+        text += fmt::format("{} {}\n", name, value);
     }
     for (const auto& [name, value] : m_summaries)
     {
--- a/packages/base/test/base_test.cpp
+++ b/packages/base/test/base_test.cpp
@@ -80,6 +80,19 @@
     EXPECT_NE(text.find("crowlink_build_seconds_max 4\n"), std::string::npos);
 }
 
+TEST(metrics, names_a_family_once_and_adds_up)
+{
+    metrics values;
+    values.count("crowlink_drops_total{reason=\"a\"}", 1);
+    metrics others;
+    others.count("crowlink_drops_total{reason=\"a\"}", 2);
+    others.count("crowlink_drops_total{reason=\"b\"}", 4);
+    values.add(others);
+    EXPECT_EQ(values.render(), "# TYPE crowlink_drops_total counter\n"
+                               "crowlink_drops_total{reason=\"a\"} 3\n"
+                               "crowlink_drops_total{reason=\"b\"} 4\n");
+}
+
 TEST(verdict, a_whole_is_no_more_certain_than_its_parts)
 {
     EXPECT_EQ(combine(verdict::not_run, verdict::not_run), verdict::not_run);
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -208,28 +208,26 @@
 
 std::string running_daemon::render_metrics() const
 {
-    std::string text;
+    metrics all;
     if (const auto control = m_control->counters())
     {
-        text += control->render();
+        all.add(*control);
     }
     if (m_balancer)
     {
-        metrics all;
         for (const metrics_slot::pointer& each : m_balancer->reports())
         {
             all.add(*each);
         }
-        text += all.render();
     }
     for (const std::unique_ptr<agent_role>& agent : m_agents)
     {
         if (const metrics_slot::pointer report = agent->report())
         {
-            text += report->render();
+            all.add(*report);
         }
     }
-    return text;
+    return all.render();
 }
 
 void running_daemon::log_started() const
