--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -1,6 +1,7 @@
 #include "agent_loop.hpp"
 
 #include "agent_report.hpp"
+#include "caller_notice.hpp"
 #include "crowlink/packet/tcp_reset.hpp"
 #include "peer_codec.hpp"
 
@@ -22,36 +23,6 @@
 // Bounds what one round reads from the tunnel before time is looked at.
 constexpr int batches_a_round = 8;
 
-notice_reason to_notice(refusal_reason reason)
-{
-    switch (reason)
-    {
-    case refusal_reason::full:
-        return notice_reason::overloaded;
-    case refusal_reason::leaving:
-        return notice_reason::unavailable;
-    case refusal_reason::unknown_flow:
-    case refusal_reason::duplicate:
-        return notice_reason::unknown_flow;
-    case refusal_reason::upstream_failed:
-        return notice_reason::upstream_gone;
-    case refusal_reason::silent:
-        return notice_reason::silent;
-    }
-    return notice_reason::unavailable;
-}
-
-notice_datagram to_notice(const flow_key& flow, const flow_refusal& told)
-{
-    notice_datagram notice;
-    notice.flow = flow;
-    notice.outcome = told.outcome;
-    notice.reason = to_notice(told.reason);
-    notice.retry_after =
-        std::chrono::ceil<std::chrono::milliseconds>(told.retry_after);
-    return notice;
-}
-
 datagram_delivery make_delivery(datagram_delivery*,
                                 const agent_role_settings& own, poller& waiting)
 {
--- a/packages/daemon/src/run_daemon.cpp
+++ b/packages/daemon/src/run_daemon.cpp
@@ -50,7 +50,7 @@
     while (!done())
     {
         const std::optional<int> got = signals.wait(drain_poll);
-        if (got == SIGTERM || got == SIGINT)
+        if (got && *got != SIGHUP)
         {
             ::_exit(static_cast<int>(exit_code::cut_short));
         }
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -47,7 +47,7 @@
         m_authenticator =
             std::make_unique<zap_authenticator>(m_zmq, m_identity.grants);
     }
-    const result<void> traffic = open_traffic();
+    result<void> traffic = open_traffic();
     if (!traffic)
     {
         return traffic;
