--- a/packages/client/src/answers.cpp
+++ b/packages/client/src/answers.cpp
@@ -114,16 +114,16 @@
 }
 
 exit_code change_and_print(const client_options& options, const http_call& call,
-                           const operation_id& operation,
-                           const text_printer& print, command_output& output)
+                           const std::string& resend, const text_printer& print,
+                           command_output& output)
 {
     const auto code = ask_and_print(options, call, print, output);
     if (code == exit_code::unavailable)
     {
         fmt::print(output.err,
                    "The change may have taken effect. To send it again "
-                   "safely, add --operation {}\n",
-                   operation.value());
+                   "safely, add {}\n",
+                   resend);
     }
     return code;
 }
--- a/packages/client/src/answers.hpp
+++ b/packages/client/src/answers.hpp
@@ -23,10 +23,10 @@
                         const text_printer& print, command_output& output);
 
 // The same for a change that carries an operation id: if no answer came, says
-// how to send it again.
+// how to send it again: with `resend`, which holds that id.
 exit_code change_and_print(const client_options& options, const http_call& call,
-                           const operation_id& operation,
-                           const text_printer& print, command_output& output);
+                           const std::string& resend, const text_printer& print,
+                           command_output& output);
 
 exit_code exit_code_of(error_kind kind);
 exit_code print_error(const error& fault, command_output& output);
--- a/packages/client/src/command_apply.cpp
+++ b/packages/client/src/command_apply.cpp
@@ -4,6 +4,8 @@
 #include "crowlink/client/server_connection.hpp"
 #include "document_file.hpp"
 
+#include <fmt/format.h>
+
 namespace crowlink::internal
 {
 
@@ -86,7 +88,9 @@
                        {"operation_id", operation.value()},
                        {"document", *text}};
     return change_and_print(line.options(), {"/v1/document", body.dump()},
-                            operation, print_version, output);
+                            fmt::format("--operation {} --base {}",
+                                        operation.value(), base->value()),
+                            print_version, output);
 }
 
 } // namespace crowlink::internal
--- a/packages/client/src/command_drain.cpp
+++ b/packages/client/src/command_drain.cpp
@@ -24,9 +24,9 @@
     const auto operation = operation_of(given_operation.getValue());
     const nlohmann::json body = {{"upstream", upstream.getValue()},
                                  {"operation_id", operation.value()}};
-    return change_and_print(line.options(),
-                            {drains ? "/v1/drain" : "/v1/undrain", body.dump()},
-                            operation, print_version, output);
+    return change_and_print(
+        line.options(), {drains ? "/v1/drain" : "/v1/undrain", body.dump()},
+        "--operation " + operation.value(), print_version, output);
 }
 
 } // namespace crowlink::internal
--- a/packages/client/src/command_members.cpp
+++ b/packages/client/src/command_members.cpp
@@ -87,7 +87,8 @@
     const auto operation = operation_of(given_operation.getValue());
     (*body)["operation_id"] = operation.value();
     return change_and_print(line.options(), {"/v1/members", body->dump()},
-                            operation, print_members, output);
+                            "--operation " + operation.value(), print_members,
+                            output);
 }
 
 } // namespace crowlink::internal
--- a/packages/client/test/client_test.cpp
+++ b/packages/client/test/client_test.cpp
@@ -157,6 +157,7 @@
     const auto at = told.find("--operation ");
     ASSERT_NE(at, std::string::npos) << told;
     const auto id = told.substr(at + 12, 32);
+    EXPECT_NE(told.find(" --base 1\n"), std::string::npos) << told;
     EXPECT_EQ(run({"apply", file, "--base", "1", "--operation", id}),
               exit_code::ok);
     EXPECT_EQ(m_out.str(), "version 2\n");
--- a/packages/console/include/crowlink/console/operator_backend.hpp
+++ b/packages/console/include/crowlink/console/operator_backend.hpp
@@ -23,15 +23,17 @@
 // What the console needs of the system. Every function may be called from any
 // thread at any time and may wait, for a bounded time, until it has an answer.
 //
-//   document()       the newest document that this host knows, with its age
-//   document_at(v)   an older one; not_found if it is not kept
-//   change(r)        gives the document to the log. An accepted change is
-//                    remembered under its operation id, and a resend gets the
-//                    first answer whatever its base is; a conflict has no
-//                    effect and need not be remembered. `unavailable` means
-//                    that it may or may not take effect later; only a resend
-//                    with the same operation id can tell.
-//   history(n)       the last n changes, the newest first
+//   document()       the newest document that this host knows, with its age;
+//                    an empty one of version 0 before the first change
+//   document_at(v)   an older one; not_found if it is not kept; not asked for
+//                    version 0
+//   change(r)        gives the document to the log. A resend, with the same
+//                    operation id and all else, gets the first answer; the
+//                    same id with another change is `invalid`. `unavailable`
+//                    means that it may or may not take effect later; only a
+//                    resend can tell.
+//   history(n)       the last n changes, the newest first; covers at least
+//                    the versions up to that of an earlier document()
 //   status()         who holds which version
 //   members()        the control hosts
 //   change_members(m)  yields the hosts after the change; `conflict` while
--- a/packages/console/src/document_changes.hpp
+++ b/packages/console/src/document_changes.hpp
@@ -28,7 +28,11 @@
 // Reads the newest document, edits its drains and sends it, again from the
 // start where somebody else was faster, a bounded number of times. It is sent
 // also where nothing changes: only the log knows whether this host's document
-// is the newest, and whether the operation has been accepted before.
+// is the newest.
+//
+// A resend finds the operation in the history and gets its first answer. It
+// has at most one effect even while an earlier send is under way: both were
+// made from one version, of which the log accepts one change.
 result<change_outcome> change_drain(backend_port& backend,
                                     const drain_request& request);
 
--- a/packages/console/src/form_handlers.cpp
+++ b/packages/console/src/form_handlers.cpp
@@ -231,6 +231,17 @@
                  compare(current->document, *document));
 }
 
+// Before the first change there is an empty document of version 0.
+result<versioned_document>
+form_handlers::base_of(const form_submission& sent) const
+{
+    if (sent.base == config_version())
+    {
+        return versioned_document();
+    }
+    return m_backend.document_at(sent.base);
+}
+
 void form_handlers::post_apply(const request_type& request,
                                response_type& response,
                                const form_session& session)
@@ -241,7 +252,7 @@
         return show_error(response, session, sent.error());
     }
     // Not the current document: a resend must yield the same change again.
-    const auto base = m_backend.document_at(sent->base);
+    const auto base = base_of(*sent);
     if (!base)
     {
         return show_error(response, session, base.error());
@@ -258,6 +269,10 @@
     }
     const auto outcome = m_backend.change(
         {sent->base, sent->operation, session.operator_name, *document});
+    if (!outcome && outcome.error().kind != error_kind::unavailable)
+    {
+        return show_error(response, session, outcome.error());
+    }
     if (!outcome)
     {
         return show_unknown(response, session, *sent, outcome.error());
--- a/packages/console/src/form_handlers.hpp
+++ b/packages/console/src/form_handlers.hpp
@@ -51,6 +51,7 @@
                     const form_session& session);
 
 private:
+    result<versioned_document> base_of(const form_submission& sent) const;
     void show_error(response_type& response, const form_session& session,
                     const error& fault);
     void show_form(response_type& response, const form_session& session,
--- a/packages/console/src/tokens.cpp
+++ b/packages/console/src/tokens.cpp
@@ -90,7 +90,7 @@
         return (letter >= 'a' && letter <= 'z') ||
                (letter >= 'A' && letter <= 'Z') ||
                (letter >= '0' && letter <= '9') || letter == '-' ||
-               letter == '_' || letter == '.' || letter == ':';
+               letter == '_' || letter == '.';
     };
     return !text.empty() && text.size() <= max_operation_id_bytes &&
            std::all_of(text.begin(), text.end(), allowed);
--- a/packages/console/test/api_test.cpp
+++ b/packages/console/test/api_test.cpp
@@ -98,6 +98,9 @@
     const auto again = post("/v1/document", change);
     EXPECT_EQ(again->status, 200);
     EXPECT_EQ(body_of(again)["version"], 2);
+    json other = change;
+    other["base_version"] = 3;
+    EXPECT_EQ(post("/v1/document", other)->status, 400);
     EXPECT_EQ(m_backend.effects(), 2U);
 }
 
--- a/packages/console/test/fake_backend.hpp
+++ b/packages/console/test/fake_backend.hpp
@@ -85,7 +85,12 @@
         const auto known = m_answers.find(request.operation.value());
         if (known != m_answers.end())
         {
-            return known->second;
+            if (known->second.request != request)
+            {
+                return fail(error_kind::invalid, "operation",
+                            "came with another change");
+            }
+            return known->second.outcome;
         }
         if (m_races > 0)
         {
@@ -94,13 +99,15 @@
         }
         if (request.base != newest())
         {
-            return change_outcome{change_status::conflict, newest()};
+            const change_outcome lost{change_status::conflict, newest()};
+            m_answers[request.operation.value()] = {request, lost};
+            return lost;
         }
         m_versions.push_back(request.document);
         m_history.insert(m_history.begin(),
                          {newest(), request.operation, request.author, 1000});
         const change_outcome outcome{change_status::accepted, newest()};
-        m_answers[request.operation.value()] = outcome;
+        m_answers[request.operation.value()] = {request, outcome};
         if (m_lost_answers > 0)
         {
             --m_lost_answers;
@@ -187,6 +194,13 @@
     std::string render_metrics() { return "crowlink_fake 1\n"; }
 
 private:
+    // The log remembers conflicts as well, and the change with its answer.
+    struct first_answer
+    {
+        change_request request;
+        change_outcome outcome;
+    };
+
     config_version newest() const { return config_version(m_versions.size()); }
 
     template <class Action>
@@ -201,7 +215,7 @@
     std::vector<system_document> m_versions;
     std::vector<history_entry> m_history;
     std::vector<member_entry> m_members;
-    std::map<std::string, change_outcome> m_answers;
+    std::map<std::string, first_answer> m_answers;
     bool m_lost = false;
     int m_lost_answers = 0;
     int m_races = 0;
