--- a/packages/console/include/crowlink/console/mint_operation_id.hpp
+++ b/packages/console/include/crowlink/console/mint_operation_id.hpp
@@ -10,7 +10,7 @@
 // Draws an operation id from the system's random source.
 operation_id mint_operation_id();
 
-// Whether a text may be an operation id: 1 to 128 letters, digits, '-', '_'
+// Whether a text may be an operation id: 1 to 64 letters, digits, '-', '_'
 // or '.'.
 bool is_operation_id(std::string_view text);
 
--- a/packages/console/src/request_fields.cpp
+++ b/packages/console/src/request_fields.cpp
@@ -112,7 +112,7 @@
     if (!is_operation_id(*text))
     {
         return refuse("operation_id",
-                      "must be 1 to 128 letters, digits or any of -_.");
+                      "must be 1 to 64 letters, digits or any of -_.");
     }
     return operation_id(*text);
 }
--- a/packages/console/src/tokens.cpp
+++ b/packages/console/src/tokens.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t hash_bytes = crypto_generichash_BYTES;
 constexpr std::size_t hash_digits = 2 * hash_bytes;
 constexpr std::size_t max_token_bytes = 1024;
-constexpr std::size_t max_operation_id_bytes = 128;
+constexpr std::size_t max_operation_id_bytes = 64;
 constexpr std::size_t max_name_bytes = 63;
 
 bool is_hash(const std::string& text)
--- a/packages/console/test/api_test.cpp
+++ b/packages/console/test/api_test.cpp
@@ -152,6 +152,9 @@
         {{"base_version", 1}, {"operation_id", "a b"}, {"document", {}}},
         {{"base_version", "1"}, {"operation_id", "a"}, {"document", {}}},
         {{"base_version", 1}, {"document", {}}},
+        {{"base_version", 1},
+         {"operation_id", std::string(65, 'a')},
+         {"document", {}}},
         {{"base_version", 1}, {"operation_id", "a"}, {"extra", 1}},
         json::array(),
     };
