--- a/packages/console/test/api_test.cpp
+++ b/packages/console/test/api_test.cpp
@@ -98,6 +98,9 @@
     const auto again = post("/v1/document", change);
     EXPECT_EQ(again->status, 200);
     EXPECT_EQ(body_of(again)["version"], 2);
+    json other = change;
+    other["base_version"] = 3;
+    EXPECT_EQ(post("/v1/document", other)->status, 400);
     EXPECT_EQ(m_backend.effects(), 2U);
 }
 
@@ -149,6 +152,9 @@
         {{"base_version", 1}, {"operation_id", "a b"}, {"document", {}}},
         {{"base_version", "1"}, {"operation_id", "a"}, {"document", {}}},
         {{"base_version", 1}, {"document", {}}},
+        {{"base_version", 1},
+         {"operation_id", std::string(65, 'a')},
+         {"document", {}}},
         {{"base_version", 1}, {"operation_id", "a"}, {"extra", 1}},
         json::array(),
     };
