--- a/bench/capacity/control_bed.cpp
+++ b/bench/capacity/control_bed.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void control_bed::deliver(std::vector<membership_send> sends)
+void control_bed::deliver(const std::vector<membership_send>& sends)
 {
     for (const membership_send& one : sends)
     {
--- a/bench/capacity/control_bed.hpp
+++ b/bench/capacity/control_bed.hpp
@@ -59,7 +59,7 @@
 
 private:
     void tick_nodes();
-    void deliver(std::vector<membership_send> sends);
+    void deliver(const std::vector<membership_send>& sends);
     void answer(std::size_t node, subscriber_output out);
 
     std::vector<observer_info> m_peers;
--- a/bench/placement/crowlink_policy.hpp
+++ b/bench/placement/crowlink_policy.hpp
@@ -45,7 +45,7 @@
     void send_message(const endpoint& from, const endpoint& to,
                       const peer_message& message);
     // Whether the balancer at this address still runs.
-    bool runs(const endpoint& balancer) const;
+    bool runs(const endpoint& address) const;
 
 private:
     struct balancer_node
