--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/transport/dealer_socket.hpp"
 #include "crowlink/transport/router_socket.hpp"
 
+#include <cstring>
 #include <fmt/format.h>
 #include <iterator>
 #include <vector>
@@ -47,6 +48,21 @@
     return static_cast<message_channel>(*frame.data<char>());
 }
 
+// Lets `events` tell when a connection of the socket is made, lost or refused.
+void watch(zmq::socket_t& socket, zmq::socket_t& events)
+{
+    const std::string address =
+        fmt::format("inproc://crowlink.events.{}", socket.handle());
+    constexpr int changes = ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_CONNECT_RETRIED |
+                            ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+    if (zmq_socket_monitor(socket.handle(), address.c_str(), changes) != 0)
+    {
+        throw zmq::error_t();
+    }
+    events.set(zmq::sockopt::linger, 0);
+    events.connect(address);
+}
+
 // Takes all frames of the next message; false if there is none.
 bool receive_frames(zmq::socket_t& socket, std::vector<zmq::message_t>& frames)
 {
@@ -175,7 +191,9 @@
     try
     {
         dealer_socket made(zmq::socket_t(context, zmq::socket_type::dealer),
+                           zmq::socket_t(context, zmq::socket_type::pair),
                            self);
+        watch(made.m_socket, made.m_events);
         set_common(made.m_socket);
         made.m_socket.set(zmq::sockopt::reconnect_ivl,
                           first_reconnect_milliseconds);
@@ -216,6 +234,20 @@
     }
 }
 
+bool dealer_socket::is_lost()
+{
+    std::vector<zmq::message_t> frames;
+    while (receive_frames(m_events, frames))
+    {
+        // The first two bytes of an event are its number.
+        std::uint16_t number = 0;
+        std::memcpy(&number, frames.front().data(), sizeof(number));
+        m_is_lost = number != ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+        frames.clear();
+    }
+    return m_is_lost;
+}
+
 bool dealer_socket::send(message_channel channel, std::string_view bytes)
 {
     const auto more = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
