--- a/bench/placement/test/agent_findings_test.cpp
+++ b/bench/placement/test/agent_findings_test.cpp
@@ -142,6 +142,20 @@
     EXPECT_EQ(m_effects.delivered, 3);
 }
 
+TEST_F(agent_findings, a_finished_flow_that_opens_again_counts_again)
+{
+    const flow_key first = flow("192.0.2.1:1001");
+    packet(first, packet_role::opens, packet_pass::place);
+    packet(first, packet_role::continues, packet_pass::lookup, true);
+    m_agent.handle(m_now, upstream_answered{first, m_payload, true}, m_effects);
+    ASSERT_EQ(m_agent.flows(), 0U);
+    packet(first, packet_role::opens, packet_pass::lookup);
+    EXPECT_EQ(m_agent.flows(), 1U);
+    // The end that was due for the flow's first life does not come.
+    run(std::chrono::seconds(30));
+    EXPECT_TRUE(m_agent.owns(first));
+}
+
 TEST_F(agent_findings, a_quiet_flow_survives_a_restart_of_its_agent)
 {
     m_agent.handle(m_now, upstream_lived_on{}, m_effects);
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -65,10 +65,14 @@
     }
 
     bool owns(const flow_key& flow) { return m_flows.find(flow) != nullptr; }
-    std::size_t flows() const { return m_flows.size(); }
+    // Flows that are open; those that linger are not counted.
+    std::size_t flows() const { return m_flows.open_count(); }
     std::size_t redirects() const { return m_redirects.size(); }
     // In millionths of what the upstream can take.
-    std::uint32_t load() const { return m_admission.load(m_flows.size()); }
+    std::uint32_t load() const
+    {
+        return m_admission.load(m_flows.open_count());
+    }
     // Whether it stalls and takes no new flow for it.
     bool sheds(time_point now) const;
     upstream_tag tag() const { return m_tag; }
@@ -142,7 +146,9 @@
     void find_silent(time_point now);
     bool is_silent(time_point now, const internal::flow_entry& entry) const;
     time_point others_answered(const flow_key& flow) const;
-    void note_finished(time_point now, const internal::flow_entry& entry);
+    void note_finished(time_point now, internal::flow_entry& entry);
+    void close_oldest_lingering(const internal::flow_entry& kept);
+    void reopen(internal::flow_entry& entry);
     duration idle_limit(const internal::flow_entry& entry) const;
     void choose_balancer(internal::flow_entry& entry);
 
@@ -222,7 +228,10 @@
 
     bool m_announced = false;
     bool m_leaving = false;
+    // Until when flows that may be old, and flows that surely are, may be
+    // taken up again after a restart beside a living upstream.
     time_point m_adopt_until{};
+    time_point m_adopt_old_until{};
     time_point m_next_assessment{};
     std::size_t m_next_peer = 0;
     // The latest answer, and the latest of another flow than that one's.
--- a/packages/agent/include/crowlink/agent/agent_settings.hpp
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -21,6 +21,10 @@
     // looks for the owner of an unknown flow elsewhere before it admits it. It
     // must exceed the time in which a change reaches all agents.
     duration settle = std::chrono::seconds(10);
+    // For so long after its own start beside an upstream that lived on, an
+    // agent takes up flows that are surely old and that no other agent knows.
+    // It bounds how quiet a flow may be and still survive the restart.
+    duration adoption = std::chrono::hours(1);
     // How long a redirect is kept without renewal; owners renew at a third.
     duration redirect_lifetime = std::chrono::minutes(10);
     // How long an agent remembers that a flow is being placed elsewhere. Longer
--- a/packages/agent/include/crowlink/agent/flow_entry.hpp
+++ b/packages/agent/include/crowlink/agent/flow_entry.hpp
@@ -27,6 +27,9 @@
     bool answer_required = false;
     bool caller_finished = false;
     bool upstream_finished = false;
+    // Whether the entry stays only for late packets of a flow that both ends
+    // have finished. Set by the flow table.
+    bool lingering = false;
     // Whether the flow is in the queue of the silence watch.
     bool watched = false;
     // Whether the flow is in the queue of renewals, and when it is due.
--- a/packages/agent/include/crowlink/agent/flow_table.hpp
+++ b/packages/agent/include/crowlink/agent/flow_table.hpp
@@ -31,7 +31,13 @@
     // The flow that was active least recently, or null.
     flow_entry* least_recent();
 
+    // A flow that lingers is kept but takes no room at the upstream.
+    void set_lingering(flow_entry& entry, bool lingering);
+
+    // All flows that are kept, and those that do not linger.
     std::size_t size() const { return m_flows.size(); }
+    std::size_t open_count() const { return m_flows.size() - m_lingering; }
+    std::size_t lingering_count() const { return m_lingering; }
 
     // Starts the walk over all flows, most recent first, again.
     void rewind();
@@ -61,6 +67,7 @@
     void step_over(activity_iterator place);
 
     container m_flows;
+    std::size_t m_lingering = 0;
     activity_iterator m_walk = m_flows.get<by_activity>().end();
 };
 
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -65,6 +65,8 @@
         end_and_tell(flow, refusal_reason::upstream_failed, false);
     }
     send_batch();
+    // Nothing but a new start of the agent ends this.
+    m_leaving = true;
     m_admission.set_draining(true);
     set_state(upstream_state::gone);
 }
@@ -72,6 +74,7 @@
 void agent::on(time_point now, const upstream_lived_on&)
 {
     m_adopt_until = now + m_settings.settle;
+    m_adopt_old_until = now + m_settings.adoption;
     m_admission.judge().assume_warm();
 }
 
@@ -270,7 +273,7 @@
                    std::string_view reason)
 {
     m_effects.add(flow_decision{action, m_record.service, flow, table, chosen,
-                                m_admission.load(m_flows.size()), reason});
+                                load(), reason});
 }
 
 } // namespace crowlink
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -32,7 +32,7 @@
 void agent::ask_to_admit(time_point now, packet_header header,
                          const packet_arrived& event)
 {
-    const std::size_t flows = m_flows.size();
+    const std::size_t flows = m_flows.open_count();
     if (m_admission.can_admit(now, flows))
     {
         const bool is_first = header.best == packet_header::no_position;
@@ -104,7 +104,7 @@
         reset_unknown(header);
         return;
     }
-    if (!m_admission.can_admit(now, m_flows.size()))
+    if (!m_admission.can_admit(now, m_flows.open_count()))
     {
         refuse(header, event);
         return;
@@ -147,16 +147,18 @@
 {
     const bool may_be_old =
         role == packet_role::any || role == packet_role::continues;
-    const bool has_room =
-        m_flows.size() < 2 * std::size_t{m_admission.limits().connections};
-    if (now >= m_adopt_until || !may_be_old || !has_room)
+    const bool has_room = m_flows.open_count() <
+                          2 * std::size_t{m_admission.limits().connections};
+    // Only a segment or a redirect tells surely that a flow is an old one.
+    const bool surely_old = role == packet_role::continues || was_redirected;
+    const time_point until = surely_old ? m_adopt_old_until : m_adopt_until;
+    if (now >= until || !may_be_old || !has_room)
     {
         return false;
     }
     // Whether a datagram opens a flow can't be told, unless a redirect says
     // so: an upstream that leaves must not get new ones.
-    return role == packet_role::continues || was_redirected ||
-           !m_admission.is_draining();
+    return surely_old || !m_admission.is_draining();
 }
 
 } // namespace crowlink
--- a/packages/agent/src/agent_flows.cpp
+++ b/packages/agent/src/agent_flows.cpp
@@ -90,14 +90,38 @@
     entry.return_to = living[stable_hash(entry.key) % living.size()];
 }
 
-void agent::note_finished(time_point now, const internal::flow_entry& entry)
+void agent::note_finished(time_point now, internal::flow_entry& entry)
 {
-    if (entry.caller_finished && entry.upstream_finished)
+    if (!entry.caller_finished || !entry.upstream_finished)
     {
-        m_lingering.push(now + m_settings.linger, entry.key);
+        return;
+    }
+    m_flows.set_lingering(entry, true);
+    m_lingering.push(now + m_settings.linger, entry.key);
+    if (m_flows.lingering_count() > m_admission.limits().connections)
+    {
+        close_oldest_lingering(entry);
     }
 }
 
+void agent::close_oldest_lingering(const internal::flow_entry& kept)
+{
+    const auto oldest = m_lingering.pop(time_point::max());
+    const internal::flow_entry* entry =
+        oldest ? m_flows.find(*oldest) : nullptr;
+    if (entry != nullptr && entry->lingering && entry != &kept)
+    {
+        end_flow(*oldest, "finished");
+    }
+}
+
+void agent::reopen(internal::flow_entry& entry)
+{
+    entry.caller_finished = false;
+    entry.upstream_finished = false;
+    m_flows.set_lingering(entry, false);
+}
+
 void agent::end_flow(const flow_key& flow, std::string_view reason)
 {
     const internal::flow_entry* entry = m_flows.find(flow);
@@ -153,8 +177,7 @@
     while (const auto due = m_lingering.pop(now))
     {
         const internal::flow_entry* entry = m_flows.find(*due);
-        if (entry != nullptr && entry->caller_finished &&
-            entry->upstream_finished)
+        if (entry != nullptr && entry->lingering)
         {
             end_flow(*due, "finished");
         }
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -78,6 +78,10 @@
                           const packet_arrived& event)
 {
     ++m_counts.delivered;
+    if (entry.lingering && event.header.role == packet_role::opens)
+    {
+        reopen(entry);
+    }
     const bool unchecked = entry.checked != m_check;
     if (unchecked && m_redirects_left > 0)
     {
--- a/packages/agent/src/flow_table.cpp
+++ b/packages/agent/src/flow_table.cpp
@@ -33,6 +33,16 @@
     return *writable(*added.first);
 }
 
+void flow_table::set_lingering(flow_entry& entry, bool lingering)
+{
+    if (entry.lingering == lingering)
+    {
+        return;
+    }
+    entry.lingering = lingering;
+    m_lingering += lingering ? 1 : -1;
+}
+
 void flow_table::erase(const flow_key& key)
 {
     auto& index = m_flows.get<by_key>();
@@ -41,6 +51,7 @@
     {
         return;
     }
+    set_lingering(*writable(*found), false);
     step_over(m_flows.project<by_activity>(found));
     index.erase(found);
 }
--- a/packages/daemon/src/run_daemon.cpp
+++ b/packages/daemon/src/run_daemon.cpp
@@ -50,7 +50,8 @@
     while (!done())
     {
         const std::optional<int> got = signals.wait(drain_poll);
-        if (got && *got != SIGHUP)
+        const bool ends = got.value_or(SIGHUP) != SIGHUP;
+        if (ends)
         {
             ::_exit(static_cast<int>(exit_code::cut_short));
         }
