--- a/packages/membership/include/crowlink/membership/publisher_settings.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_settings.hpp
@@ -18,7 +18,7 @@
     // The largest message, framing included.
     std::size_t part_bytes = 2048;
     // An idle stream is sent a digest this often.
-    duration digest_every = std::chrono::seconds(5);
+    duration digest_every = std::chrono::seconds(2);
     // A node that was not heard for this long is forgotten.
     duration node_timeout = std::chrono::seconds(30);
     // Changes that are kept for nodes that lag; one that lags more is asked to
--- a/packages/membership/include/crowlink/membership/subscriber_settings.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber_settings.hpp
@@ -19,7 +19,9 @@
     host_id self;
     region_id region;
     // A publisher that was silent for this long is left for another one.
-    duration silence_timeout = std::chrono::seconds(12);
+    // With the time to attach elsewhere it stays below the 7 s in which a
+    // change must be in force, and above two digests.
+    duration silence_timeout = std::chrono::milliseconds(4500);
     duration answer_timeout = std::chrono::seconds(2);
     duration alive_every = std::chrono::seconds(5);
     // A publisher whose document stays older than the node's is left.
--- a/packages/membership/test/failure_test.cpp
+++ b/packages/membership/test/failure_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_cluster.hpp"
 
+#include <algorithm>
+
 namespace crowlink::test
 {
 
@@ -312,4 +314,38 @@
     EXPECT_EQ(expired(cluster), 0U);
 }
 
+// The time from a change of the document until every node has it.
+duration time_in_force(fake_cluster& cluster)
+{
+    constexpr duration limit = std::chrono::minutes(1);
+    cluster.version = config_version(cluster.version.value() + 1);
+    const time_point start = cluster.now;
+    const auto applied = [&cluster](const fake_cluster::node& each)
+    {
+        return each.core->applied_version() == cluster.version;
+    };
+    while (cluster.now - start < limit &&
+           !std::all_of(cluster.nodes.begin(), cluster.nodes.end(), applied))
+    {
+        cluster.step();
+    }
+    return cluster.now - start;
+}
+
+TEST(failure, a_change_gets_past_a_publisher_that_fell_silent)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fake_cluster cluster(seed);
+        build(cluster, 24);
+        const host_id serving = cluster.nodes[0].core->source();
+        for (auto& each : cluster.controls)
+        {
+            each.paused = each.info.id == serving;
+        }
+        EXPECT_LE(time_in_force(cluster), std::chrono::seconds(7)) << seed;
+        EXPECT_NE(cluster.nodes[0].core->source(), serving) << seed;
+    }
+}
+
 } // namespace crowlink::test
