--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -122,6 +122,7 @@
                 const packet_arrived& event);
     void place(time_point now, const packet_header& header,
                const packet_arrived& event);
+    void place_elsewhere(packet_header header, const packet_arrived& event);
     void refuse(const packet_header& header, const packet_arrived& event);
     void take(time_point now, const packet_header& header,
               const packet_arrived& event, flow_action how,
@@ -171,6 +172,7 @@
     void send(const endpoint& to, peer_message message);
 
     // Other events.
+    void on(time_point now, const packet_returned& event);
     void on(time_point now, const upstream_closed& event);
     void on(time_point now, const upstream_failed& event);
     void on(time_point now, const upstream_lived_on& event);
--- a/packages/agent/include/crowlink/agent/agent_counts.hpp
+++ b/packages/agent/include/crowlink/agent/agent_counts.hpp
@@ -23,6 +23,7 @@
     std::uint64_t looked_up = 0;
     std::uint64_t diverted = 0;
     // Flows that ended otherwise than by their ends' wish.
+    std::uint64_t returned = 0;
     std::uint64_t silent = 0;
     std::uint64_t unknown_flows = 0;
     std::uint64_t upstream_failed = 0;
--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -47,6 +47,14 @@
     bool finishes = false;
 };
 
+// The upstream does not take a packet that was delivered to it with this
+// header: it can't open the flow, or does not hold it.
+struct packet_returned
+{
+    const packet_header& header;
+    payload_view payload;
+};
+
 // The upstream ended one flow, in order or by a reset.
 struct upstream_closed
 {
--- /dev/null
+++ b/packages/agent/include/crowlink/agent/upstream_life.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "crowlink/agent/upstream_announcement.hpp"
+#include "crowlink/base/error.hpp"
+#include "crowlink/base/time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace crowlink
+{
+
+// The upstream beside an agent, as its announcements tell.
+struct life_status
+{
+    upstream_id id;
+    // Rises with each return after silence: flows of before are lost.
+    std::uint32_t returns = 0;
+    // Whether it ran before this agent heard of it, so that it may hold flows.
+    bool lived_on = false;
+    bool leaves = false;
+    // Ended by its own word, or silent.
+    bool is_gone = false;
+
+    friend auto operator<=>(const life_status&,
+                            const life_status&) = default;
+};
+
+// Follows the lives of the upstream beside an agent, one after the other. An
+// announcement of an ended life may come late, when the next one has begun at
+// the same address: it is refused. Without I/O.
+class upstream_life
+{
+public:
+    // Silence of `patience` counts as the upstream's end, until it is heard
+    // again.
+    explicit upstream_life(duration patience) : m_patience(patience) {}
+
+    // `conflict` for a life that has ended; what is older than the newest
+    // announcement of the same life is taken and changes nothing.
+    result<void> announce(time_point now,
+                          const upstream_announcement& announced);
+
+    // The upstream ends by its own word. Of a life that is unknown or has
+    // ended nothing is changed.
+    void withdraw(time_point now, const upstream_id& id);
+
+    // Notices silence.
+    void tick(time_point now);
+
+    // Nothing before the first announcement.
+    const std::optional<life_status>& status() const { return m_status; }
+
+private:
+    bool has_ended(const upstream_id& id) const;
+    void end(const upstream_id& id);
+
+    duration m_patience;
+    std::optional<life_status> m_status;
+    std::uint64_t m_sequence = 0;
+    time_point m_heard{};
+    // Oldest first, bounded.
+    std::deque<upstream_id> m_ended;
+};
+
+} // namespace crowlink
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/agent/agent.hpp"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace crowlink
 {
@@ -39,6 +40,23 @@
     return m_admission.is_shedding(now);
 }
 
+void agent::on(time_point, const packet_returned& event)
+{
+    ++m_counts.returned;
+    const flow_key flow = event.header.flow;
+    const bool was_known = m_flows.find(flow) != nullptr;
+    if (was_known)
+    {
+        end_flow(flow, "returned");
+    }
+    if (event.header.role == packet_role::opens)
+    {
+        place_elsewhere(event.header, packet_arrived{event.header,
+                                                     event.payload});
+    }
+    send_batch();
+}
+
 void agent::on(time_point, const upstream_closed& event)
 {
     if (m_flows.find(event.flow) == nullptr)
@@ -83,7 +101,11 @@
     std::visit(
         [&](const auto& message)
         {
-            if (message.service != m_record.service)
+            // Of a flow whose address moved, another service's agent tells.
+            constexpr bool may_be_other =
+                std::is_same_v<std::decay_t<decltype(message)>,
+                               redirect_notice>;
+            if (message.service != m_record.service && !may_be_other)
             {
                 ++m_counts.wrong_service;
                 return;
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -112,6 +112,39 @@
     take(now, header, event, flow_action::admitted, "least_load");
 }
 
+// The candidates are gone round once, from the one that returned the packet
+// first; its position is kept as the best.
+void agent::place_elsewhere(packet_header header, const packet_arrived& event)
+{
+    const std::size_t count = header.current.size();
+    const std::size_t own = internal::position_of(header, m_self);
+    const bool is_first = header.pass != packet_pass::place ||
+                          header.best == packet_header::no_position;
+    if (own >= count)
+    {
+        refuse(header, event);
+        return;
+    }
+    if (is_first || header.best == header.position)
+    {
+        header.best = static_cast<std::uint8_t>(own);
+    }
+    std::size_t next = (own + 1) % count;
+    while (next != header.best && m_members.is_gone(header.current[next].tag))
+    {
+        next = (next + 1) % count;
+    }
+    if (next == header.best || next == own)
+    {
+        refuse(header, event);
+        return;
+    }
+    header.pass = packet_pass::place;
+    header.position = static_cast<std::uint8_t>(next);
+    ++m_counts.handed_off;
+    forward(header, event, flow_action::handed_off, "returned_by_upstream");
+}
+
 void agent::refuse(const packet_header& header, const packet_arrived& event)
 {
     const refusal_reason reason = m_admission.is_draining()
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -55,7 +55,13 @@
 bool agent::is_for_this(const packet_arrived& event)
 {
     const packet_header& header = event.header;
-    if (header.service != m_record.service)
+    // A flow that is open stays with its upstream when its address moves to
+    // another service: what surely belongs to a connection is taken by tag.
+    // New flows are admitted by agents of the header's service alone.
+    const bool may_be_older = header.role != packet_role::any &&
+                              header.pass != packet_pass::admit &&
+                              header.pass != packet_pass::place;
+    if (header.service != m_record.service && !may_be_older)
     {
         ++m_counts.wrong_service;
         decide(flow_action::dropped, header.flow, header.table, candidate(),
--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -14,6 +14,23 @@
     return previous == current ? candidate_chain() : previous;
 }
 
+// What a flow that is open may be found by: the chain of the service that it
+// went to before shares changed, or that of the table before.
+template <class Chains>
+candidate_chain former_chain(const flow_tables& tables, const Chains& chain_of,
+                             const candidate_chain& current)
+{
+    if (tables.former != nullptr)
+    {
+        return chain_of(*tables.former->current);
+    }
+    if (tables.chosen->previous == nullptr)
+    {
+        return candidate_chain();
+    }
+    return unless_equal(chain_of(*tables.chosen->previous), current);
+}
+
 route_reason reason_of(const candidate_chain& current,
                        const candidate_chain& previous)
 {
@@ -37,13 +54,13 @@
 traffic_path::route(const forwarding_set& set, const caller_packet& packet,
                     std::span<std::uint8_t> buffer)
 {
-    const table_pair* const tables =
-        set.tables_at(packet.flow.protocol, packet.flow.service);
+    const std::uint64_t hash = stable_hash(packet.flow);
+    const flow_tables found = set.tables_of(packet.flow, hash);
+    const table_pair* const tables = found.chosen;
     if (tables == nullptr)
     {
         return drop(route_drop::no_service);
     }
-    const std::uint64_t hash = stable_hash(packet.flow);
     // Made in one piece, since the chains are large to copy.
     forward_datagram out{
         packet_header{.service = tables->service,
@@ -55,11 +72,11 @@
                       .return_to = m_return_to},
         packet.payload};
     packet_header& header = out.header;
-    if (tables->previous != nullptr)
-    {
-        header.previous = unless_equal(m_chains.chain(*tables->previous, hash),
-                                       header.current);
-    }
+    header.previous = former_chain(
+        found,
+        [&](const forwarding_table& table)
+        { return m_chains.chain(table, hash); },
+        header.current);
     if (header.current.empty() && header.previous.empty())
     {
         return drop(route_drop::no_candidate);
@@ -109,20 +126,20 @@
 {
     route_decision decision;
     decision.flow = flow;
-    const table_pair* const tables = set.tables_at(flow.protocol, flow.service);
+    const std::uint64_t hash = stable_hash(flow);
+    const flow_tables found = set.tables_of(flow, hash);
+    const table_pair* const tables = found.chosen;
     if (tables == nullptr)
     {
         return decision;
     }
     decision.service = tables->service;
     decision.table = tables->current->digest();
-    const std::uint64_t hash = stable_hash(flow);
     decision.current = tables->current->chain(hash);
-    if (tables->previous != nullptr)
-    {
-        decision.previous =
-            unless_equal(tables->previous->chain(hash), decision.current);
-    }
+    decision.previous = former_chain(
+        found,
+        [hash](const forwarding_table& table) { return table.chain(hash); },
+        decision.current);
     decision.reason = reason_of(decision.current, decision.previous);
     if (decision.reason != route_reason::no_candidate)
     {
--- a/packages/console/include/crowlink/console/change_outcome.hpp
+++ b/packages/console/include/crowlink/console/change_outcome.hpp
@@ -14,6 +14,9 @@
     accepted,
     // The base is not the current version, which is `version`. Nothing changed.
     conflict,
+    // A version as high as the given one, or higher, is in force; `version` is
+    // that one. Nothing changed.
+    superseded,
 };
 
 // What became of a change. Whatever else may happen, such as no quorum, is an
--- a/packages/console/include/crowlink/console/change_request.hpp
+++ b/packages/console/include/crowlink/console/change_request.hpp
@@ -19,6 +19,9 @@
     // The operator's name, for the history.
     std::string author;
     system_document document;
+    // The version that the operator gave the document; 0 lets the log count
+    // from `base`. See replication::document_change.
+    config_version given{};
 
     friend auto operator<=>(const change_request&,
                             const change_request&) = default;
--- a/packages/daemon/src/agent_exchange.hpp
+++ b/packages/daemon/src/agent_exchange.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "crowlink/agent/upstream_life.hpp"
 #include "crowlink/model/service_view.hpp"
 #include "crowlink/transport/wake_event.hpp"
 #include "snapshot_slot.hpp"
 
 #include <atomic>
+#include <map>
 
 namespace crowlink::internal
 {
@@ -16,9 +18,11 @@
     // From control.
     snapshot_slot<service_view> view;
     std::atomic<bool> leave{false};
+    // Of an upstream that announces itself; null until it does.
+    snapshot_slot<life_status> upstream;
     wake_event to_agent;
     // From the agent.
-    snapshot_slot<upstream_record> wanted;
+    snapshot_slot<std::map<upstream_id, upstream_record>> wanted;
     // Shared, since the control thread ends before the agent's.
     snapshot_slot<wake_event> to_control;
 };
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -4,6 +4,7 @@
 #include "caller_notice.hpp"
 #include "crowlink/packet/tcp_reset.hpp"
 #include "peer_codec.hpp"
+#include "process_identity.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -23,44 +24,57 @@
 // Bounds what one round reads from the tunnel before time is looked at.
 constexpr int batches_a_round = 8;
 
+// As many upstreams in a row as may still have to be announced as gone.
+constexpr std::size_t records_kept = 16;
+
 datagram_delivery make_delivery(datagram_delivery*,
-                                const agent_role_settings& own, poller& waiting)
+                                const agent_role_settings& own,
+                                udp_socket /*socket*/, poller& waiting)
 {
     return datagram_delivery(own.upstream_address, waiting, first_flow_token);
 }
 
 ip_delivery make_delivery(ip_delivery*, const agent_role_settings& own,
-                          poller& waiting)
+                          udp_socket socket, poller& waiting)
 {
-    endpoint any_port = own.tunnel;
-    any_port.port = 0;
-    result<udp_socket> socket = udp_socket::bind(any_port);
-    // The tunnel is bound to the same address already.
-    return ip_delivery(std::move(socket.value()), own.upstream_address, waiting,
+    return ip_delivery(std::move(socket), own.upstream_address, waiting,
                        first_flow_token);
 }
 
+flow_delivery make_delivery(flow_delivery*, const agent_role_settings& own,
+                            udp_socket socket, poller& waiting)
+{
+    return flow_delivery(std::move(socket), own.upstream_address,
+                         own.flow_packets->caller_port, waiting,
+                         first_flow_token);
+}
+
 } // namespace
 
 template <class Delivery>
 agent_loop<Delivery>::agent_loop(const agent_settings& core,
                                  const agent_role_settings& own,
-                                 udp_socket tunnel, const key_ring& keys,
+                                 loop_sockets sockets, const key_ring& keys,
                                  agent_exchange& exchange, agent_gauges& gauges,
                                  log_sink& log, const log_settings& logging)
-    : m_core(core, steady_clock_source().now())
+    : m_settings(core)
     , m_self(core.self)
-    , m_tunnel(std::move(tunnel))
+    , m_tunnel(std::move(sockets.tunnel))
     , m_codec(keys)
     , m_exchange(exchange)
     , m_gauges(gauges)
     , m_log(log)
     , m_limit(logging.decisions_per_second)
-    , m_delivery(make_delivery(static_cast<Delivery*>(nullptr), own, m_poller))
+    , m_delivery(make_delivery(static_cast<Delivery*>(nullptr), own,
+                               std::move(sockets.delivery), m_poller))
     , m_stage(own.upstream_address, m_poller, stage_token, core.self.started)
 {
     m_poller.add(m_exchange.to_agent.handle(), control_token);
     m_poller.add(m_tunnel.handle(), tunnel_token);
+    if (!own.flow_packets)
+    {
+        m_core.emplace(core, m_clock.now());
+    }
 }
 
 template <class Delivery>
@@ -96,6 +110,10 @@
 void agent_loop<Delivery>::take_from_control()
 {
     (void)m_exchange.to_agent.take();
+    if constexpr (has_flow_packets)
+    {
+        take_status();
+    }
     if (m_exchange.leave && !m_left)
     {
         m_left = true;
@@ -138,8 +156,24 @@
 {
     if (const auto* packet = std::get_if<forward_datagram>(&value))
     {
-        handle(packet_arrived{packet->header, packet->payload});
-        take_stage_output();
+        if constexpr (has_flow_packets)
+        {
+            const auto nature = m_delivery.inspect(packet->payload);
+            if (!nature)
+            {
+                ++m_undecodable;
+                return;
+            }
+            m_delivery.handling(&packet->header, packet->payload);
+            handle(packet_arrived{packet->header, packet->payload, nature->need,
+                                  nature->finishes});
+            m_delivery.handling(nullptr, {});
+        }
+        else
+        {
+            handle(packet_arrived{packet->header, packet->payload});
+            take_stage_output();
+        }
         return;
     }
     const auto* told = std::get_if<peer_datagram>(&value);
@@ -155,6 +189,22 @@
 
 template <class Delivery>
 void agent_loop<Delivery>::take_from_upstream(poller::token token)
+{
+    if constexpr (has_flow_packets)
+    {
+        m_delivery.receive(m_received,
+                           [this](const upstream_packet& packet)
+                           { take_packet(packet); });
+        return;
+    }
+    else
+    {
+        take_plain(token);
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_plain(poller::token token)
 {
     if (token == stage_token)
     {
@@ -162,14 +212,16 @@
         take_stage_output();
         return;
     }
-    const bool refused =
-        m_delivery.receive(token, m_received,
-                           [this](const flow_key& flow, payload_view payload) {
-                               handle(upstream_answered{flow, payload});
-                           });
-    if (refused)
+    if constexpr (!has_flow_packets)
     {
-        handle(upstream_failed{});
+        const bool refused = m_delivery.receive(
+            token, m_received,
+            [this](const flow_key& flow, payload_view payload)
+            { handle(upstream_answered{flow, payload}); });
+        if (refused)
+        {
+            handle(upstream_failed{});
+        }
     }
 }
 
@@ -215,9 +267,13 @@
         m_next_tick = m_now + tick_interval;
         handle(tick{});
     }
+    if constexpr (has_flow_packets)
+    {
+        take_work();
+    }
     m_stage.advance(m_now);
     take_stage_output();
-    m_gauges.flows = m_core.flows();
+    m_gauges.flows = m_core ? m_core->flows() : 0;
     if (m_now >= m_next_report)
     {
         publish_report();
@@ -247,7 +303,11 @@
 void agent_loop<Delivery>::answer(const endpoint& to, const flow_key& flow,
                                   payload_view payload)
 {
-    send_datagram(to, answer_datagram{flow, payload});
+    // Those that reach callers by themselves sent it already.
+    if constexpr (!has_flow_packets)
+    {
+        send_datagram(to, answer_datagram{flow, payload});
+    }
 }
 
 template <class Delivery>
@@ -255,6 +315,11 @@
                                   payload_view payload,
                                   const flow_refusal& told)
 {
+    if constexpr (has_flow_packets)
+    {
+        m_delivery.reset(flow, false);
+        return;
+    }
     notice_datagram notice = to_notice(flow, told);
     if (flow.protocol == transport::tcp)
     {
@@ -275,6 +340,11 @@
                                         const flow_key& flow,
                                         const flow_refusal& told)
 {
+    if constexpr (has_flow_packets)
+    {
+        m_delivery.reset(flow, true);
+        return;
+    }
     send_datagram(to, to_notice(flow, told));
 }
 
@@ -305,7 +375,10 @@
 template <class Delivery>
 void agent_loop<Delivery>::announce(const upstream_record& record)
 {
-    m_exchange.wanted.publish(std::make_shared<const upstream_record>(record));
+    m_wanted[record.id] = record;
+    m_exchange.wanted.publish(
+        std::make_shared<const std::map<upstream_id, upstream_record>>(
+            m_wanted));
     const std::shared_ptr<const wake_event> control =
         m_exchange.to_control.read();
     if (control != nullptr)
@@ -347,6 +420,127 @@
     {
         m_unsent += m_tunnel.send(m_to_send).dropped;
     }
+    if constexpr (has_flow_packets)
+    {
+        m_unsent += m_delivery.flush();
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_status()
+{
+    const auto next = m_exchange.upstream.read();
+    if (next == nullptr || next == m_upstream)
+    {
+        return;
+    }
+    follow(*next);
+    m_upstream = next;
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::follow(const life_status& next)
+{
+    m_log.write(log_line(log_level::info, "upstream_announced")
+                    .field("upstream", next.id.value())
+                    .field("returns", next.returns)
+                    .field("lived_on", next.lived_on)
+                    .field("leaves", next.leaves)
+                    .field("gone", next.is_gone));
+    const bool is_new = m_upstream == nullptr || m_upstream->id != next.id ||
+                        m_upstream->returns != next.returns;
+    if (is_new)
+    {
+        // Whatever was open at the life before is lost with it.
+        handle(upstream_failed{});
+        start_core(next);
+    }
+    if (next.leaves)
+    {
+        handle(leave_requested{});
+    }
+    if (next.is_gone)
+    {
+        handle(upstream_failed{});
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::start_core(const life_status& next)
+{
+    const auto known = m_wanted.find(next.id);
+    const std::uint64_t before =
+        known == m_wanted.end() ? 0 : known->second.sequence;
+    while (m_wanted.size() >= records_kept)
+    {
+        m_wanted.erase(m_wanted.begin());
+    }
+    m_self.id = next.id;
+    // The id is new with each life, so that a life has one incarnation; the
+    // clock makes the sequence rise over restarts of this process.
+    m_self.started = incarnation(1);
+    m_self.sequence = std::max(before + 1, wall_clock_ms());
+    m_settings.self = m_self;
+    m_core.emplace(m_settings, m_now);
+    if (next.lived_on)
+    {
+        handle(upstream_lived_on{});
+    }
+    if (m_view != nullptr)
+    {
+        handle(view_changed{m_view});
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_packet(const upstream_packet& packet)
+{
+    if constexpr (has_flow_packets)
+    {
+        if (packet.is_returned)
+        {
+            take_returned(packet);
+            return;
+        }
+        // Always: what the upstream says is for the caller, whoever else has
+        // forgotten the flow.
+        m_delivery.answer(packet.flow, packet.payload);
+        handle(upstream_answered{packet.flow, packet.payload, packet.finishes});
+        if (packet.resets)
+        {
+            handle(upstream_closed{packet.flow});
+        }
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_returned(const upstream_packet& packet)
+{
+    if (packet.delivered_with)
+    {
+        handle(packet_returned{*packet.delivered_with, packet.payload});
+    }
+}
+
+template <class Delivery>
+void agent_loop<Delivery>::take_work()
+{
+    if constexpr (has_flow_packets)
+    {
+        const work_change done = m_delivery.take_work(m_now);
+        for (std::uint32_t i = 0; i < done.started; ++i)
+        {
+            handle(work_started{1});
+        }
+        for (std::uint32_t i = 0; i < done.completed; ++i)
+        {
+            handle(work_ended{1, true});
+        }
+        for (std::uint32_t i = 0; i < done.given_up; ++i)
+        {
+            handle(work_ended{1, false});
+        }
+    }
 }
 
 template <class Delivery>
@@ -361,10 +555,13 @@
                         .field("lines", omitted));
     }
     agent_totals totals;
-    totals.flows = m_core.flows();
-    totals.redirects = m_core.redirects();
-    totals.load = m_core.load();
-    totals.counts = m_core.counts();
+    if (m_core)
+    {
+        totals.flows = m_core->flows();
+        totals.redirects = m_core->redirects();
+        totals.load = m_core->load();
+        totals.counts = m_core->counts();
+    }
     totals.undecodable = m_undecodable;
     totals.unsent = m_unsent + m_stage.unsent();
     totals.undelivered = m_undelivered;
@@ -374,6 +571,7 @@
 
 template class agent_loop<datagram_delivery>;
 template class agent_loop<ip_delivery>;
+template class agent_loop<flow_delivery>;
 
 static_assert(agent_effects<agent_loop<datagram_delivery>>,
               "the loop must carry out what the agent asks for");
--- a/packages/daemon/src/agent_loop.hpp
+++ b/packages/daemon/src/agent_loop.hpp
@@ -7,25 +7,38 @@
 #include "crowlink/wire/datagram_codec.hpp"
 #include "datagram_delivery.hpp"
 #include "decision_limit.hpp"
+#include "flow_delivery.hpp"
 #include "ip_delivery.hpp"
 #include "request_stage.hpp"
 
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 namespace crowlink::internal
 {
 
+// The sockets of an agent's loop: towards balancers and other agents, and
+// towards the upstream.
+struct loop_sockets
+{
+    udp_socket tunnel;
+    udp_socket delivery;
+};
+
 // Carries out the effects of one agent, and feeds it what arrives. Belongs to
-// the agent's thread. `Delivery` is datagram_delivery or ip_delivery.
+// the agent's thread. `Delivery` is datagram_delivery, ip_delivery
+// or flow_delivery.
 template <class Delivery>
 class agent_loop
 {
 public:
     agent_loop(const agent_settings& core, const agent_role_settings& own,
-               udp_socket tunnel, const key_ring& keys,
+               loop_sockets sockets, const key_ring& keys,
                agent_exchange& exchange, agent_gauges& gauges, log_sink& log,
                const log_settings& logging);
 
@@ -48,16 +61,33 @@
     void decide(const flow_decision& decision);
 
 private:
+    // Whether the delivery reads and writes whole packets of connections, and
+    // reaches callers by itself.
+    static constexpr bool has_flow_packets =
+        std::is_same_v<Delivery, flow_delivery>;
+
+    // Nothing can be handled before the upstream has announced itself.
     template <class Event>
     void handle(const Event& event)
     {
-        m_core.handle(m_now, event, *this);
+        if (m_core)
+        {
+            m_core->handle(m_now, event, *this);
+        }
     }
 
+    void take_status();
+    void follow(const life_status& next);
+    void start_core(const life_status& next);
+    void take_returned(const upstream_packet& packet);
+    void take_packet(const upstream_packet& packet);
+    void take_work();
+
     void take_from_control();
     void take_from_tunnel();
     void take(const endpoint& from, const datagram& value);
     void take_from_upstream(poller::token token);
+    void take_plain(poller::token token);
     void take_stage_output();
     void advance();
     template <class Value>
@@ -65,7 +95,9 @@
     void flush();
     void publish_report();
 
-    agent m_core;
+    agent_settings m_settings;
+    // Empty until an upstream that announces itself has done so.
+    std::optional<agent> m_core;
     upstream_record m_self;
     udp_socket m_tunnel;
     datagram_codec m_codec;
@@ -79,6 +111,9 @@
     datagram_batch m_received;
     datagram_batch m_to_send;
     std::shared_ptr<const service_view> m_view;
+    std::shared_ptr<const life_status> m_upstream;
+    // What is to be announced of this upstream and of those before it.
+    std::map<upstream_id, upstream_record> m_wanted;
     bool m_left = false;
     steady_clock_source m_clock;
     time_point m_now{};
--- a/packages/daemon/src/agent_report.cpp
+++ b/packages/daemon/src/agent_report.cpp
@@ -51,6 +51,7 @@
     add("packets_redirected_total", counts.redirected);
     add("packets_looked_up_total", counts.looked_up);
     add("packets_diverted_total", counts.diverted);
+    add("packets_returned_total", counts.returned);
     add("flows_silent_total", counts.silent);
     add("flows_unknown_total", counts.unknown_flows);
     add("flows_upstream_failed_total", counts.upstream_failed);
--- a/packages/daemon/src/agent_role.hpp
+++ b/packages/daemon/src/agent_role.hpp
@@ -2,12 +2,17 @@
 
 #include "agent_thread.hpp"
 #include "blackboard.hpp"
+#include "crowlink/agent/upstream_announcement.hpp"
+#include "crowlink/agent/upstream_life.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/transport/wake_event.hpp"
 #include "traffic_report.hpp"
 
+#include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 
 namespace crowlink::internal
 {
@@ -31,9 +36,17 @@
     void wake_on_change(std::shared_ptr<const wake_event> wake);
 
     // Puts what the agent wants announced on the blackboard.
-    void read_wanted(blackboard& board) const;
+    void read_wanted(blackboard& board);
     // Passes what changed on the blackboard to the agent.
-    void advance(const blackboard& board);
+    void advance(time_point now, const blackboard& board);
+
+    // Whether the upstream announces itself, by the calls below; they may come
+    // from any thread.
+    bool is_announced() const;
+    result<void> announce(time_point now, const upstream_announcement& told);
+    void withdraw(time_point now, const upstream_id& id);
+    // Whether the upstream has ended, or has not been heard of.
+    bool is_upstream_gone() const;
 
     // Flows that are open now.
     std::size_t flows() const { return m_thread->flows(); }
@@ -44,11 +57,19 @@
 private:
     explicit agent_role(const agent_role_settings& own);
 
+    void watch_upstream(time_point now);
+    void publish_status();
+
     upstream_record m_first;
     duration m_drain_time;
     agent_exchange m_exchange;
     board_reader<service_views> m_views;
     std::shared_ptr<const service_view> m_known;
+    std::shared_ptr<const std::map<upstream_id, upstream_record>> m_read;
+    service_id m_service;
+    mutable std::mutex m_life_mutex;
+    std::optional<upstream_life> m_life;
+    std::optional<life_status> m_told;
     std::unique_ptr<agent_thread> m_thread;
 };
 
--- a/packages/daemon/src/agent_thread.cpp
+++ b/packages/daemon/src/agent_thread.cpp
@@ -10,39 +10,70 @@
 namespace
 {
 
-agent_settings to_core(const upstream_record& first)
+agent_settings to_core(const upstream_record& first,
+                       const agent_role_settings& own)
 {
     agent_settings core;
     core.self = first;
+    if (own.flow_packets)
+    {
+        core.tcp_idle = std::chrono::seconds(own.flow_packets->idle_seconds);
+    }
     return core;
 }
 
+// The socket that a delivery needs beside the tunnel.
+result<udp_socket> bind_delivery(const agent_role_settings& own)
+{
+    if (own.flow_packets)
+    {
+        return udp_socket::bind(own.flow_packets->outbound);
+    }
+    endpoint any_port = own.tunnel;
+    any_port.port = 0;
+    return udp_socket::bind(any_port);
+}
+
 // The loop lives on its thread alone.
 template <class Delivery>
-std::thread start(const upstream_record& first, const agent_role_settings& own,
-                  udp_socket tunnel, const key_ring& keys,
-                  agent_exchange& exchange, agent_gauges& gauges, log_sink& log,
-                  const log_settings& logging)
+std::thread run(const upstream_record& first, const agent_role_settings& own,
+                loop_sockets sockets, const key_ring& keys,
+                agent_exchange& exchange, agent_gauges& gauges, log_sink& log,
+                const log_settings& logging)
 {
     auto loop = std::make_unique<agent_loop<Delivery>>(
-        to_core(first), own, std::move(tunnel), keys, exchange, gauges, log,
-        logging);
+        to_core(first, own), own, std::move(sockets), keys, exchange, gauges,
+        log, logging);
     return std::thread([running = std::move(loop)] { running->run(); });
 }
 
 } // namespace
 
-agent_thread::agent_thread(const upstream_record& first,
-                           const agent_role_settings& own, udp_socket tunnel,
-                           const key_ring& keys, agent_exchange& exchange,
-                           log_sink& log, const log_settings& logging)
-    : m_exchange(exchange)
+result<std::unique_ptr<agent_thread>>
+agent_thread::start(const upstream_record& first,
+                    const agent_role_settings& own, udp_socket tunnel,
+                    const key_ring& keys, agent_exchange& exchange,
+                    log_sink& log, const log_settings& logging)
 {
-    const auto begin = own.delivery == delivery_mode::plain_datagrams
-                           ? start<datagram_delivery>
-                           : start<ip_delivery>;
-    m_thread = begin(first, own, std::move(tunnel), keys, m_exchange, m_gauges,
-                     log, logging);
+    auto delivery = bind_delivery(own);
+    if (!delivery)
+    {
+        return tl::unexpected(delivery.error());
+    }
+    auto begin = run<datagram_delivery>;
+    if (own.delivery == delivery_mode::ip_in_udp)
+    {
+        begin = run<ip_delivery>;
+    }
+    if (own.delivery == delivery_mode::flow_packets)
+    {
+        begin = run<flow_delivery>;
+    }
+    std::unique_ptr<agent_thread> made(new agent_thread(exchange));
+    made->m_thread = begin(
+        first, own, loop_sockets{std::move(tunnel), std::move(*delivery)}, keys,
+        exchange, made->m_gauges, log, logging);
+    return made;
 }
 
 agent_thread::~agent_thread()
--- a/packages/daemon/src/agent_thread.hpp
+++ b/packages/daemon/src/agent_thread.hpp
@@ -8,6 +8,7 @@
 #include "traffic_report.hpp"
 
 #include <atomic>
+#include <memory>
 #include <cstddef>
 #include <thread>
 
@@ -27,11 +28,12 @@
 class agent_thread
 {
 public:
-    // The exchange must outlive it.
-    agent_thread(const upstream_record& first, const agent_role_settings& own,
-                 udp_socket tunnel, const key_ring& keys,
-                 agent_exchange& exchange, log_sink& log,
-                 const log_settings& logging);
+    // Binds the sockets towards the upstream. The exchange must outlive the
+    // thread.
+    static result<std::unique_ptr<agent_thread>>
+    start(const upstream_record& first, const agent_role_settings& own,
+          udp_socket tunnel, const key_ring& keys, agent_exchange& exchange,
+          log_sink& log, const log_settings& logging);
     agent_thread(const agent_thread&) = delete;
     agent_thread& operator=(const agent_thread&) = delete;
     ~agent_thread();
@@ -41,6 +43,8 @@
     const metrics_slot& report() const { return m_gauges.report; }
 
 private:
+    explicit agent_thread(agent_exchange& exchange) : m_exchange(exchange) {}
+
     agent_exchange& m_exchange;
     agent_gauges m_gauges;
     std::thread m_thread;
--- a/packages/daemon/src/balancer_role.cpp
+++ b/packages/daemon/src/balancer_role.cpp
@@ -80,6 +80,15 @@
                 std::move(sockets->tunnel), keys, m_sets, log, settings.log));
         return {};
     }
+    if (own.mode == port_mode::flow_packets)
+    {
+        m_flow_threads.push_back(
+            std::make_unique<balancer_thread<platform::flow_packet_port>>(
+                platform::flow_packet_port(m_listening.front()),
+                std::move(sockets->callers), std::move(sockets->tunnel), keys,
+                m_sets, log, settings.log));
+        return {};
+    }
     m_ip_threads.push_back(std::make_unique<balancer_thread<ip_in_udp_port>>(
         ip_in_udp_port(m_listening.front(), own.gateway),
         std::move(sockets->callers), std::move(sockets->tunnel), keys, m_sets,
@@ -131,6 +140,10 @@
     {
         all.push_back(each->report().read());
     }
+    for (const auto& each : m_flow_threads)
+    {
+        all.push_back(each->report().read());
+    }
     return all;
 }
 
--- a/packages/daemon/src/balancer_role.hpp
+++ b/packages/daemon/src/balancer_role.hpp
@@ -5,6 +5,7 @@
 #include "crowlink/balancer/balancer.hpp"
 #include "crowlink/packet/datagram_port.hpp"
 #include "crowlink/packet/ip_in_udp_port.hpp"
+#include "crowlink/platform/flow_packet_port.hpp"
 
 #include <memory>
 #include <vector>
@@ -49,6 +50,8 @@
     std::vector<std::unique_ptr<balancer_thread<datagram_port>>>
         m_datagram_threads;
     std::vector<std::unique_ptr<balancer_thread<ip_in_udp_port>>> m_ip_threads;
+    std::vector<std::unique_ptr<balancer_thread<platform::flow_packet_port>>>
+        m_flow_threads;
 };
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/balancer_thread.cpp
+++ b/packages/daemon/src/balancer_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/packet/datagram_port.hpp"
 #include "crowlink/packet/ip_in_udp_port.hpp"
+#include "crowlink/platform/flow_packet_port.hpp"
 
 #include <fmt/format.h>
 #include <utility>
@@ -114,9 +115,28 @@
     {
         m_to_agents.commit(routed->size, routed->destination);
     }
+    else
+    {
+        refuse_unopened(*packet);
+    }
     log_route(set, packet->flow);
 }
 
+// A connection that nothing can take is refused at once, where the port needs
+// no more than the flow to say so: it has surely not run.
+template <caller_port Port>
+void balancer_thread<Port>::refuse_unopened(const caller_packet& packet)
+{
+    if constexpr (Port::refuses_by_flow)
+    {
+        if (packet.role == packet_role::opens)
+        {
+            send_to_caller(
+                m_port.refuse(refusal{packet.flow, 0, 0}, m_buffer));
+        }
+    }
+}
+
 template <caller_port Port>
 void balancer_thread<Port>::take_from_agents()
 {
@@ -222,5 +242,6 @@
 
 template class balancer_thread<datagram_port>;
 template class balancer_thread<ip_in_udp_port>;
+template class balancer_thread<platform::flow_packet_port>;
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/balancer_thread.hpp
+++ b/packages/daemon/src/balancer_thread.hpp
@@ -45,6 +45,7 @@
 private:
     void run();
     void take_from_callers(const udp_socket& socket);
+    void refuse_unopened(const caller_packet& packet);
     void take_from_agents();
     void route(const forwarding_set& set, const udp_socket& socket,
                std::size_t index);
--- a/packages/daemon/src/blackboard.hpp
+++ b/packages/daemon/src/blackboard.hpp
@@ -34,18 +34,10 @@
     leaving,
 };
 
-// What one upstream's agent wants announced.
-struct wanted_record
-{
-    upstream_state state = upstream_state::ready;
-    std::uint32_t weight = 0;
-
-    friend auto operator<=>(const wanted_record&,
-                            const wanted_record&) = default;
-};
-
 using service_views = std::map<service_id, std::shared_ptr<const service_view>>;
-using wanted_records = std::map<upstream_id, wanted_record>;
+// What agents want announced; an agent whose upstream was followed by another
+// one wants both, until the first is known to be gone.
+using wanted_records = std::map<upstream_id, upstream_record>;
 using forwarding_snapshot = std::shared_ptr<const forwarding_set>;
 
 // What the controllers of one daemon know. It belongs to the control thread:
--- a/packages/daemon/src/control_backend.cpp
+++ b/packages/daemon/src/control_backend.cpp
@@ -37,6 +37,8 @@
         return change_outcome{change_status::accepted, outcome.version};
     case change_result::conflict:
         return change_outcome{change_status::conflict, outcome.version};
+    case change_result::superseded:
+        return change_outcome{change_status::superseded, outcome.version};
     case change_result::operation_reused:
         return fail(error_kind::invalid, "operation", outcome.message);
     case change_result::unavailable:
@@ -127,7 +129,8 @@
     std::future<outcome> reply = promised->get_future();
     replication::document_change wanted{request.base, request.operation,
                                         request.author,
-                                        write_document(request.document)};
+                                        write_document(request.document),
+                                        request.given};
     const bool posted = m_control.post(
         [promised, wanted](context& with)
         {
--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -94,9 +94,14 @@
                                          const identity& own,
                                          const daemon_settings& settings)
 {
-    std::vector<control_endpoint> endpoints = settings.control_endpoints;
     const bool is_node = settings.balancer || !settings.agents.empty();
-    if (endpoints.empty() && settings.control && is_node)
+    if (!is_node)
+    {
+        // Nobody would read what comes, and the wait would never rest.
+        return {};
+    }
+    std::vector<control_endpoint> endpoints = settings.control_endpoints;
+    if (endpoints.empty() && settings.control)
     {
         // The control in this process, reached as any other.
         endpoints.push_back(control_endpoint{
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -94,11 +94,18 @@
     std::vector<upstream_record> records;
     if (m_balancer != nullptr)
     {
-        records.push_back(to_member(to_record(settings, *m_balancer)));
+        // Agents of flow packets answer callers by themselves.
+        if (settings.balancer->mode != port_mode::flow_packets)
+        {
+            records.push_back(to_member(to_record(settings, *m_balancer)));
+        }
     }
     for (const std::unique_ptr<agent_role>& agent : m_agents)
     {
-        records.push_back(agent->first_record());
+        if (!agent->is_announced())
+        {
+            records.push_back(agent->first_record());
+        }
     }
     m_node.emplace(settings, *m_links, m_log, std::move(records), random_bits(),
                    m_clock.now());
@@ -199,6 +206,7 @@
     {
         m_node->advance(now, m_board);
         m_settled = m_node->settled();
+        m_is_informed = m_board.node_version.get() != config_version();
     }
     if (m_balancer != nullptr)
     {
@@ -206,7 +214,7 @@
     }
     for (const std::unique_ptr<agent_role>& agent : m_agents)
     {
-        agent->advance(m_board);
+        agent->advance(now, m_board);
     }
 }
 
--- a/packages/daemon/src/control_thread.hpp
+++ b/packages/daemon/src/control_thread.hpp
@@ -69,6 +69,8 @@
     bool has_failed() const { return m_failed; }
     // Whether all records are announced as they are now.
     bool settled() const { return m_settled; }
+    // Whether this node has a document in force.
+    bool is_informed() const { return m_is_informed; }
 
     std::shared_ptr<const metrics> counters() const { return m_metrics.read(); }
 
@@ -103,6 +105,7 @@
     time_point m_next_metrics{};
     std::atomic<bool> m_failed{false};
     std::atomic<bool> m_settled{false};
+    std::atomic<bool> m_is_informed{false};
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
--- /dev/null
+++ b/packages/daemon/src/flow_delivery.cpp
@@ -0,0 +1,227 @@
+#include "flow_delivery.hpp"
+
+#include "crowlink/platform/wire_packet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// As many as one receive of the batch yields.
+constexpr std::size_t batch_packets = 32;
+constexpr std::size_t packet_bytes = 2048;
+// A caller gives up a connection that has not opened after 1.4 s, so that one
+// which has sent no request by then keeps no slot busy.
+constexpr duration opening_time = std::chrono::milliseconds(1500);
+constexpr duration sweep_interval = std::chrono::milliseconds(250);
+
+} // namespace
+
+flow_delivery::flow_delivery(udp_socket outbound, const endpoint& upstream,
+                             std::uint16_t caller_port, poller& waiting,
+                             poller::token token)
+    : m_socket(std::move(outbound))
+    , m_upstream(upstream)
+    , m_port(endpoint{m_socket.local().address, caller_port})
+    , m_to_upstream(batch_packets, packet_bytes)
+    , m_to_callers(batch_packets, packet_bytes)
+    , m_buffer(platform::wire_packet::header_bytes)
+{
+    waiting.add(m_socket.handle(), token);
+}
+
+std::optional<packet_nature> flow_delivery::inspect(payload_view payload) const
+{
+    const auto packet = platform::decode_packet(payload);
+    if (!packet)
+    {
+        return std::nullopt;
+    }
+    const bool wants_answer = packet->flags.opens || !packet->data.empty();
+    return packet_nature{wants_answer ? answer_need::required
+                                      : answer_need::none,
+                         packet->flags.finishes};
+}
+
+void flow_delivery::handling(const packet_header* header, payload_view payload)
+{
+    m_header = header;
+    m_payload = payload;
+}
+
+bool flow_delivery::deliver(const flow_key& flow, payload_view payload)
+{
+    const auto packet = platform::decode_packet(payload);
+    if (!packet)
+    {
+        return false;
+    }
+    activity& known = m_flows[flow];
+    known.acknowledged = packet->acknowledgement;
+    const bool is_request = !packet->data.empty();
+    if ((packet->flags.opens || is_request) && !known.is_busy)
+    {
+        known.is_busy = true;
+        known.since = m_now;
+        ++m_work.started;
+    }
+    known.has_request = known.has_request || is_request;
+    if (m_to_upstream.full())
+    {
+        m_unsent += m_socket.send(m_to_upstream).dropped;
+    }
+    const auto out = m_to_upstream.next();
+    std::copy(payload.begin(), payload.end(), out.begin());
+    platform::write_note(out, remember());
+    m_to_upstream.commit(payload.size(), m_upstream);
+    return true;
+}
+
+// Zero where no header belongs to what is delivered.
+std::uint32_t flow_delivery::remember()
+{
+    if (m_header == nullptr)
+    {
+        return 0;
+    }
+    const std::uint32_t note = m_next_note++;
+    m_headers[note % headers_kept] = remembered_header{note, *m_header};
+    return note;
+}
+
+void flow_delivery::close(const flow_key& flow)
+{
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+    {
+        return;
+    }
+    end_work(found->second, false);
+    m_flows.erase(found);
+}
+
+void flow_delivery::end_work(activity& flow, bool completed)
+{
+    if (!flow.is_busy)
+    {
+        return;
+    }
+    flow.is_busy = false;
+    flow.has_request = false;
+    ++(completed ? m_work.completed : m_work.given_up);
+}
+
+void flow_delivery::answer(const flow_key& flow, payload_view payload)
+{
+    const auto out = m_port.answer(flow, payload, m_buffer);
+    if (out)
+    {
+        put(m_to_callers, out->bytes, out->to);
+    }
+}
+
+void flow_delivery::reset(const flow_key& flow, bool is_open)
+{
+    std::optional<std::uint32_t> acknowledged;
+    const auto known = m_flows.find(flow);
+    if (known != m_flows.end())
+    {
+        acknowledged = known->second.acknowledged;
+    }
+    else if (m_header != nullptr && m_header->flow == flow)
+    {
+        const auto packet = platform::decode_packet(m_payload);
+        acknowledged = packet ? packet->acknowledgement : 0;
+    }
+    if (is_open && !acknowledged)
+    {
+        return;
+    }
+    const auto out =
+        m_port.refuse(refusal{flow, acknowledged.value_or(0), 0}, m_buffer);
+    if (out)
+    {
+        put(m_to_callers, out->bytes, out->to);
+    }
+}
+
+void flow_delivery::put(datagram_batch& batch, payload_view payload,
+                        const endpoint& to)
+{
+    if (batch.full())
+    {
+        m_unsent += m_socket.send(batch).dropped;
+    }
+    std::copy(payload.begin(), payload.end(), batch.next().begin());
+    batch.commit(payload.size(), to);
+}
+
+std::optional<upstream_packet> flow_delivery::read(std::span<std::uint8_t> bytes)
+{
+    const auto packet = platform::decode_packet(bytes);
+    if (!packet)
+    {
+        return std::nullopt;
+    }
+    upstream_packet made;
+    made.payload = bytes;
+    made.finishes = packet->flags.finishes;
+    made.resets = packet->flags.resets;
+    made.is_returned = packet->flags.returned;
+    if (made.is_returned)
+    {
+        made.flow =
+            flow_key{packet->source, packet->destination, transport::tcp};
+        const remembered_header& kept = m_headers[packet->note % headers_kept];
+        if (packet->note != 0 && kept.note == packet->note &&
+            kept.header.flow == made.flow)
+        {
+            made.delivered_with = kept.header;
+        }
+        platform::restore_returned(bytes);
+        return made;
+    }
+    made.flow = flow_key{packet->destination, packet->source, transport::tcp};
+    const auto known = m_flows.find(made.flow);
+    if (known != m_flows.end() && !packet->data.empty())
+    {
+        end_work(known->second, true);
+    }
+    return made;
+}
+
+std::uint64_t flow_delivery::flush()
+{
+    if (m_to_upstream.size() > 0)
+    {
+        m_unsent += m_socket.send(m_to_upstream).dropped;
+    }
+    if (m_to_callers.size() > 0)
+    {
+        m_unsent += m_socket.send(m_to_callers).dropped;
+    }
+    return std::exchange(m_unsent, 0);
+}
+
+work_change flow_delivery::take_work(time_point now)
+{
+    m_now = now;
+    if (now >= m_next_sweep)
+    {
+        m_next_sweep = now + sweep_interval;
+        for (auto& [flow, known] : m_flows)
+        {
+            if (!known.has_request && now - known.since >= opening_time)
+            {
+                end_work(known, false);
+            }
+        }
+    }
+    return std::exchange(m_work, {});
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/flow_delivery.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "crowlink/agent/agent_events.hpp"
+#include "crowlink/base/flow_key.hpp"
+#include "crowlink/platform/flow_packet_port.hpp"
+#include "crowlink/transport/datagram_batch.hpp"
+#include "crowlink/transport/poller.hpp"
+#include "crowlink/transport/udp_socket.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace crowlink::internal
+{
+
+// What a caller's packet says of itself beside its header.
+struct packet_nature
+{
+    answer_need need = answer_need::unknown;
+    bool finishes = false;
+};
+
+// Something that came from the upstream.
+struct upstream_packet
+{
+    flow_key flow;
+    payload_view payload;
+    bool finishes = false;
+    bool resets = false;
+    // Present if it is a caller's packet that the upstream does not take: the
+    // header that it was delivered with, if that is still known.
+    bool is_returned = false;
+    std::optional<packet_header> delivered_with;
+};
+
+// Requests that began and ended at the upstream, as far as passing packets
+// tell.
+struct work_change
+{
+    std::uint32_t started = 0;
+    std::uint32_t completed = 0;
+    std::uint32_t given_up = 0;
+};
+
+// Delivers packets of the users' platform to an upstream on this host, and
+// sends what the upstream sends straight to the callers.
+class flow_delivery
+{
+public:
+    flow_delivery(udp_socket outbound, const endpoint& upstream,
+                  std::uint16_t caller_port, poller& waiting,
+                  poller::token token);
+
+    // Reads a caller's packet that is about to be handled; nothing if it is
+    // malformed.
+    std::optional<packet_nature> inspect(payload_view payload) const;
+    // The header of the packet that is being handled; null after it.
+    void handling(const packet_header* header, payload_view payload);
+
+    bool deliver(const flow_key& flow, payload_view payload);
+    void close(const flow_key& flow);
+
+    // To the caller.
+    void answer(const flow_key& flow, payload_view payload);
+    // A reset; only where the caller's latest acknowledgement is known, or
+    // the connection isn't open.
+    void reset(const flow_key& flow, bool is_open);
+
+    // Reads the upstream's socket; calls take(upstream_packet) for each.
+    template <class Take>
+    void receive(datagram_batch& batch, const Take& take);
+
+    // Sends what was delivered and answered.
+    std::uint64_t flush();
+
+    // What changed since this was last asked.
+    work_change take_work(time_point now);
+
+private:
+    struct activity
+    {
+        bool is_busy = false;
+        // The request itself has come, not just the connection.
+        bool has_request = false;
+        time_point since{};
+        std::uint32_t acknowledged = 0;
+    };
+
+    struct remembered_header
+    {
+        std::uint32_t note = 0;
+        packet_header header;
+    };
+
+    // A returned packet comes back within a round trip on one host, so that
+    // far fewer are on their way.
+    static constexpr std::size_t headers_kept = 256;
+
+    std::optional<upstream_packet> read(std::span<std::uint8_t> bytes);
+    std::uint32_t remember();
+    void end_work(activity& flow, bool completed);
+    void put(datagram_batch& batch, payload_view payload, const endpoint& to);
+
+    udp_socket m_socket;
+    endpoint m_upstream;
+    platform::flow_packet_port m_port;
+    std::unordered_map<flow_key, activity> m_flows;
+    std::array<remembered_header, headers_kept> m_headers;
+    std::uint32_t m_next_note = 1;
+    const packet_header* m_header = nullptr;
+    payload_view m_payload;
+    datagram_batch m_to_upstream;
+    datagram_batch m_to_callers;
+    work_change m_work;
+    time_point m_next_sweep{};
+    time_point m_now{};
+    std::vector<std::uint8_t> m_buffer;
+    std::uint64_t m_unsent = 0;
+};
+
+template <class Take>
+void flow_delivery::receive(datagram_batch& batch, const Take& take)
+{
+    const std::size_t count = m_socket.receive(batch);
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        if (batch.truncated(at))
+        {
+            continue;
+        }
+        const auto packet = read(batch.writable(at));
+        if (packet)
+        {
+            take(*packet);
+        }
+    }
+}
+
+} // namespace crowlink::internal
--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/membership_controller.cpp
@@ -1,5 +1,7 @@
 #include "membership_controller.hpp"
 
+#include "lease_scale.hpp"
+
 #include "crowlink/membership/balancer_record.hpp"
 
 namespace crowlink::internal
@@ -21,6 +23,18 @@
                 observer_info{peer.host, peer.place, peer.region});
         }
     }
+    const lease_scale scale(settings);
+    core.lease = scale(core.lease);
+    core.settle = scale(core.settle);
+    core.heartbeat_every = scale(core.heartbeat_every);
+    core.digest_every = scale(core.digest_every);
+    core.peer_timeout = scale(core.peer_timeout);
+    core.orphan_grace = scale(core.orphan_grace);
+    core.expiry_window = scale(core.expiry_window);
+    core.confirm_after = scale(core.confirm_after);
+    core.report_wait = scale(core.report_wait);
+    core.judge_every = scale(core.judge_every);
+    core.start_grace = scale(core.start_grace);
     return core;
 }
 
@@ -29,6 +43,7 @@
     publisher_settings core;
     core.bytes_a_second = settings.pacing_bytes_per_second;
     core.burst_bytes = settings.pacing_bytes_per_second;
+    core.digest_every = lease_scale(settings)(core.digest_every);
     return core;
 }
 
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -1,5 +1,7 @@
 #include "node_controller.hpp"
 
+#include "lease_scale.hpp"
+
 #include "crowlink/membership/balancer_record.hpp"
 #include "process_identity.hpp"
 
@@ -55,6 +57,14 @@
     core.publishers = control_hosts(settings);
     core.self = node_name(settings);
     core.region = settings.host.region;
+    const lease_scale scale(settings);
+    core.silence_timeout = scale(core.silence_timeout);
+    core.answer_timeout = scale(core.answer_timeout);
+    core.alive_every = scale(core.alive_every);
+    core.behind_timeout = scale(core.behind_timeout);
+    core.backoff_first = scale(core.backoff_first);
+    core.backoff_limit = scale(core.backoff_limit);
+    core.start_spread = scale(core.start_spread);
     return core;
 }
 
@@ -63,6 +73,13 @@
     announcer_settings core;
     core.observers = control_hosts(settings);
     core.region = settings.host.region;
+    const lease_scale scale(settings);
+    core.renew_every = scale(core.renew_every);
+    core.answer_timeout = scale(core.answer_timeout);
+    core.start_spread = scale(core.start_spread);
+    core.backoff_first = scale(core.backoff_first);
+    core.backoff_limit = scale(core.backoff_limit);
+    core.return_after = scale(core.return_after);
     return core;
 }
 
@@ -75,11 +92,13 @@
     : m_links(links)
     , m_log(log)
     , m_subscriber(to_subscriber(settings), seed, now)
+    , m_announcing(to_announcer(settings))
+    , m_seed(seed)
 {
     for (upstream_record& record : records)
     {
-        m_announcers.emplace_back(to_announcer(settings), std::move(record),
-                                  ++seed, now);
+        m_announcers.emplace_back(m_announcing, std::move(record), ++m_seed,
+                                  now);
     }
 }
 
@@ -117,6 +136,7 @@
 {
     if (m_wanted.changed(board.wanted) || m_phase.changed(board.phase))
     {
+        add_announcers(now, board);
         change_records(now, board);
     }
     for (announcer& each : m_announcers)
@@ -176,6 +196,18 @@
     board.views.set(std::move(views));
 }
 
+// Upstreams that announce themselves are known only when they do.
+void node_controller::add_announcers(time_point now, const blackboard& board)
+{
+    for (const auto& [id, record] : board.wanted.get())
+    {
+        if (find(record.service.value(), id.value()) == nullptr)
+        {
+            m_announcers.emplace_back(m_announcing, record, ++m_seed, now);
+        }
+    }
+}
+
 void node_controller::change_records(time_point now, const blackboard& board)
 {
     const stop_phase phase = board.phase.get();
--- a/packages/daemon/src/node_controller.hpp
+++ b/packages/daemon/src/node_controller.hpp
@@ -36,11 +36,14 @@
     void send(const std::vector<membership_send>& sends);
     void take(const subscriber_output& out, blackboard& board);
     void change_records(time_point now, const blackboard& board);
+    void add_announcers(time_point now, const blackboard& board);
     announcer* find(std::uint32_t service, const std::string& id);
 
     control_links& m_links;
     log_sink& m_log;
     subscriber m_subscriber;
+    announcer_settings m_announcing;
+    std::uint64_t m_seed;
     std::vector<announcer> m_announcers;
     board_reader<wanted_records> m_wanted;
     board_reader<stop_phase> m_phase;
--- /dev/null
+++ b/packages/daemon/src/platform_calls.cpp
@@ -0,0 +1,150 @@
+#include "platform_calls.hpp"
+
+#include "agent_role.hpp"
+#include "control_thread.hpp"
+#include "crowlink/document/document_reader.hpp"
+#include "crowlink/document/document_writer.hpp"
+
+#include <fmt/format.h>
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+using replication::change_result;
+using outcome = replication::change_outcome;
+
+// An operator gives up a call after a second and asks another host.
+constexpr std::chrono::milliseconds operator_patience(1500);
+
+result<void> to_result(const outcome& got)
+{
+    switch (got.result)
+    {
+    case change_result::applied:
+    case change_result::superseded:
+        return {};
+    default:
+        break;
+    }
+    return fail(error_kind::unavailable, "",
+                fmt::format("{}; send it again", to_string(got.result)));
+}
+
+// What is durable must be readable again by every control host.
+result<std::string> checked_text(const system_document& document)
+{
+    std::string text = write_compact_document(document);
+    const checked_document read = read_document(text);
+    if (!read)
+    {
+        return fail(error_kind::invalid, "", read.error().to_text());
+    }
+    return text;
+}
+
+result<void> replace(control_thread& control, config_version version,
+                     const system_document& document)
+{
+    auto text = checked_text(document);
+    if (!text)
+    {
+        return tl::unexpected(text.error());
+    }
+    replication::document_change wanted;
+    wanted.operation = operation_id(fmt::format("given-{}", version.value()));
+    wanted.operator_name = "platform";
+    wanted.document = std::move(*text);
+    wanted.given = version;
+    const auto promised = std::make_shared<std::promise<outcome>>();
+    std::future<outcome> reply = promised->get_future();
+    const bool posted = control.post(
+        [promised, wanted](control_thread::context& with)
+        {
+            with.documents->change(
+                with.now, wanted,
+                [promised](const outcome& got) { promised->set_value(got); },
+                with.board);
+        });
+    if (!posted ||
+        reply.wait_for(operator_patience) != std::future_status::ready)
+    {
+        return fail(error_kind::unavailable, "", "busy; send it again");
+    }
+    return to_result(reply.get());
+}
+
+result<std::string> read(control_thread& control)
+{
+    using answer = result<std::string>;
+    return control
+        .ask<answer>(
+            [](control_thread::context& with) -> answer
+            {
+                const auto& core = with.documents->core();
+                const auto* current = core.store().current();
+                if (!core.can_read(with.now) || current == nullptr)
+                {
+                    return fail(error_kind::unavailable, "",
+                                "not sure which version is the newest");
+                }
+                const checked_document found = read_document(current->document);
+                if (!found)
+                {
+                    return fail(error_kind::storage, "",
+                                found.error().to_text());
+                }
+                return found->source;
+            })
+        .and_then([](answer found) { return found; });
+}
+
+// Control hosts that are found by seeds are named by their addresses.
+std::optional<ip_address> leader(control_thread& control, const host_id& self)
+{
+    const auto asked = control.ask<host_id>(
+        [](control_thread::context& with)
+        { return with.documents->core().status(with.now).leader; });
+    if (!asked || *asked == self)
+    {
+        return std::nullopt;
+    }
+    const auto address = ip_address::parse(asked->value());
+    return address ? std::optional(*address) : std::nullopt;
+}
+
+} // namespace
+
+platform::http_calls operator_calls(control_thread& control,
+                                    const daemon_settings& settings)
+{
+    platform::http_calls calls;
+    calls.where = place{settings.host.place, settings.host.region};
+    calls.replace =
+        [&control](config_version version, const system_document& document)
+    { return replace(control, version, document); };
+    calls.read = [&control] { return read(control); };
+    calls.surer_host = [&control, self = settings.host.name]
+    { return leader(control, self); };
+    return calls;
+}
+
+platform::http_calls upstream_calls(agent_role& agent)
+{
+    platform::http_calls calls;
+    calls.announce = [&agent](const upstream_announcement& told)
+    { return agent.announce(steady_clock_source().now(), told); };
+    calls.withdraw = [&agent](const upstream_id& id) -> result<void>
+    {
+        agent.withdraw(steady_clock_source().now(), id);
+        return {};
+    };
+    return calls;
+}
+
+} // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/platform_calls.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "crowlink/platform/http_port.hpp"
+#include "crowlink/settings/daemon_settings.hpp"
+
+namespace crowlink::internal
+{
+
+class agent_role;
+class control_thread;
+
+// What the users' platform may call at a control host. The thread and the
+// settings must outlive the calls.
+platform::http_calls operator_calls(control_thread& control,
+                                    const daemon_settings& settings);
+
+// What an upstream may call at its agent, which must outlive the calls.
+platform::http_calls upstream_calls(agent_role& agent);
+
+} // namespace crowlink::internal
--- a/packages/daemon/src/run_daemon.cpp
+++ b/packages/daemon/src/run_daemon.cpp
@@ -62,7 +62,7 @@
 {
     // Before any thread, so that all of them inherit the mask.
     const internal::signals signals;
-    log_sink log(stderr, settings.log.format, settings.log.level,
+    log_sink log(stdout, settings.log.format, settings.log.level,
                  settings.log.queue_lines);
     auto daemon = internal::running_daemon::start(settings, log);
     if (!daemon)
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -1,5 +1,7 @@
 #include "running_daemon.hpp"
 
+#include "platform_calls.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,9 +13,19 @@
 
 // Withdrawn records are heard within this time, or control can't be reached.
 constexpr std::chrono::seconds leave_patience(3);
+// An operator calls again after a second, elsewhere; up to eight calls are
+// under way at once.
+constexpr std::size_t operator_threads = 8;
 // The fabric may hand packets to a balancer that left for a while.
 constexpr std::chrono::seconds balancer_grace(3);
 
+struct platform_address
+{
+    endpoint listen;
+    platform::http_calls calls;
+    std::size_t threads = 0;
+};
+
 } // namespace
 
 running_daemon::running_daemon(const daemon_settings& settings, log_sink& log)
@@ -112,6 +124,11 @@
         m_log.write(log_line(log_level::info, "http_listening")
                         .field("address", bound->to_string()));
     }
+    const result<void> platform = open_platform();
+    if (!platform)
+    {
+        return platform;
+    }
     if (m_settings.health)
     {
         auto opened = health_server::start(
@@ -126,6 +143,50 @@
     return {};
 }
 
+// Each address has a server of its own, so that a slow call on one keeps none
+// of the others waiting.
+result<void> running_daemon::open_platform()
+{
+    std::vector<platform_address> wanted;
+    if (m_settings.platform_ready)
+    {
+        platform::http_calls calls;
+        calls.is_ready = [this] { return is_ready(); };
+        wanted.push_back({*m_settings.platform_ready, std::move(calls), 2});
+    }
+    if (m_settings.control && m_settings.control->platform_listen)
+    {
+        wanted.push_back({*m_settings.control->platform_listen,
+                          operator_calls(*m_control, m_settings),
+                          operator_threads});
+    }
+    for (std::size_t at = 0; at < m_agents.size(); ++at)
+    {
+        const auto& packets = m_settings.agents[at].flow_packets;
+        if (packets)
+        {
+            wanted.push_back({packets->announcements,
+                              upstream_calls(*m_agents[at]), 2});
+        }
+    }
+    for (platform_address& each : wanted)
+    {
+        auto opened = platform::http_port::start(
+            each.listen, std::move(each.calls), each.threads);
+        if (!opened)
+        {
+            return tl::unexpected(opened.error());
+        }
+        m_platform.push_back(std::move(*opened));
+    }
+    return {};
+}
+
+bool running_daemon::is_ready() const
+{
+    return !m_is_leaving && m_control->is_informed();
+}
+
 void running_daemon::reload_grants()
 {
     if (m_authenticator == nullptr)
@@ -151,6 +212,7 @@
     {
         longest = std::max(longest, agent->drain_time());
     }
+    m_is_leaving = true;
     const time_point now = m_clock.now();
     m_drain_until = now + longest;
     m_serve_until = now + (m_balancer ? balancer_grace : duration());
@@ -190,7 +252,7 @@
             }
             for (const std::unique_ptr<agent_role>& agent : with.agents)
             {
-                agent->advance(with.board);
+                agent->advance(with.now, with.board);
             }
             return true;
         });
--- a/packages/daemon/src/running_daemon.hpp
+++ b/packages/daemon/src/running_daemon.hpp
@@ -6,11 +6,13 @@
 #include "control_thread.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/console/console.hpp"
+#include "crowlink/platform/http_port.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/transport/zap_authenticator.hpp"
 #include "health_server.hpp"
 #include "identity.hpp"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,6 +56,8 @@
     result<void> open();
     result<void> open_traffic();
     result<void> open_http();
+    result<void> open_platform();
+    bool is_ready() const;
     void set_phase(stop_phase phase);
     std::size_t flows() const;
     std::string render_metrics() const;
@@ -71,6 +75,8 @@
     std::optional<control_backend> m_backend;
     std::unique_ptr<console> m_console;
     std::unique_ptr<health_server> m_health;
+    std::vector<std::unique_ptr<platform::http_port>> m_platform;
+    std::atomic<bool> m_is_leaving{false};
     time_point m_drain_until{};
     time_point m_leave_until{};
     time_point m_serve_until{};
--- a/packages/document/src/cross_rules.cpp
+++ b/packages/document/src/cross_rules.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace crowlink::internal
@@ -114,6 +115,26 @@
                ip_address::from_v4(std::array<std::uint8_t, 4>{0, 0, 0, 0});
 }
 
+// The prefix sets apart scopes in which one address may stand again.
+void check_address(const located& item, const std::string& prefix,
+                   unique_scope& addresses, errors_type& errors)
+{
+    if (!item.value.is_string())
+    {
+        return;
+    }
+    const auto parsed =
+        endpoint::parse(item.value.get_ref<const std::string&>());
+    if (!parsed || !is_usable(*parsed))
+    {
+        errors.push_back({item.path, describe(item.value),
+                          "an IP address and a port other than 0, such as "
+                          "\"192.0.2.1:80\" or \"[2001:db8::1]:80\""});
+        return;
+    }
+    addresses.add(item, prefix + parsed->to_string(), errors);
+}
+
 void check_addresses(const located& service, unique_scope& addresses,
                      errors_type& errors)
 {
@@ -121,20 +142,7 @@
     const auto prefix = protocol ? protocol->value.dump() : std::string();
     for (const auto& item : elements(service, "addresses"))
     {
-        if (!item.value.is_string())
-        {
-            continue;
-        }
-        const auto parsed =
-            endpoint::parse(item.value.get_ref<const std::string&>());
-        if (!parsed || !is_usable(*parsed))
-        {
-            errors.push_back({item.path, describe(item.value),
-                              "an IP address and a port other than 0, such as "
-                              "\"192.0.2.1:80\" or \"[2001:db8::1]:80\""});
-            continue;
-        }
-        addresses.add(item, prefix + parsed->to_string(), errors);
+        check_address(item, prefix, addresses, errors);
     }
 }
 
@@ -212,6 +220,55 @@
     }
 }
 
+std::set<std::string> declared_ids(const located& root)
+{
+    std::set<std::string> ids;
+    for (const auto& service : elements(root, "services"))
+    {
+        if (const auto id = field(service, "id"))
+        {
+            ids.insert(id->value.dump());
+        }
+    }
+    return ids;
+}
+
+void check_shares(const located& route, const std::set<std::string>& ids,
+                  errors_type& errors)
+{
+    unique_scope services("over the shares of one route");
+    for (const auto& share : elements(route, "shares"))
+    {
+        const auto service = field(share, "service");
+        services.add(service, errors);
+        if (service && ids.count(service->value.dump()) == 0)
+        {
+            errors.push_back({service->path, describe(service->value),
+                              "the id of a declared service"});
+        }
+    }
+}
+
+// Whether a service has the address is not asked: a document may move an
+// address from the one list to the other.
+void check_routes(const located& root, errors_type& errors)
+{
+    const auto ids = declared_ids(root);
+    unique_scope addresses("over the routes");
+    unique_scope names("over the routes");
+    for (const auto& route : elements(root, "routes"))
+    {
+        names.add(field(route, "name"), errors);
+        check_shares(route, ids, errors);
+        check_milliseconds(field(route, "timeout_s"), errors);
+        check_milliseconds(field(route, "aim_s"), errors);
+        if (const auto address = field(route, "address"))
+        {
+            check_address(*address, "", addresses, errors);
+        }
+    }
+}
+
 void check_drains(const located& root, errors_type& errors)
 {
     unique_scope drains("over the drains");
@@ -229,6 +286,7 @@
     const located root{value, ""};
     check_regions(root, errors);
     check_services(root, errors);
+    check_routes(root, errors);
     check_drains(root, errors);
     return errors;
 }
--- a/packages/document/src/difference.cpp
+++ b/packages/document/src/difference.cpp
@@ -52,6 +52,13 @@
     }
     value["regions"] = keyed_objects(value.at("regions"), "name");
     value["services"] = keyed_objects(value.at("services"), "id");
+    for (auto& each : value.at("routes"))
+    {
+        each["shares"] = keyed_objects(each.at("shares"), "service");
+    }
+    value["routes"] = keyed_objects(value.at("routes"), "address");
+    // The source says in other words what the rest says.
+    value.erase("source");
     value["drains"] = keyed_texts(value.at("drains"));
     return value;
 }
--- a/packages/document/src/document_json.cpp
+++ b/packages/document/src/document_json.cpp
@@ -88,6 +88,80 @@
     return declared;
 }
 
+struct class_name
+{
+    request_class value;
+    const char* name;
+};
+
+constexpr class_name class_names[] = {
+    {request_class::safe, "safe"},
+    {request_class::non_idempotent, "non_idempotent"},
+    {request_class::download, "download"},
+};
+
+request_class to_class(const std::string& name)
+{
+    for (const class_name& each : class_names)
+    {
+        if (name == each.name)
+        {
+            return each.value;
+        }
+    }
+    return request_class::safe;
+}
+
+const char* to_name(request_class value)
+{
+    for (const class_name& each : class_names)
+    {
+        if (value == each.value)
+        {
+            return each.name;
+        }
+    }
+    return class_names[0].name;
+}
+
+route to_route(const json& value)
+{
+    route made;
+    made.name = value.at("name").get<std::string>();
+    made.address =
+        endpoint::parse(value.at("address").get_ref<const std::string&>())
+            .value();
+    made.requests = to_class(value.value("requests", std::string("safe")));
+    made.timeout = to_duration(value, "timeout_s", made.timeout);
+    made.aim = to_duration(value, "aim_s", made.aim);
+    made.priority = value.value("priority", made.priority);
+    for (const auto& item : value.at("shares"))
+    {
+        route_share share;
+        share.service = service_id(item.at("service").get<std::uint32_t>());
+        share.weight = item.value("weight", share.weight);
+        made.shares.push_back(share);
+    }
+    return made;
+}
+
+ordered_json route_json(const route& value)
+{
+    auto shares = ordered_json::array();
+    for (const route_share& share : value.shares)
+    {
+        shares.push_back(
+            {{"service", share.service.value()}, {"weight", share.weight}});
+    }
+    return {{"name", value.name},
+            {"address", value.address.to_string()},
+            {"requests", to_name(value.requests)},
+            {"timeout_s", to_seconds(value.timeout)},
+            {"aim_s", to_seconds(value.aim)},
+            {"priority", value.priority},
+            {"shares", shares}};
+}
+
 ordered_json kind_json(const request_kind& kind)
 {
     return {{"name", kind.name},
@@ -164,6 +238,16 @@
     return first.id.value() < second.id.value();
 }
 
+bool route_before(const route& first, const route& second)
+{
+    return address_before(first.address, second.address);
+}
+
+bool share_before(const route_share& first, const route_share& second)
+{
+    return first.service.value() < second.service.value();
+}
+
 bool value_before(const upstream_id& first, const upstream_id& second)
 {
     return first.value() < second.value();
@@ -181,6 +265,11 @@
         std::sort(declared.kinds.begin(), declared.kinds.end(), name_before);
     }
     std::sort(document.services.begin(), document.services.end(), id_before);
+    for (auto& each : document.routes)
+    {
+        std::sort(each.shares.begin(), each.shares.end(), share_before);
+    }
+    std::sort(document.routes.begin(), document.routes.end(), route_before);
     std::sort(document.drains.begin(), document.drains.end(), value_before);
     return document;
 }
@@ -201,10 +290,15 @@
     {
         document.services.push_back(to_service(item));
     }
+    for (const auto& item : value.value("routes", json::array()))
+    {
+        document.routes.push_back(to_route(item));
+    }
     for (const auto& item : value.value("drains", json::array()))
     {
         document.drains.emplace_back(item.get<std::string>());
     }
+    document.source = value.value("source", std::string());
     return sorted(std::move(document));
 }
 
@@ -221,9 +315,20 @@
     {
         drains.push_back(drain.value());
     }
-    return {{"regions", regions_json(canonical.places)},
-            {"services", services},
-            {"drains", drains}};
+    auto routes = ordered_json::array();
+    for (const auto& each : canonical.routes)
+    {
+        routes.push_back(route_json(each));
+    }
+    ordered_json value = {{"regions", regions_json(canonical.places)},
+                          {"services", services},
+                          {"routes", routes},
+                          {"drains", drains}};
+    if (!canonical.source.empty())
+    {
+        value["source"] = canonical.source;
+    }
+    return value;
 }
 
 } // namespace crowlink::internal
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -2,6 +2,8 @@
 
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/forwarding/address_hash.hpp"
+#include "crowlink/forwarding/address_shares.hpp"
+#include "crowlink/forwarding/flow_tables.hpp"
 #include "crowlink/forwarding/removed_service.hpp"
 #include "crowlink/forwarding/service_tables.hpp"
 #include "crowlink/forwarding/table_pair.hpp"
@@ -9,7 +11,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -38,6 +39,9 @@
     // traffic. Does not allocate.
     const table_pair* tables_at(transport protocol,
                                 const endpoint& address) const;
+    // The same for one flow, by its hash: an address may be shared among
+    // services. Does not allocate.
+    flow_tables tables_of(const flow_key& flow, std::uint64_t flow_hash) const;
     // All about the service at an address, or null. Does not allocate.
     const service_tables* find(transport protocol,
                                const endpoint& address) const;
@@ -52,9 +56,8 @@
     std::size_t memory() const;
 
 private:
-    // Where each address leads; the value is an index into the services.
     using address_index =
-        std::unordered_map<internal::service_address, std::uint32_t,
+        std::unordered_map<internal::service_address, internal::address_shares,
                            internal::address_hash>;
 
     forwarding_set();
@@ -66,10 +69,10 @@
     // Yields whether the removal was news.
     bool remember(const removed_service& removed);
     void finish(const forwarding_set& prior);
-    std::optional<std::uint32_t> place_at(transport protocol,
-                                          const endpoint& address) const;
+    const table_pair* tables_of(service_id service) const;
     bool same_addresses(const forwarding_set& other) const;
-    std::shared_ptr<const address_index> make_index() const;
+    std::shared_ptr<const address_index>
+    make_index(const address_index& prior) const;
 
     // Sorted by number.
     std::vector<std::shared_ptr<const service_tables>> m_services;
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -172,7 +172,7 @@
     }
     if (!same_addresses(prior))
     {
-        m_index = make_index();
+        m_index = make_index(*prior.m_index);
     }
 }
 
@@ -191,58 +191,97 @@
                           const service& two = second->view->declared;
                           return one.id == two.id &&
                                  one.protocol == two.protocol &&
-                                 one.addresses == two.addresses;
+                                 one.addresses == two.addresses &&
+                                 one.shares == two.shares;
                       });
 }
 
 std::shared_ptr<const forwarding_set::address_index>
-forwarding_set::make_index() const
+forwarding_set::make_index(const address_index& prior) const
 {
     const auto index = std::make_shared<address_index>();
-    for (std::size_t i = 0; i < m_services.size(); ++i)
+    std::unordered_map<internal::service_address, config_version,
+                       internal::address_hash>
+        newest;
+    for (const auto& tables : m_services)
     {
-        const service& declared = m_services[i]->view->declared;
-        for (const endpoint& address : declared.addresses)
+        const service_view& view = *tables->view;
+        const internal::weighted_service all{view.declared.id, 1};
+        for (const endpoint& address : view.declared.addresses)
         {
-            const internal::service_address key{address, declared.protocol};
-            const auto [entry, added] =
-                index->emplace(key, static_cast<std::uint32_t>(i));
+            const internal::service_address key{address,
+                                                view.declared.protocol};
+            const auto [entry, added] = newest.emplace(key, view.version);
             // An address that moves to another service while views arrive
             // unevenly belongs to the service of the newer document.
-            const auto& holder = m_services[entry->second]->view;
-            if (!added && holder->version < m_services[i]->view->version)
+            if (added || entry->second < view.version)
             {
-                entry->second = static_cast<std::uint32_t>(i);
+                entry->second = view.version;
+                (*index)[key].clear();
+                (*index)[key].add(all);
             }
         }
     }
+    // A share that has not changed keeps its older version, so that versions
+    // tell nothing here: while views arrive, an address has all that name it.
+    for (const auto& tables : m_services)
+    {
+        const service& declared = tables->view->declared;
+        for (const address_share& share : declared.shares)
+        {
+            const internal::service_address key{share.address,
+                                                declared.protocol};
+            (*index)[key].add(
+                internal::weighted_service{declared.id, share.weight});
+        }
+    }
+    for (auto& [key, shares] : *index)
+    {
+        const auto before = prior.find(key);
+        if (before != prior.end())
+        {
+            shares.remember(before->second);
+        }
+    }
     return index;
 }
 
-std::optional<std::uint32_t>
-forwarding_set::place_at(transport protocol, const endpoint& address) const
+const table_pair* forwarding_set::tables_of(service_id service) const
+{
+    const auto place = place_of(m_services, service);
+    if (!holds(m_services, place, service))
+    {
+        return nullptr;
+    }
+    return &m_tables[static_cast<std::size_t>(place - m_services.begin())];
+}
+
+flow_tables forwarding_set::tables_of(const flow_key& flow,
+                                      std::uint64_t flow_hash) const
 {
     const auto found =
-        m_index->find(internal::service_address{address, protocol});
+        m_index->find(internal::service_address{flow.service, flow.protocol});
     if (found == m_index->end())
     {
-        return std::nullopt;
+        return {};
     }
-    return found->second;
+    const service_id former = found->second.choose_former(flow_hash);
+    return flow_tables{tables_of(found->second.choose(flow_hash)),
+                       former == service_id() ? nullptr : tables_of(former)};
 }
 
 const table_pair* forwarding_set::tables_at(transport protocol,
                                             const endpoint& address) const
 {
-    const auto place = place_at(protocol, address);
-    return place ? &m_tables[*place] : nullptr;
+    const flow_key any{endpoint(), address, protocol};
+    return tables_of(any, 0).chosen;
 }
 
 const service_tables* forwarding_set::find(transport protocol,
                                            const endpoint& address) const
 {
-    const auto place = place_at(protocol, address);
-    return place ? m_services[*place].get() : nullptr;
+    const table_pair* pair = tables_at(protocol, address);
+    return pair == nullptr ? nullptr : find(pair->service);
 }
 
 const service_tables* forwarding_set::find(service_id service) const
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -156,6 +156,13 @@
         write_address(address.address, *to.mutable_address());
         to.set_port(address.port);
     }
+    for (const address_share& share : declared.shares)
+    {
+        auto& to = *out.add_shares();
+        write_address(share.address.address, *to.mutable_address());
+        to.set_port(share.address.port);
+        to.set_weight(share.weight);
+    }
     out.set_slots(declared.limits.slots);
     out.set_connections(declared.limits.connections);
     out.set_goal(static_cast<std::uint32_t>(declared.sharing.goal));
@@ -192,6 +199,15 @@
         }
         out.addresses.push_back(*read);
     }
+    for (const auto& share : in.shares())
+    {
+        const auto read = read_endpoint(share.address(), share.port());
+        if (!read)
+        {
+            return tl::unexpected<error>(read.error());
+        }
+        out.shares.push_back(address_share{*read, share.weight()});
+    }
     out.limits.slots = in.slots();
     out.limits.connections = in.connections();
     out.sharing.goal = static_cast<service_goal>(in.goal());
--- a/packages/membership/src/published_state.cpp
+++ b/packages/membership/src/published_state.cpp
@@ -24,7 +24,7 @@
     }
     m_version = version;
     std::set<service_id> kept;
-    for (const service& each : next.services)
+    for (const service& each : with_shares(next))
     {
         kept.insert(each.id);
         declare(each);
--- a/packages/model/include/crowlink/model/service.hpp
+++ b/packages/model/include/crowlink/model/service.hpp
@@ -3,6 +3,7 @@
 #include "crowlink/base/endpoint.hpp"
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/ids.hpp"
+#include "crowlink/model/address_share.hpp"
 #include "crowlink/model/request_kind.hpp"
 #include "crowlink/model/sharing_policy.hpp"
 #include "crowlink/model/target_limits.hpp"
@@ -22,6 +23,8 @@
     transport protocol = transport::udp;
     // The addresses that callers use; no two services share one.
     std::vector<endpoint> addresses;
+    // The addresses of routes that lead here, sorted; see with_shares.
+    std::vector<address_share> shares;
     target_limits limits;
     sharing_policy sharing;
     // Empty for a service whose flows are not requests.
--- a/packages/packet/include/crowlink/packet/caller_port.hpp
+++ b/packages/packet/include/crowlink/packet/caller_port.hpp
@@ -26,6 +26,9 @@
                                const refusal& refused,
                                std::span<std::uint8_t> buffer)
 {
+    {
+        Port::refuses_by_flow
+        } -> std::convertible_to<bool>;
     {
         port.parse(received)
         } -> std::same_as<tl::expected<caller_packet, packet_drop>>;
--- a/packages/packet/include/crowlink/packet/datagram_port.hpp
+++ b/packages/packet/include/crowlink/packet/datagram_port.hpp
@@ -10,6 +10,9 @@
 class datagram_port
 {
 public:
+    // Whether a caller can be refused by the flow alone, without its packet.
+    static constexpr bool refuses_by_flow = false;
+
     tl::expected<caller_packet, packet_drop>
     parse(const received_datagram& received) const;
 
--- a/packages/packet/include/crowlink/packet/ip_in_udp_port.hpp
+++ b/packages/packet/include/crowlink/packet/ip_in_udp_port.hpp
@@ -11,6 +11,9 @@
 class ip_in_udp_port
 {
 public:
+    // Whether a caller can be refused by the flow alone, without its packet.
+    static constexpr bool refuses_by_flow = false;
+
     // Both ends of the tunnel: this host's socket and the fabric's gateway.
     ip_in_udp_port(const endpoint& local, const endpoint& gateway)
         : m_local(local), m_gateway(gateway)
--- a/packages/replication/include/crowlink/replication/change_outcome.hpp
+++ b/packages/replication/include/crowlink/replication/change_outcome.hpp
@@ -26,6 +26,9 @@
     // The leader was lost on the way: it may have run. Send the same operation
     // again to learn the answer.
     unknown,
+    // A version as high as the given one, or higher, is in force; `version` is
+    // that one. Nothing changed.
+    superseded,
 };
 
 std::string_view to_string(change_result value);
--- a/packages/replication/include/crowlink/replication/document_store.hpp
+++ b/packages/replication/include/crowlink/replication/document_store.hpp
@@ -58,7 +58,7 @@
 
     change_outcome decide(const document_change& change);
     void remember(const document_change& change, const change_outcome& outcome);
-    void make_version(const document_change& change);
+    void make_version(const document_change& change, config_version version);
     void trim_history();
 
     store_limits m_limits;
--- a/packages/replication/src/document_store.cpp
+++ b/packages/replication/src/document_store.cpp
@@ -17,6 +17,11 @@
     return stable_hash(change.document, change.base.value());
 }
 
+bool is_given(const document_change& change)
+{
+    return change.given != config_version();
+}
+
 std::size_t size_of(const document_version& version)
 {
     return sizeof(document_version) + version.operation.value().size() +
@@ -39,15 +44,27 @@
     change_outcome outcome = decide(change);
     if (outcome.result == change_result::applied)
     {
-        make_version(change);
+        make_version(change, outcome.version);
+    }
+    // A given version answers its own resends.
+    if (!is_given(change))
+    {
+        remember(change, outcome);
     }
-    remember(change, outcome);
     return outcome;
 }
 
 std::optional<change_outcome>
 document_store::recall(const document_change& change) const
 {
+    if (is_given(change))
+    {
+        if (change.given > m_current)
+        {
+            return std::nullopt;
+        }
+        return change_outcome{change_result::superseded, m_current, {}};
+    }
     const auto known = m_answers.find(change.operation);
     if (!m_rules.deduplicate || known == m_answers.end())
     {
@@ -63,6 +80,10 @@
 
 change_outcome document_store::decide(const document_change& change)
 {
+    if (is_given(change))
+    {
+        return change_outcome{change_result::applied, change.given, {}};
+    }
     if (change.base != m_current)
     {
         return change_outcome{change_result::conflict, m_current, {}};
@@ -71,9 +92,10 @@
         change_result::applied, config_version(m_current.value() + 1), {}};
 }
 
-void document_store::make_version(const document_change& change)
+void document_store::make_version(const document_change& change,
+                                  config_version version)
 {
-    m_current = config_version(m_current.value() + 1);
+    m_current = version;
     m_history.push_back(document_version{
         m_current, change.operation, change.operator_name, change.document});
     m_history_bytes += size_of(m_history.back());
--- a/packages/replication/src/names.cpp
+++ b/packages/replication/src/names.cpp
@@ -36,6 +36,8 @@
         return "unavailable";
     case change_result::unknown:
         return "unknown";
+    case change_result::superseded:
+        return "superseded";
     }
     return "unknown";
 }
@@ -49,6 +51,7 @@
     case change_result::conflict:
     case change_result::operation_reused:
     case change_result::unavailable:
+    case change_result::superseded:
         return verdict::not_run;
     case change_result::unknown:
         break;
--- a/packages/replication/src/wire_convert.cpp
+++ b/packages/replication/src/wire_convert.cpp
@@ -101,6 +101,7 @@
     out.set_operation(value.operation.value());
     out.set_operator_name(value.operator_name);
     out.set_document(value.document);
+    out.set_given(value.given.value());
     return out;
 }
 
@@ -108,7 +109,8 @@
 {
     return document_change{config_version(value.base()),
                            operation_id(value.operation()),
-                           value.operator_name(), value.document()};
+                           value.operator_name(), value.document(),
+                           config_version(value.given())};
 }
 
 wire::ChangeOutcome to_wire(const change_outcome& value)
--- a/packages/settings/include/crowlink/settings/agent_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/agent_role_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace crowlink
 {
@@ -16,11 +17,33 @@
     plain_datagrams,
     // The whole IP packet in UDP, as the kernel's fou module takes it.
     ip_in_udp,
+    // Packets of the users' platform; the agent sends what the upstream sends
+    // straight to the callers.
+    flow_packets,
+};
+
+// Packets of the users' platform, and what an upstream there tells its agent.
+struct flow_packet_settings
+{
+    // Where the upstream sends its packets.
+    endpoint outbound;
+    // Where callers' hosts take packets, at each caller's own address.
+    std::uint16_t caller_port = 0;
+    // Where the upstream announces itself.
+    endpoint announcements;
+    // An upstream that is silent for so long has ended.
+    std::uint32_t silent_after_ms = 4000;
+    // Flows without any packet for so long are closed.
+    std::uint32_t idle_seconds = 60;
+
+    friend auto operator<=>(const flow_packet_settings&,
+                            const flow_packet_settings&) = default;
 };
 
 // The agent role, for one upstream.
 struct agent_role_settings
 {
+    // Empty for an upstream that announces itself.
     upstream_id upstream;
     service_id service;
     // Where the upstream takes what is delivered.
@@ -32,6 +55,8 @@
     endpoint tunnel;
     // How long a leaving agent keeps flows that do not end by themselves.
     std::uint32_t drain_seconds = 60;
+    // Present with delivery_mode::flow_packets.
+    std::optional<flow_packet_settings> flow_packets{};
 
     friend auto operator<=>(const agent_role_settings&,
                             const agent_role_settings&) = default;
--- a/packages/settings/include/crowlink/settings/balancer_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/balancer_role_settings.hpp
@@ -16,6 +16,8 @@
     plain_datagrams,
     // IP packets in UDP, as the kernel's fou module encapsulates them.
     ip_in_udp,
+    // Packets of the users' platform; see the platform folder.
+    flow_packets,
 };
 
 // The balancer role: takes callers' packets and sends them to agents.
--- a/packages/settings/include/crowlink/settings/control_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/control_role_settings.hpp
@@ -28,6 +28,8 @@
     // The operators' tokens; required with `http`.
     std::string tokens_file;
     std::optional<tls_settings> tls;
+    // Where the users' platform sends its operators' calls; without tokens.
+    std::optional<endpoint> platform_listen{};
 
     friend auto operator<=>(const control_role_settings&,
                             const control_role_settings&) = default;
--- a/packages/settings/include/crowlink/settings/daemon_settings.hpp
+++ b/packages/settings/include/crowlink/settings/daemon_settings.hpp
@@ -33,6 +33,13 @@
     std::uint32_t pacing_bytes_per_second = 8192;
     // Where health, readiness and metrics are served; none if absent.
     std::optional<endpoint> health;
+    // Where the users' platform asks whether this host is ready.
+    std::optional<endpoint> platform_ready{};
+    // Whether addresses other than loopback may be used without keys: nobody
+    // else can reach this network.
+    bool is_network_trusted = false;
+    // A lease that is not renewed for so long ends.
+    std::uint32_t lease_ms = 6000;
 
     friend auto operator<=>(const daemon_settings&,
                             const daemon_settings&) = default;
--- a/packages/settings/src/daemon_section.cpp
+++ b/packages/settings/src/daemon_section.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t most_pacing = 100'000'000;
 constexpr std::size_t most_voters = 5;
 constexpr std::size_t most_control_hosts = 20;
+constexpr std::uint32_t least_lease_ms = 300;
+constexpr std::uint32_t most_lease_ms = 3'600'000;
 constexpr std::uint8_t v4_loopback_net = 127;
 
 bool is_loopback(const endpoint& value)
@@ -36,6 +38,63 @@
     return voters;
 }
 
+// What hosts that are known by their address alone have in common: the host's
+// name is its address, and the ports are the same everywhere.
+struct seed_ports
+{
+    std::uint16_t peers = 0;
+    std::uint16_t nodes = 0;
+    std::vector<endpoint> hosts;
+};
+
+seed_ports read_seed_ports(object_reader& reader)
+{
+    constexpr std::uint32_t highest_port = 65535;
+    seed_ports seeds;
+    seeds.hosts = reader.addresses("hosts", 0);
+    seeds.peers = static_cast<std::uint16_t>(
+        reader.number("peer_port", 1, highest_port));
+    seeds.nodes = static_cast<std::uint16_t>(
+        reader.number("node_port", 1, highest_port));
+    return seeds;
+}
+
+// Control hosts from addresses alone. The ports in "hosts" belong to others.
+void read_seeds(object_reader& reader, daemon_settings& daemon)
+{
+    if (!reader.has("seeds"))
+    {
+        return;
+    }
+    const seed_ports seeds = reader.object("seeds", read_seed_ports);
+    // With an even number of hosts the last one has no vote: it would make the
+    // quorum larger and no loss easier to bear.
+    const std::size_t voters =
+        std::min(most_voters, (seeds.hosts.size() - 1) | 1U);
+    bool is_listed = false;
+    for (const endpoint& seed : seeds.hosts)
+    {
+        const host_id name(seed.address.to_string());
+        is_listed = is_listed || name == daemon.host.name;
+        daemon.control_endpoints.push_back(
+            control_endpoint{name, daemon.host.place, daemon.host.region,
+                             endpoint{seed.address, seeds.nodes}, ""});
+        if (daemon.control)
+        {
+            const bool votes = daemon.control->peers.size() < voters;
+            daemon.control->peers.push_back(
+                control_peer{name, daemon.host.place, daemon.host.region,
+                             endpoint{seed.address, seeds.peers}, "", votes});
+        }
+    }
+    if (daemon.control && !is_listed)
+    {
+        daemon.control->peers.push_back(control_peer{
+            daemon.host.name, daemon.host.place, daemon.host.region,
+            daemon.control->peer_listen, "", false});
+    }
+}
+
 void check_roles(object_reader& reader, const daemon_settings& daemon)
 {
     if (!daemon.control && !daemon.balancer && daemon.agents.empty())
@@ -232,6 +291,11 @@
         daemon.balancer = reader.object("balancer", read_balancer);
     }
     daemon.agents = reader.objects("agents", read_agent);
+    read_seeds(reader, daemon);
+    daemon.is_network_trusted =
+        reader.flag("trusted_network", daemon.is_network_trusted);
+    daemon.lease_ms =
+        reader.number("lease_ms", least_lease_ms, most_lease_ms, daemon.lease_ms);
     daemon.pacing_bytes_per_second =
         reader.number("pacing_bytes_per_second", least_pacing, most_pacing,
                       daemon.pacing_bytes_per_second);
@@ -246,11 +310,15 @@
         check_peers(reader, daemon);
         check_http(reader, *daemon.control);
     }
+    if (reader.has("platform_ready"))
+    {
+        daemon.platform_ready = reader.address("platform_ready");
+    }
     if (daemon.keys)
     {
         check_keys(reader, daemon);
     }
-    else
+    else if (!daemon.is_network_trusted)
     {
         check_loopback(reader, daemon);
     }
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -1,5 +1,7 @@
 #include "sections.hpp"
 
+#include "crowlink/model/system_document.hpp"
+
 #include "object_reader.hpp"
 
 #include <limits>
@@ -15,6 +17,8 @@
 constexpr std::uint32_t most_threads = 64;
 constexpr std::uint32_t most_weight = 1000;
 constexpr std::uint32_t most_drain_seconds = 86'400;
+constexpr std::uint32_t least_silence_ms = 100;
+constexpr std::uint32_t most_silence_ms = 3'600'000;
 constexpr std::size_t public_key_length = 40;
 constexpr std::size_t most_packet_keys = 2;
 
@@ -31,12 +35,38 @@
 constexpr choice<port_mode> port_modes[] = {
     {"datagram", port_mode::plain_datagrams},
     {"ip_in_udp", port_mode::ip_in_udp},
+    {"flow_packets", port_mode::flow_packets},
 };
 constexpr choice<delivery_mode> delivery_modes[] = {
     {"datagram", delivery_mode::plain_datagrams},
     {"ip_in_udp", delivery_mode::ip_in_udp},
+    {"flow_packets", delivery_mode::flow_packets},
 };
 
+// A service by its number, or by its name where the numbers follow from names.
+service_id read_service(object_reader& reader)
+{
+    if (reader.has("service_name"))
+    {
+        return number_of_service(reader.text("service_name"));
+    }
+    return service_id(
+        reader.number("service", 1, std::numeric_limits<std::uint32_t>::max()));
+}
+
+flow_packet_settings read_flow_packets(object_reader& reader)
+{
+    flow_packet_settings packets;
+    packets.outbound = reader.address("outbound");
+    packets.announcements = reader.address("announcements");
+    packets.silent_after_ms =
+        reader.number("silent_after_ms", least_silence_ms, most_silence_ms,
+                      packets.silent_after_ms);
+    packets.idle_seconds = reader.number("idle_seconds", 1, most_drain_seconds,
+                                         packets.idle_seconds);
+    return packets;
+}
+
 std::string read_public_key(object_reader& reader)
 {
     std::string key = reader.optional_text("public_key");
@@ -132,6 +162,10 @@
     {
         control.http = reader.address("http");
     }
+    if (reader.has("platform_listen"))
+    {
+        control.platform_listen = reader.address("platform_listen");
+    }
     control.tokens_file = reader.optional_text("tokens_file");
     if (reader.has("tls"))
     {
@@ -158,13 +192,23 @@
 agent_role_settings read_agent(object_reader& reader)
 {
     agent_role_settings agent;
-    agent.upstream = upstream_id(reader.text("upstream"));
-    agent.service = service_id(
-        reader.number("service", 1, std::numeric_limits<std::uint32_t>::max()));
-    agent.upstream_address = reader.address("upstream_address");
     agent.delivery = reader.one_of("delivery", delivery_modes, agent.delivery);
+    if (agent.delivery == delivery_mode::flow_packets)
+    {
+        agent.flow_packets = reader.object("flow_packets", read_flow_packets);
+    }
+    else
+    {
+        agent.upstream = upstream_id(reader.text("upstream"));
+    }
+    agent.service = read_service(reader);
+    agent.upstream_address = reader.address("upstream_address");
     agent.weight = reader.number("weight", 1, most_weight, agent.weight);
     agent.tunnel = reader.address("tunnel");
+    if (agent.flow_packets)
+    {
+        agent.flow_packets->caller_port = agent.tunnel.port;
+    }
     agent.drain_seconds = reader.number("drain_seconds", 0, most_drain_seconds,
                                         agent.drain_seconds);
     return agent;
--- a/packages/transport/include/crowlink/transport/datagram_batch.hpp
+++ b/packages/transport/include/crowlink/transport/datagram_batch.hpp
@@ -32,6 +32,8 @@
 
     // The received bytes and where they came from.
     std::span<const std::uint8_t> bytes(std::size_t index) const;
+    // The same, to be changed in place.
+    std::span<std::uint8_t> writable(std::size_t index);
     endpoint peer(std::size_t index) const;
     // Whether the datagram was larger than its buffer.
     bool truncated(std::size_t index) const;
@@ -49,6 +51,8 @@
     friend class udp_socket;
 
     void reset(std::size_t index, std::size_t size);
+    // Puts the addresses of what is to be sent into the socket's family.
+    void address_for(bool is_v4);
 
     std::size_t m_size;
     std::size_t m_used = 0;
--- a/packages/transport/include/crowlink/transport/udp_socket.hpp
+++ b/packages/transport/include/crowlink/transport/udp_socket.hpp
@@ -12,8 +12,8 @@
 
 class datagram_batch;
 
-// A UDP socket that never blocks. Addresses are IPv4 or IPv6; both are held as
-// IPv6 sockets, IPv4 in its mapped form.
+// A UDP socket that never blocks. A local IPv4 address makes an IPv4 socket,
+// since some hosts have no IPv6; an IPv6 one takes mapped IPv4 addresses too.
 class udp_socket
 {
 public:
@@ -61,6 +61,7 @@
     result<void> read_local();
 
     int m_handle;
+    bool m_is_v4 = false;
     endpoint m_local;
 };
 
--- a/packages/transport/src/datagram_batch.cpp
+++ b/packages/transport/src/datagram_batch.cpp
@@ -25,6 +25,12 @@
                      std::size_t{m_headers[index].msg_len});
 }
 
+std::span<std::uint8_t> datagram_batch::writable(std::size_t index)
+{
+    return std::span(m_buffer.get() + index * m_size,
+                     std::size_t{m_headers[index].msg_len});
+}
+
 endpoint datagram_batch::peer(std::size_t index) const
 {
     return internal::from_socket_address(m_addresses[index]);
@@ -43,7 +49,7 @@
 void datagram_batch::commit(std::size_t size, const endpoint& to)
 {
     reset(m_used, size);
-    m_addresses[m_used] = internal::to_socket_address(to);
+    m_addresses[m_used] = internal::to_socket_address(to, false).bytes;
     if (to == endpoint())
     {
         m_headers[m_used].msg_hdr.msg_name = nullptr;
@@ -52,6 +58,22 @@
     ++m_used;
 }
 
+// Batches are filled without knowing the socket that they leave by.
+void datagram_batch::address_for(bool is_v4)
+{
+    for (std::size_t at = 0; is_v4 && at < m_used; ++at)
+    {
+        msghdr& header = m_headers[at].msg_hdr;
+        if (header.msg_name == nullptr)
+        {
+            continue;
+        }
+        const auto address = internal::to_socket_address(peer(at), true);
+        m_addresses[at] = address.bytes;
+        header.msg_namelen = address.size;
+    }
+}
+
 void datagram_batch::reset(std::size_t index, std::size_t size)
 {
     m_vectors[index].iov_base = m_buffer.get() + index * m_size;
--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -16,11 +16,13 @@
 // Bounds for what waits in memory and for what a peer may send.
 constexpr int queue_messages = 1024;
 constexpr std::int64_t largest_message = 16 << 20;
-// A connection without a sign of life is closed and made anew.
-constexpr int heartbeat_milliseconds = 2000;
-constexpr int heartbeat_timeout_milliseconds = 6000;
+// A connection without a sign of life is closed and made anew. A host that is
+// back in touch counts again after four seconds, so its connections must have
+// been found dead and made anew before that.
+constexpr int heartbeat_milliseconds = 700;
+constexpr int heartbeat_timeout_milliseconds = 2000;
 constexpr int first_reconnect_milliseconds = 50;
-constexpr int longest_reconnect_milliseconds = 2000;
+constexpr int longest_reconnect_milliseconds = 500;
 
 // The frames of a message as each end sees them.
 constexpr std::size_t router_connection = 0;
@@ -84,10 +86,11 @@
     return "tcp://" + value.to_string();
 }
 
-void set_common(zmq::socket_t& socket)
+void set_common(zmq::socket_t& socket, const endpoint& beside)
 {
     socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::ipv6, true);
+    // Some hosts have no IPv6, and refuse its sockets.
+    socket.set(zmq::sockopt::ipv6, !beside.address.is_v4());
     socket.set(zmq::sockopt::sndhwm, queue_messages);
     socket.set(zmq::sockopt::rcvhwm, queue_messages);
     socket.set(zmq::sockopt::maxmsgsize, largest_message);
@@ -105,7 +108,7 @@
     try
     {
         router_socket made(zmq::socket_t(context, zmq::socket_type::router));
-        set_common(made.m_socket);
+        set_common(made.m_socket, local);
         // Sending to a connection that is gone is an error, not a silence.
         made.m_socket.set(zmq::sockopt::router_mandatory, true);
         if (pair)
@@ -194,7 +197,7 @@
                            zmq::socket_t(context, zmq::socket_type::pair),
                            self);
         watch(made.m_socket, made.m_events);
-        set_common(made.m_socket);
+        set_common(made.m_socket, peer);
         made.m_socket.set(zmq::sockopt::reconnect_ivl,
                           first_reconnect_milliseconds);
         made.m_socket.set(zmq::sockopt::reconnect_ivl_max,
--- a/packages/transport/src/udp_socket.cpp
+++ b/packages/transport/src/udp_socket.cpp
@@ -31,9 +31,14 @@
     (void)::setsockopt(handle, level, option, &value, sizeof(value));
 }
 
-int open_socket()
+// A socket of the address's own family: some hosts have no IPv6.
+int open_socket(const endpoint& beside)
 {
     const int type = SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
+    if (beside.address.is_v4())
+    {
+        return ::socket(AF_INET, type, 0);
+    }
     const int handle = ::socket(AF_INET6, type, 0);
     if (handle >= 0)
     {
@@ -42,11 +47,18 @@
     return handle;
 }
 
+// As the kernel is to get it.
+const sockaddr* raw(const internal::socket_address& address)
+{
+    return reinterpret_cast<const sockaddr*>(&address.bytes);
+}
+
 } // namespace
 
 result<udp_socket> udp_socket::bind(const endpoint& local, sharing mode)
 {
-    udp_socket made(open_socket());
+    udp_socket made(open_socket(local));
+    made.m_is_v4 = local.address.is_v4();
     if (made.m_handle < 0)
     {
         return failed(local, "no socket");
@@ -57,9 +69,8 @@
     {
         set_option(made.m_handle, SOL_SOCKET, SO_REUSEPORT, 1);
     }
-    const sockaddr_in6 address = internal::to_socket_address(local);
-    if (::bind(made.m_handle, reinterpret_cast<const sockaddr*>(&address),
-               sizeof(address)) != 0)
+    const auto address = internal::to_socket_address(local, made.m_is_v4);
+    if (::bind(made.m_handle, raw(address), address.size) != 0)
     {
         return failed(local, "cannot be listened on");
     }
@@ -73,14 +84,14 @@
 
 result<udp_socket> udp_socket::connect(const endpoint& peer)
 {
-    udp_socket made(open_socket());
+    udp_socket made(open_socket(peer));
+    made.m_is_v4 = peer.address.is_v4();
     if (made.m_handle < 0)
     {
         return failed(peer, "no socket");
     }
-    const sockaddr_in6 address = internal::to_socket_address(peer);
-    if (::connect(made.m_handle, reinterpret_cast<const sockaddr*>(&address),
-                  sizeof(address)) != 0)
+    const auto address = internal::to_socket_address(peer, made.m_is_v4);
+    if (::connect(made.m_handle, raw(address), address.size) != 0)
     {
         return failed(peer, "cannot be connected to");
     }
@@ -93,13 +104,16 @@
 }
 
 udp_socket::udp_socket(udp_socket&& other) noexcept
-    : m_handle(std::exchange(other.m_handle, -1)), m_local(other.m_local)
+    : m_handle(std::exchange(other.m_handle, -1))
+    , m_is_v4(other.m_is_v4)
+    , m_local(other.m_local)
 {
 }
 
 udp_socket& udp_socket::operator=(udp_socket&& other) noexcept
 {
     std::swap(m_handle, other.m_handle);
+    std::swap(m_is_v4, other.m_is_v4);
     std::swap(m_local, other.m_local);
     return *this;
 }
@@ -131,6 +145,7 @@
 {
     send_outcome outcome;
     std::size_t done = 0;
+    batch.address_for(m_is_v4);
     while (done < batch.m_used)
     {
         const int sent =
@@ -153,10 +168,9 @@
 bool udp_socket::send(std::span<const std::uint8_t> bytes,
                       const endpoint& to) const
 {
-    const sockaddr_in6 address = internal::to_socket_address(to);
-    const ssize_t sent =
-        ::sendto(m_handle, bytes.data(), bytes.size(), 0,
-                 reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    const auto address = internal::to_socket_address(to, m_is_v4);
+    const ssize_t sent = ::sendto(m_handle, bytes.data(), bytes.size(), 0,
+                                  raw(address), address.size);
     return sent == static_cast<ssize_t>(bytes.size());
 }
 
