--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -48,7 +48,9 @@
     // present one and those of the settling time, know beyond it.
     void widen(packet_header& header, time_point now) const;
 
-    // Whether a member with this tag was known and has left.
+    // Whether a member with this tag was known and has ended.
+    bool has_ended(upstream_tag tag) const;
+    // Whether it has, or is silent: nothing new is sent there.
     bool is_gone(upstream_tag tag) const;
     // Whether a balancer is among the living; true as long as none is known.
     bool is_living_balancer(const endpoint& balancer) const;
@@ -61,6 +63,7 @@
     };
 
     void note_members(const service_view& next, change& found);
+    void note_silent(const service_view& next);
     void note_gone(upstream_tag tag);
     void replace_table(time_point now,
                        std::shared_ptr<const forwarding_table> next);
@@ -72,6 +75,8 @@
     // Oldest first.
     std::deque<replaced_table> m_replaced;
     std::vector<upstream_tag> m_gone;
+    // Of the present view.
+    std::vector<upstream_tag> m_silent;
     std::uint32_t m_generation = 0;
 };
 
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -172,7 +172,7 @@
     const bool came_back = header.pass == packet_pass::lookup &&
                            header.hops > 0 && header.previous.size() == 1 &&
                            header.previous[0] == to;
-    if (came_back || m_members.is_gone(to.tag) || to == m_self)
+    if (came_back || m_members.has_ended(to.tag) || to == m_self)
     {
         m_redirects.erase(header.flow);
         return false;
--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -269,7 +269,7 @@
     const internal::redirect_entry* known = m_redirects.find(owned.flow, now);
     const bool differs = known != nullptr && !known->is_mark() &&
                          known->to != message.owner &&
-                         !m_members.is_gone(known->to.tag);
+                         !m_members.has_ended(known->to.tag);
     if (differs)
     {
         // Should the former owner still have the flow, the two settle it.
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -48,6 +48,7 @@
     found.accepted = true;
     ++m_generation;
     note_members(*view, found);
+    note_silent(*view);
     auto table = forwarding_table::build(*view);
     found.table = !m_table || table->digest() != m_table->digest();
     if (found.table)
@@ -85,6 +86,18 @@
     }
 }
 
+void member_tables::note_silent(const service_view& next)
+{
+    m_silent.clear();
+    for (const upstream_record& member : next.members)
+    {
+        if (member.state == upstream_state::silent)
+        {
+            m_silent.push_back(tag_of(member));
+        }
+    }
+}
+
 void member_tables::note_gone(upstream_tag tag)
 {
     if (m_gone.size() == gone_kept)
@@ -150,11 +163,17 @@
     }
 }
 
-bool member_tables::is_gone(upstream_tag tag) const
+bool member_tables::has_ended(upstream_tag tag) const
 {
     return std::find(m_gone.begin(), m_gone.end(), tag) != m_gone.end();
 }
 
+bool member_tables::is_gone(upstream_tag tag) const
+{
+    return has_ended(tag) ||
+           std::find(m_silent.begin(), m_silent.end(), tag) != m_silent.end();
+}
+
 bool member_tables::is_living_balancer(const endpoint& balancer) const
 {
     if (!m_view || m_view->balancers.empty())
--- a/packages/console/src/api_json.cpp
+++ b/packages/console/src/api_json.cpp
@@ -47,6 +47,8 @@
         return "draining";
     case upstream_state::gone:
         return "gone";
+    case upstream_state::silent:
+        return "silent";
     }
     return "unknown";
 }
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -74,6 +74,9 @@
     {
         m_living += is_gone(record) ? 0 : 1;
         m_living -= is_gone(held.record) ? 0 : 1;
+        // Its own word would have raised the sequence.
+        const bool is_silent = same && is_gone(record) && !unknown;
+        held.silent = is_silent ? std::optional(held.record) : std::nullopt;
         held.record = record;
         held.forgotten = false;
         held.gone_at = now;
@@ -248,12 +251,19 @@
     auto member = m_records.lower_bound(record_key{id, upstream_id()});
     for (; member != m_records.end() && member->first.service == id; ++member)
     {
-        upstream_record record = member->second.record;
-        if (is_gone(record) || m_lost_places.count(record.where) != 0)
+        const subscribed_record& held = member->second;
+        upstream_record record = held.silent.value_or(held.record);
+        if (is_gone(record))
         {
             continue;
         }
-        if (member->second.drained)
+        const bool is_silent =
+            held.silent || m_lost_places.count(record.where) != 0;
+        if (is_silent)
+        {
+            record.state = upstream_state::silent;
+        }
+        else if (held.drained)
         {
             record.state = upstream_state::draining;
         }
--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -220,6 +220,20 @@
         return "";
     }
 
+    // The members of a view, without what only orders their records.
+    static std::vector<upstream_record> members(const service_view& view)
+    {
+        std::vector<upstream_record> out = view.members;
+        // Those whose lease ran out are not there, only not forgotten.
+        std::erase_if(out, [](const upstream_record& each)
+                      { return each.state == upstream_state::silent; });
+        for (upstream_record& record : out)
+        {
+            record.sequence = 0;
+        }
+        return out;
+    }
+
 private:
     static host_id id_of(const announced& each)
     {
@@ -341,16 +355,6 @@
         return "";
     }
 
-    static std::vector<upstream_record> members(const service_view& view)
-    {
-        std::vector<upstream_record> out = view.members;
-        for (upstream_record& record : out)
-        {
-            record.sequence = 0;
-        }
-        return out;
-    }
-
     std::vector<upstream_record> naive_members(service_id service) const
     {
         std::map<upstream_id, upstream_record> out;
--- a/packages/model/include/crowlink/model/upstream_record.hpp
+++ b/packages/model/include/crowlink/model/upstream_record.hpp
@@ -18,6 +18,9 @@
     draining,
     // Ended, or its lease ran out.
     gone,
+    // Only in views: its lease ran out, and nobody knows whether it ended. It
+    // takes no new flow, and those that it has are not given up.
+    silent,
 };
 
 // What an agent announces of its upstream. Of two records of one upstream, the
