--- a/packages/daemon/src/blackboard.hpp
+++ b/packages/daemon/src/blackboard.hpp
@@ -10,6 +10,7 @@
 #include <compare>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace crowlink::internal
 {
@@ -48,6 +49,11 @@
     // Written by the document controller.
     board_value<applied_document> document;
     board_value<duration> document_age;
+    // All members of the replicated log, sorted.
+    board_value<std::vector<host_id>> members;
+    // Written by the control thread itself, from the settings: hosts to ask
+    // for control, beside those that are learned.
+    board_value<std::vector<host_id>> seeds;
     // Written by the node controller.
     board_value<service_views> views;
     board_value<config_version> node_version;
--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -14,9 +14,14 @@
 
 } // namespace
 
-control_links::control_links(const daemon_settings& settings,
+control_links::control_links(zmq::context_t& context,
+                             const daemon_settings& settings,
                              const zap_authenticator* authenticator)
-    : m_node_name(internal::node_name(settings)), m_authenticator(authenticator)
+    : m_context(context)
+    , m_seeds(settings.seeds)
+    , m_self(settings.host.name)
+    , m_node_name(internal::node_name(settings))
+    , m_authenticator(authenticator)
 {
 }
 
@@ -25,7 +30,7 @@
                     const identity& own, const zap_authenticator* authenticator)
 {
     std::unique_ptr<control_links> made(
-        new control_links(settings, authenticator));
+        new control_links(context, settings, authenticator));
     const auto done =
         made->open_peers(context, own, settings)
             .and_then([&] { return made->open_nodes(context, own, settings); })
@@ -121,8 +126,66 @@
     return {};
 }
 
+std::optional<dealer_socket> control_links::reach(const host_id& self,
+                                                  const host_id& host,
+                                                  std::uint16_t port)
+{
+    const auto address = ip_address::parse(host.value());
+    if (!m_seeds || !address)
+    {
+        return std::nullopt;
+    }
+    result<dealer_socket> dealer = dealer_socket::connect(
+        m_context, self, endpoint{*address, port}, std::nullopt, "");
+    if (!dealer)
+    {
+        m_metrics.count("crowlink_control_hosts_unreachable_total");
+        return std::nullopt;
+    }
+    return std::move(*dealer);
+}
+
+void control_links::reach_peer(const host_id& host)
+{
+    if (host == m_self || m_peers.count(host) != 0)
+    {
+        return;
+    }
+    if (auto dealer = reach(m_self, host, m_seeds ? m_seeds->peer_port : 0))
+    {
+        m_peers.emplace(host, std::move(*dealer));
+    }
+}
+
+void control_links::reach_control(const host_id& host)
+{
+    if (m_control.count(host) != 0)
+    {
+        return;
+    }
+    if (auto dealer = reach(m_node_name, host, m_seeds ? m_seeds->node_port : 0))
+    {
+        m_control.emplace(host, std::move(*dealer));
+        list_sockets();
+    }
+}
+
+void control_links::keep_peers(const std::set<host_id>& hosts)
+{
+    std::erase_if(m_peers, [&hosts](const auto& each)
+                  { return hosts.count(each.first) == 0; });
+}
+
+void control_links::keep_control(const std::set<host_id>& hosts)
+{
+    std::erase_if(m_control, [&hosts](const auto& each)
+                  { return hosts.count(each.first) == 0; });
+    list_sockets();
+}
+
 void control_links::list_sockets()
 {
+    m_items.clear();
     const auto add = [this](zmq::socket_ref socket)
     {
         m_items.push_back(zmq::pollitem_t{socket.handle(), 0, ZMQ_POLLIN, 0});
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control_links.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 #include <zmq.hpp>
@@ -58,6 +59,14 @@
     // The next message; empty if there is none.
     std::optional<inbound_message> next();
 
+    // Where hosts are named by their addresses, connects to one that is not
+    // connected yet: to another control host, or from a node to control.
+    void reach_peer(const host_id& host);
+    void reach_control(const host_id& host);
+    // Ends the connections to control hosts that are not among these.
+    void keep_peers(const std::set<host_id>& hosts);
+    void keep_control(const std::set<host_id>& hosts);
+
     // The control hosts that this node has no connection to, since it broke or
     // was refused.
     std::vector<host_id> lost_control();
@@ -76,9 +85,14 @@
     const metrics& counters() const { return m_metrics; }
 
 private:
-    control_links(const daemon_settings& settings,
+    control_links(zmq::context_t& context, const daemon_settings& settings,
                   const zap_authenticator* authenticator);
 
+    // Nothing where hosts are not named by their addresses.
+    std::optional<dealer_socket> reach(const host_id& self,
+                                       const host_id& host,
+                                       std::uint16_t port);
+
     result<void> open_peers(zmq::context_t& context, const identity& own,
                             const daemon_settings& settings);
     result<void> open_nodes(zmq::context_t& context, const identity& own,
@@ -91,6 +105,9 @@
                                            link_kind link);
     std::optional<inbound_message> next_from_control();
 
+    zmq::context_t& m_context;
+    std::optional<seed_settings> m_seeds;
+    host_id m_self;
     host_id m_node_name;
     const zap_authenticator* m_authenticator;
     std::optional<router_socket> m_peer_router;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -121,6 +121,17 @@
     }
 }
 
+void control_thread::set_seeds(std::vector<host_id> seeds)
+{
+    const bool posted = post([named = std::move(seeds)](context& with)
+                             { with.board.seeds.set(named); });
+    if (!posted)
+    {
+        m_log.write(log_line(log_level::warning, "seeds_not_taken")
+                        .field("reason", "control is busy"));
+    }
+}
+
 void control_thread::start()
 {
     for (const std::unique_ptr<agent_role>& agent : m_agents)
--- a/packages/daemon/src/control_thread.hpp
+++ b/packages/daemon/src/control_thread.hpp
@@ -57,6 +57,9 @@
     // Begins to run; nothing is lost that arrived before.
     void start();
 
+    // The control hosts that the settings name by address; they may change.
+    void set_seeds(std::vector<host_id> seeds);
+
     // Runs a command on the control thread; false if too many wait.
     bool post(command wanted) { return m_commands.post(std::move(wanted)); }
 
--- a/packages/daemon/src/document_controller.cpp
+++ b/packages/daemon/src/document_controller.cpp
@@ -3,6 +3,7 @@
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/replication/message_codec.hpp"
 
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -69,6 +70,7 @@
                         .field("sender", message.sender.value()));
         return;
     }
+    m_links.reach_peer(message.sender);
     carry_out(
         m_core.handle(now, replication::message_received{std::move(*decoded)}),
         board);
@@ -94,9 +96,47 @@
     carry_out(m_core.handle(now, replication::tick{}), board);
     const replication::replica_status status = m_core.status(now);
     board.document_age.set(status.document_age);
+    follow_members(status, board);
     keep_voters(now, status, board);
 }
 
+// Hosts join at addresses that no settings name. Those that say hello are
+// reached too, so that they can be answered before they are members.
+void document_controller::follow_members(
+    const replication::replica_status& status, blackboard& board)
+{
+    std::vector<host_id> members;
+    for (const replication::member_status& one : status.members)
+    {
+        members.push_back(one.who.host);
+    }
+    const bool is_new = members != board.members.get();
+    if (!is_new && !m_seeds.changed(board.seeds))
+    {
+        return;
+    }
+    board.members.set(members);
+    const std::vector<host_id>& seeds = board.seeds.get();
+    std::set<host_id> all(members.begin(), members.end());
+    all.insert(seeds.begin(), seeds.end());
+    for (const replication::stranger_status& one : status.strangers)
+    {
+        all.insert(one.host);
+    }
+    all.erase(status.self);
+    if (seeds.empty())
+    {
+        // The settings name all hosts.
+        return;
+    }
+    for (const host_id& host : all)
+    {
+        m_links.reach_peer(host);
+    }
+    m_links.keep_peers(all);
+    m_core.set_peers(std::vector<host_id>(all.begin(), all.end()));
+}
+
 // The policy's changes need no answer: what was refused or lost is decided
 // anew from the next status.
 void document_controller::keep_voters(time_point now,
--- a/packages/daemon/src/document_controller.hpp
+++ b/packages/daemon/src/document_controller.hpp
@@ -50,6 +50,8 @@
 private:
     using effects = std::vector<replication::document_effect>;
 
+    void follow_members(const replication::replica_status& status,
+                        blackboard& board);
     void keep_voters(time_point now, const replication::replica_status& status,
                      blackboard& board);
     void carry_out(const effects& wanted, blackboard& board);
@@ -72,6 +74,7 @@
     // Empty where operators alone decide who votes.
     std::optional<replication::voter_policy> m_voters;
     time_point m_next_policy{};
+    board_reader<std::vector<host_id>> m_seeds;
     std::uint64_t m_next_request = 1;
     std::map<std::uint64_t, change_reply> m_changes;
     std::map<std::uint64_t, member_reply> m_member_changes;
--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/membership_controller.cpp
@@ -76,7 +76,12 @@
     , m_log(log)
     , m_core(to_core(settings), to_publisher(settings), seed, now)
     , m_gate(granted_announcements(authenticator))
+    , m_own{settings.host.name, settings.host.place, settings.host.region}
 {
+    for (const control_peer& peer : settings.control->peers)
+    {
+        m_named.push_back(observer_info{peer.host, peer.place, peer.region});
+    }
 }
 
 void membership_controller::handle(time_point now,
@@ -119,11 +124,34 @@
         const applied_document& applied = board.document.get();
         m_core.document_changed(applied.version, applied.document);
     }
+    if (m_members.changed(board.members) && !board.members.get().empty())
+    {
+        std::vector<observer_info> hosts;
+        for (const host_id& host : board.members.get())
+        {
+            hosts.push_back(info_of(host));
+        }
+        m_core.set_control_hosts(now, hosts);
+    }
     m_core.set_document_age(board.document_age.get());
     send(m_core.tick(now));
     m_nodes.purge(now);
 }
 
+// A host that the settings do not name is taken to be in this host's region:
+// nothing tells more of it than its address.
+observer_info membership_controller::info_of(const host_id& host) const
+{
+    for (const observer_info& each : m_named)
+    {
+        if (each.id == host)
+        {
+            return each;
+        }
+    }
+    return observer_info{host, m_own.where, m_own.region};
+}
+
 // Reads what a node says of the version that is in force there.
 void membership_controller::note(time_point now, const host_id& node,
                                  const wire::membership_message& message)
--- a/packages/daemon/src/membership_controller.hpp
+++ b/packages/daemon/src/membership_controller.hpp
@@ -44,6 +44,7 @@
     const node_board& nodes() const { return m_nodes; }
 
 private:
+    observer_info info_of(const host_id& host) const;
     void note(time_point now, const host_id& node,
               const wire::membership_message& message);
     void send(const std::vector<membership_send>& sends);
@@ -53,6 +54,10 @@
     membership_host m_core;
     announcement_gate<granted_announcements> m_gate;
     board_reader<applied_document> m_document;
+    board_reader<std::vector<host_id>> m_members;
+    observer_info m_own;
+    // Those that the settings describe.
+    std::vector<observer_info> m_named;
     node_board m_nodes;
 };
 
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -6,6 +6,7 @@
 #include "process_identity.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace crowlink::internal
 {
@@ -95,6 +96,7 @@
     , m_subscriber(to_subscriber(settings), seed, now)
     , m_announcing(to_announcer(settings))
     , m_seed(seed)
+    , m_where(settings.host.place)
 {
     for (upstream_record& record : records)
     {
@@ -140,6 +142,10 @@
         add_announcers(now, board);
         change_records(now, board);
     }
+    if (m_seeds.changed(board.seeds) || m_is_hosts_due)
+    {
+        follow_hosts(now, board);
+    }
     for (announcer& each : m_announcers)
     {
         send(each.tick(now));
@@ -177,6 +183,11 @@
 void node_controller::take(const subscriber_output& out, blackboard& board)
 {
     send(out.sends);
+    if (out.control_hosts)
+    {
+        m_learned = *out.control_hosts;
+        m_is_hosts_due = true;
+    }
     if (out.changed.empty() && out.removed.empty())
     {
         return;
@@ -197,6 +208,34 @@
     board.views.set(std::move(views));
 }
 
+// Asks those that control itself named; the seeds help while nobody has, or
+// where all of those are gone.
+void node_controller::follow_hosts(time_point now, const blackboard& board)
+{
+    m_is_hosts_due = false;
+    const std::vector<host_id>& seeds = board.seeds.get();
+    if (seeds.empty())
+    {
+        // The settings name all hosts.
+        return;
+    }
+    std::set<host_id> all(m_learned.begin(), m_learned.end());
+    all.insert(seeds.begin(), seeds.end());
+    std::vector<observer_info> hosts;
+    for (const host_id& host : all)
+    {
+        m_links.reach_control(host);
+        hosts.push_back(observer_info{host, m_where, m_announcing.region});
+    }
+    m_links.keep_control(all);
+    m_announcing.observers = hosts;
+    for (announcer& each : m_announcers)
+    {
+        each.set_observers(hosts);
+    }
+    m_subscriber.set_publishers(now, std::move(hosts));
+}
+
 // Upstreams that announce themselves are known only when they do.
 void node_controller::add_announcers(time_point now, const blackboard& board)
 {
--- a/packages/daemon/src/node_controller.hpp
+++ b/packages/daemon/src/node_controller.hpp
@@ -36,6 +36,7 @@
     void send(const std::vector<membership_send>& sends);
     void take(const subscriber_output& out, blackboard& board);
     void change_records(time_point now, const blackboard& board);
+    void follow_hosts(time_point now, const blackboard& board);
     void add_announcers(time_point now, const blackboard& board);
     announcer* find(std::uint32_t service, const std::string& id);
 
@@ -44,6 +45,11 @@
     subscriber m_subscriber;
     announcer_settings m_announcing;
     std::uint64_t m_seed;
+    place_id m_where;
+    // The control hosts that control named last.
+    std::vector<host_id> m_learned;
+    bool m_is_hosts_due = false;
+    board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
     board_reader<wanted_records> m_wanted;
     board_reader<stop_phase> m_phase;
--- a/packages/daemon/src/run_daemon.cpp
+++ b/packages/daemon/src/run_daemon.cpp
@@ -3,6 +3,7 @@
 #include "command_line.hpp"
 #include "crowlink/settings/load.hpp"
 #include "running_daemon.hpp"
+#include "settings_watch.hpp"
 #include "signals.hpp"
 
 #include <csignal>
@@ -24,18 +25,41 @@
     fmt::print(stderr, "crowlinkd: {}\n", to_string(value));
 }
 
-// Serves until a signal ends it or storage fails.
-exit_code serve(const internal::signals& signals,
-                internal::running_daemon& daemon)
+// Takes in what may change while the daemon runs. Settings that are refused
+// leave everything as it is.
+void reload(const std::string& file, internal::running_daemon& daemon,
+            log_sink& log)
 {
+    daemon.reload_grants();
+    const settings_result fresh = load_settings(file);
+    if (fresh)
+    {
+        daemon.reload(*fresh);
+        return;
+    }
+    for (const error& each : fresh.error())
+    {
+        log.write(log_line(log_level::error, "settings_refused")
+                      .field("file", file)
+                      .field("error", to_string(each)));
+    }
+}
+
+// Serves until a signal ends it or storage fails. The settings may change with
+// a signal or without one.
+exit_code serve(const internal::signals& signals, const std::string& file,
+                internal::running_daemon& daemon, log_sink& log)
+{
+    internal::settings_watch watch(file);
     while (!daemon.has_failed())
     {
         const std::optional<int> got = signals.wait(idle_poll);
-        if (got == SIGHUP)
+        if (got == SIGHUP || watch.changed())
         {
-            daemon.reload_grants();
+            (void)watch.changed();
+            reload(file, daemon, log);
         }
-        else if (got)
+        if (got.value_or(SIGHUP) != SIGHUP)
         {
             return exit_code::success;
         }
@@ -58,7 +82,7 @@
     }
 }
 
-exit_code run(const daemon_settings& settings)
+exit_code run(const daemon_settings& settings, const std::string& file)
 {
     // Before any thread, so that all of them inherit the mask.
     const internal::signals signals;
@@ -70,7 +94,7 @@
         print(daemon.error());
         return exit_code::cannot_start;
     }
-    const exit_code code = serve(signals, **daemon);
+    const exit_code code = serve(signals, file, **daemon, log);
     if (code == exit_code::success)
     {
         (*daemon)->drain();
@@ -105,7 +129,7 @@
         fmt::print("{}: valid\n", line->settings_file);
         return exit_code::success;
     }
-    return run(*settings);
+    return run(*settings, line->settings_file);
 }
 
 } // namespace crowlink
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -3,6 +3,7 @@
 #include "platform_calls.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace crowlink::internal
@@ -19,6 +20,30 @@
 // The fabric may hand packets to a balancer that left for a while.
 constexpr std::chrono::seconds balancer_grace(3);
 
+// Hosts that are known by their addresses are named by them.
+std::vector<host_id> seed_names(const daemon_settings& settings)
+{
+    std::vector<host_id> names;
+    if (settings.seeds)
+    {
+        for (const endpoint& each : settings.seeds->hosts)
+        {
+            names.emplace_back(each.address.to_string());
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> texts(const std::vector<host_id>& hosts)
+{
+    std::vector<std::string> out;
+    for (const host_id& each : hosts)
+    {
+        out.push_back(each.value());
+    }
+    return out;
+}
+
 struct platform_address
 {
     endpoint listen;
@@ -72,6 +97,7 @@
         return tl::unexpected(control.error());
     }
     m_control = std::move(*control);
+    m_control->set_seeds(seed_names(m_settings));
     m_control->start();
     return open_http();
 }
@@ -190,6 +216,18 @@
     return !m_is_leaving && m_control->is_informed();
 }
 
+void running_daemon::reload(const daemon_settings& fresh)
+{
+    if (fresh.seeds != m_settings.seeds)
+    {
+        m_settings.seeds = fresh.seeds;
+        m_control->set_seeds(seed_names(m_settings));
+    }
+    m_log.write(log_line(log_level::info, "reloaded")
+                    .field("seeds", fmt::to_string(fmt::join(
+                                        texts(seed_names(m_settings)), ","))));
+}
+
 void running_daemon::reload_grants()
 {
     if (m_authenticator == nullptr)
--- a/packages/daemon/src/running_daemon.hpp
+++ b/packages/daemon/src/running_daemon.hpp
@@ -31,6 +31,10 @@
     static result<std::unique_ptr<running_daemon>>
     start(const daemon_settings& settings, log_sink& log);
 
+    // Takes in what may change while the daemon runs: the control hosts that
+    // the settings name by address.
+    void reload(const daemon_settings& fresh);
+
     // Takes in new grants from the file of allowed keys.
     void reload_grants();
 
--- a/packages/membership/include/crowlink/membership/announcer.hpp
+++ b/packages/membership/include/crowlink/membership/announcer.hpp
@@ -38,6 +38,9 @@
     std::vector<membership_send> change(time_point now, upstream_state state,
                                         std::uint32_t weight);
 
+    // Other control hosts are there from now on.
+    void set_observers(std::vector<observer_info> observers);
+
     // The record as it was last announced.
     const upstream_record& record() const { return m_record; }
 
--- a/packages/membership/include/crowlink/membership/membership_host.hpp
+++ b/packages/membership/include/crowlink/membership/membership_host.hpp
@@ -30,11 +30,16 @@
     }
     void set_document_age(duration age) { m_publisher.set_document_age(age); }
 
+    // All control hosts, this one included.
+    void set_control_hosts(time_point now,
+                           const std::vector<observer_info>& hosts);
+
     observer& observing() { return m_observer; }
     const observer& observing() const { return m_observer; }
     const publisher& publishing() const { return m_publisher; }
 
 private:
+    host_id m_self;
     observer m_observer;
     publisher m_publisher;
 };
--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -37,6 +37,9 @@
 
     observer_output tick(time_point now);
 
+    // Other observers are there from now on.
+    void set_peers(time_point now, std::vector<observer_info> peers);
+
     // Whether it knows enough to publish.
     bool ready() const { return m_ready; }
 
--- a/packages/membership/include/crowlink/membership/peer_board.hpp
+++ b/packages/membership/include/crowlink/membership/peer_board.hpp
@@ -18,6 +18,9 @@
 public:
     peer_board(const observer_settings& settings, time_point now);
 
+    // Other observers are there from now on; a new one counts as heard.
+    void keep(time_point now, const std::vector<observer_info>& peers);
+
     bool known(const host_id& peer) const { return m_peers.count(peer) != 0; }
 
     // Takes in a peer's heartbeat; lists are bounded by what is known.
--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -31,6 +31,9 @@
     void record_changed(time_point now, const upstream_record& record);
     void place_changed(const place_change& change);
 
+    // All control hosts, this one included; nodes are told.
+    void set_control_hosts(std::vector<host_id> hosts);
+
     // How old the document and the cut regions' records may be; nodes are told
     // with the next digest.
     void set_document_age(duration age) { m_document_age = age; }
@@ -73,6 +76,7 @@
     internal::published_state m_state;
     session_map m_sessions;
     std::set<place_id> m_lost_places;
+    std::vector<host_id> m_control_hosts;
     std::vector<region_age> m_cut_regions;
     duration m_document_age{};
     bool m_ready = false;
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -29,6 +29,9 @@
 
     subscriber_output tick(time_point now);
 
+    // Other control hosts are there from now on.
+    void set_publishers(time_point now, std::vector<observer_info> publishers);
+
     // The connection to a control host broke or was refused. If it is the one
     // that is asked, another one is asked soon, without waiting for silence.
     void connection_lost(time_point now, const host_id& publisher);
@@ -85,6 +88,9 @@
     std::set<service_id> m_listed;
     internal::subscribed_state m_state;
     std::set<service_id> m_pending;
+    // The control hosts that the stream named last, if it did since they were
+    // given out.
+    std::optional<std::vector<host_id>> m_control_hosts;
     std::size_t m_source = 0;
     phase m_phase = phase::waiting;
     std::uint32_t m_stream = 0;
--- a/packages/membership/src/announcer.cpp
+++ b/packages/membership/src/announcer.cpp
@@ -1,7 +1,7 @@
 #include "crowlink/membership/announcer.hpp"
 
-#include "crowlink/base/hash.hpp"
 #include "member_codec.hpp"
+#include "observer_order.hpp"
 
 #include <algorithm>
 #include <random>
@@ -47,35 +47,32 @@
     return m_order[m_home];
 }
 
-// Rendezvous order by the record's id, so that announcers spread evenly and a
-// dead observer's ones spread over the others.
-void announcer::order_observers()
+void announcer::set_observers(std::vector<observer_info> observers)
 {
-    struct choice
-    {
-        bool remote;
-        std::uint64_t rank;
-        host_id id;
-    };
-    std::vector<choice> choices;
-    for (const observer_info& each : m_settings.observers)
-    {
-        const std::uint64_t seed = stable_hash(m_record.id.value());
-        choices.push_back(choice{each.region != m_settings.region,
-                                 stable_hash(each.id.value(), seed), each.id});
-    }
-    std::sort(choices.begin(), choices.end(),
-              [](const choice& first, const choice& second)
-              {
-                  return std::tie(first.remote, first.rank, first.id) <
-                         std::tie(second.remote, second.rank, second.id);
-              });
-    for (choice& each : choices)
+    const host_id before = m_order.empty() ? host_id() : home();
+    const host_id told =
+        m_order.empty() ? host_id() : m_order[m_announced_to];
+    m_settings.observers = std::move(observers);
+    order_observers();
+    m_home = internal::place_in(m_order, before);
+    m_announced_to = internal::place_in(m_order, told);
+    const bool moved = m_order.empty() || home() != before;
+    if (moved)
     {
-        m_order.push_back(std::move(each.id));
+        // The home is no control host any more: another one is asked at once.
+        m_announced = false;
+        m_waiting_answer = false;
+        m_accepted = false;
+        m_next = time_point();
     }
 }
 
+void announcer::order_observers()
+{
+    m_order = internal::order_for(m_record.id.value(), m_settings.region,
+                                  m_settings.observers);
+}
+
 std::vector<membership_send>
 announcer::handle(time_point now, const host_id& from,
                   const wire::membership_message& in)
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -67,10 +67,29 @@
 membership_host::membership_host(observer_settings observing,
                                  publisher_settings publishing,
                                  std::uint64_t seed, time_point now)
-    : m_observer(std::move(observing), now), m_publisher(publishing, seed)
+    : m_self(observing.self.id)
+    , m_observer(std::move(observing), now)
+    , m_publisher(publishing, seed)
 {
 }
 
+void membership_host::set_control_hosts(
+    time_point now, const std::vector<observer_info>& hosts)
+{
+    std::vector<observer_info> peers;
+    std::vector<host_id> names;
+    for (const observer_info& each : hosts)
+    {
+        names.push_back(each.id);
+        if (each.id != m_self)
+        {
+            peers.push_back(each);
+        }
+    }
+    m_observer.set_peers(now, std::move(peers));
+    m_publisher.set_control_hosts(std::move(names));
+}
+
 std::vector<membership_send>
 membership_host::handle(time_point now, const host_id& from,
                         const wire::membership_message& in)
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -100,6 +100,12 @@
 {
 }
 
+void observer::set_peers(time_point now, std::vector<observer_info> peers)
+{
+    m_settings.peers = std::move(peers);
+    m_peers.keep(now, m_settings.peers);
+}
+
 const upstream_record* observer::find(service_id service,
                                       const upstream_id& id) const
 {
--- a/packages/membership/src/peer_board.cpp
+++ b/packages/membership/src/peer_board.cpp
@@ -17,6 +17,19 @@
     }
 }
 
+void peer_board::keep(time_point now, const std::vector<observer_info>& peers)
+{
+    std::map<host_id, known_peer> kept;
+    for (const observer_info& each : peers)
+    {
+        const auto found = m_peers.find(each.id);
+        kept.emplace(each.id, found == m_peers.end()
+                                  ? known_peer{each, now, now, {}}
+                                  : found->second);
+    }
+    m_peers = std::move(kept);
+}
+
 time_point peer_board::latest(const known_peer& value)
 {
     return std::max(value.direct, value.indirect);
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -172,6 +172,15 @@
     return out;
 }
 
+void publisher::set_control_hosts(std::vector<host_id> hosts)
+{
+    m_control_hosts = std::move(hosts);
+    for (auto& each : m_sessions)
+    {
+        each.second.hosts_due = true;
+    }
+}
+
 void publisher::attached(time_point now, const host_id& from,
                          const wire::attach& in,
                          std::vector<membership_send>& out)
@@ -267,7 +276,7 @@
 
 bool publisher::has_news(const publisher_session& session) const
 {
-    return session.places_due || session.snapshot.active ||
+    return session.places_due || session.hosts_due || session.snapshot.active ||
            session.complete_version < m_state.version().value() ||
            session.urgent < m_state.urgent().end() ||
            session.ordinary < m_state.ordinary().end();
@@ -294,6 +303,16 @@
             part.add_lost_places(place.value());
         }
     }
+    if (session.hosts_due && !m_control_hosts.empty())
+    {
+        added = true;
+        part.set_control_hosts_set(true);
+        for (const host_id& host : m_control_hosts)
+        {
+            part.add_control_hosts(host.value());
+        }
+    }
+    session.hosts_due = false;
     internal::part_builder builder(m_state, session, limit);
     added = builder.fill(part) || added;
     const std::uint64_t version = m_state.version().value();
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -3,6 +3,7 @@
 #include "crowlink/base/hash.hpp"
 #include "crowlink/membership/balancer_record.hpp"
 #include "member_codec.hpp"
+#include "observer_order.hpp"
 
 #include <algorithm>
 #include <random>
@@ -46,34 +47,26 @@
     m_next = now + duration(spread(m_random));
 }
 
-// The own region's publishers first, each part in rendezvous order.
-void subscriber::order_publishers()
+void subscriber::set_publishers(time_point now,
+                                std::vector<observer_info> publishers)
 {
-    struct choice
-    {
-        bool remote;
-        std::uint64_t rank;
-        host_id id;
-    };
-    std::vector<choice> choices;
-    for (const observer_info& each : m_settings.publishers)
-    {
-        const std::uint64_t seed = stable_hash(m_settings.self.value());
-        choices.push_back(choice{each.region != m_settings.region,
-                                 stable_hash(each.id.value(), seed), each.id});
-    }
-    std::sort(choices.begin(), choices.end(),
-              [](const choice& first, const choice& second)
-              {
-                  return std::tie(first.remote, first.rank, first.id) <
-                         std::tie(second.remote, second.rank, second.id);
-              });
-    for (choice& each : choices)
+    const host_id before = m_order.empty() ? host_id() : source();
+    m_settings.publishers = std::move(publishers);
+    order_publishers();
+    m_source = internal::place_in(m_order, before);
+    if (m_order.empty() || source() != before)
     {
-        m_order.push_back(std::move(each.id));
+        m_behind_since.reset();
+        repair(now);
     }
 }
 
+void subscriber::order_publishers()
+{
+    m_order = internal::order_for(m_settings.self.value(), m_settings.region,
+                                  m_settings.publishers);
+}
+
 const host_id& subscriber::source() const
 {
     return m_order[m_source];
@@ -167,6 +160,14 @@
 void subscriber::apply(time_point now, const wire::stream_part& in)
 {
     note_version(now, in.version());
+    if (in.control_hosts_set())
+    {
+        m_control_hosts.emplace();
+        for (const std::string& name : in.control_hosts())
+        {
+            m_control_hosts->emplace_back(name);
+        }
+    }
     if (in.lost_places_set())
     {
         std::set<place_id> lost;
@@ -270,6 +271,7 @@
 // their way.
 void subscriber::emit(subscriber_output& out)
 {
+    out.control_hosts = std::exchange(m_control_hosts, std::nullopt);
     const std::set<service_id> touched = m_state.take_touched();
     m_pending.insert(touched.begin(), touched.end());
     for (auto each = m_pending.begin(); each != m_pending.end();)
--- a/packages/replication/include/crowlink/replication/replica.hpp
+++ b/packages/replication/include/crowlink/replication/replica.hpp
@@ -42,6 +42,9 @@
     std::vector<replica_effect> handle(time_point now,
                                        const replica_event& event);
 
+    // Other control hosts are said hello to from now on.
+    void set_peers(std::vector<host_id> peers);
+
     // Whether this is the leader, holds its lease and has applied all that
     // earlier leaders committed: what was applied here is then the newest.
     bool can_read(time_point now) const;
--- a/packages/replication/include/crowlink/replication/replicated_document.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document.hpp
@@ -43,6 +43,12 @@
     std::vector<document_effect> handle(time_point now,
                                         const document_event& event);
 
+    // Other control hosts are said hello to from now on.
+    void set_peers(std::vector<host_id> peers)
+    {
+        m_replica.set_peers(std::move(peers));
+    }
+
     // What this host has applied; it may be older than what the leader has. Its
     // age is in the status.
     const document_store& store() const { return m_store; }
--- a/packages/replication/src/replica.cpp
+++ b/packages/replication/src/replica.cpp
@@ -29,6 +29,11 @@
     return m_core->handle(now, event);
 }
 
+void replica::set_peers(std::vector<host_id> peers)
+{
+    m_core->set_peers(std::move(peers));
+}
+
 bool replica::can_read(time_point now) const
 {
     return m_core->can_read(now);
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -33,6 +33,10 @@
     std::vector<replica_effect> start();
     std::vector<replica_effect> handle(time_point now,
                                        const replica_event& event);
+    void set_peers(std::vector<host_id> peers)
+    {
+        m_settings.peers = std::move(peers);
+    }
     bool can_read(time_point now) const;
     replica_status status(time_point now) const;
 
--- a/packages/settings/include/crowlink/settings/daemon_settings.hpp
+++ b/packages/settings/include/crowlink/settings/daemon_settings.hpp
@@ -8,6 +8,7 @@
 #include "crowlink/settings/host_settings.hpp"
 #include "crowlink/settings/key_settings.hpp"
 #include "crowlink/settings/log_settings.hpp"
+#include "crowlink/settings/seed_settings.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -26,6 +27,9 @@
     // Where a node finds control; empty for a daemon with the control role,
     // whose other roles use the control in their own process.
     std::vector<control_endpoint> control_endpoints;
+    // Present where control hosts are found by their addresses alone; the
+    // endpoints and peers then hold those that the seeds name.
+    std::optional<seed_settings> seeds{};
     std::optional<control_role_settings> control;
     std::optional<balancer_role_settings> balancer;
     std::vector<agent_role_settings> agents;
--- a/packages/settings/src/daemon_section.cpp
+++ b/packages/settings/src/daemon_section.cpp
@@ -38,54 +38,53 @@
     return voters;
 }
 
-// What hosts that are known by their address alone have in common: the host's
-// name is its address, and the ports are the same everywhere.
-struct seed_ports
-{
-    std::uint16_t peers = 0;
-    std::uint16_t nodes = 0;
-    std::vector<endpoint> hosts;
-};
-
-seed_ports read_seed_ports(object_reader& reader)
+seed_settings read_seed_section(object_reader& reader)
 {
     constexpr std::uint32_t highest_port = 65535;
-    seed_ports seeds;
-    seeds.hosts = reader.addresses("hosts", 0);
-    seeds.peers =
-        static_cast<std::uint16_t>(reader.number("peer_port", 1, highest_port));
-    seeds.nodes =
-        static_cast<std::uint16_t>(reader.number("node_port", 1, highest_port));
+    seed_settings seeds;
+    seeds.hosts = reader.addresses("hosts", 1);
+    seeds.peer_port = static_cast<std::uint16_t>(
+        reader.number("peer_port", 1, highest_port));
+    seeds.node_port = static_cast<std::uint16_t>(
+        reader.number("node_port", 1, highest_port));
     return seeds;
 }
 
-// Control hosts from addresses alone. The ports in "hosts" belong to others.
+void add_seed(const endpoint& seed, std::size_t voters, daemon_settings& daemon)
+{
+    const host_id name(seed.address.to_string());
+    const host_settings& own = daemon.host;
+    daemon.control_endpoints.push_back(
+        control_endpoint{name, own.place, own.region,
+                         endpoint{seed.address, daemon.seeds->node_port}, ""});
+    if (daemon.control)
+    {
+        const bool votes = daemon.control->peers.size() < voters;
+        daemon.control->peers.push_back(control_peer{
+            name, own.place, own.region,
+            endpoint{seed.address, daemon.seeds->peer_port}, "", votes});
+    }
+}
+
+// Control hosts from addresses alone.
 void read_seeds(object_reader& reader, daemon_settings& daemon)
 {
     if (!reader.has("seeds"))
     {
         return;
     }
-    const seed_ports seeds = reader.object("seeds", read_seed_ports);
+    daemon.seeds = reader.object("seeds", read_seed_section);
+    const std::vector<endpoint>& hosts = daemon.seeds->hosts;
     // With an even number of hosts the last one has no vote: it would make the
     // quorum larger and no loss easier to bear.
-    const std::size_t voters =
-        std::min(most_voters, (seeds.hosts.size() - 1) | 1U);
+    const std::size_t odd = hosts.size() - 1 + hosts.size() % 2;
+    const std::size_t voters = std::min(most_voters, odd);
     bool is_listed = false;
-    for (const endpoint& seed : seeds.hosts)
-    {
-        const host_id name(seed.address.to_string());
-        is_listed = is_listed || name == daemon.host.name;
-        daemon.control_endpoints.push_back(
-            control_endpoint{name, daemon.host.place, daemon.host.region,
-                             endpoint{seed.address, seeds.nodes}, ""});
-        if (daemon.control)
-        {
-            const bool votes = daemon.control->peers.size() < voters;
-            daemon.control->peers.push_back(
-                control_peer{name, daemon.host.place, daemon.host.region,
-                             endpoint{seed.address, seeds.peers}, "", votes});
-        }
+    for (const endpoint& seed : hosts)
+    {
+        is_listed =
+            is_listed || seed.address.to_string() == daemon.host.name.value();
+        add_seed(seed, voters, daemon);
     }
     if (daemon.control && !is_listed)
     {
@@ -314,6 +313,11 @@
     {
         daemon.platform_ready = reader.address("platform_ready");
     }
+    if (daemon.keys && daemon.seeds)
+    {
+        reader.refuse("seeds", "found with \"keys\"; allowed: one of them, as "
+                               "seeds name no keys");
+    }
     if (daemon.keys)
     {
         check_keys(reader, daemon);
