--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -11,6 +11,7 @@
 #include "crowlink/agent/member_tables.hpp"
 #include "crowlink/agent/redirect_batch.hpp"
 #include "crowlink/agent/redirect_table.hpp"
+#include "crowlink/agent/repeat_watch.hpp"
 #include "crowlink/agent/shed_warden.hpp"
 
 #include <cstddef>
@@ -94,7 +95,7 @@
     void end_by_caller(time_point now, internal::flow_entry& entry,
                        const packet_arrived& event);
     void find_or_place(time_point now, const packet_arrived& event);
-    bool follow_redirect(const packet_arrived& event,
+    bool follow_redirect(time_point now, const packet_arrived& event,
                          const internal::redirect_entry& known);
     bool follow_mark(time_point now, const packet_arrived& event,
                      const internal::redirect_entry& mark);
@@ -111,6 +112,9 @@
                                   std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
                   const packet_arrived& event);
+    const candidate* silent_candidate(const packet_header& header) const;
+    bool gives_up(time_point now, const packet_arrived& event);
+    void reset_silent(const packet_header& header);
     void reset_unknown(const packet_header& header);
     void start_admission(time_point now, packet_header header,
                          const packet_arrived& event);
@@ -219,6 +223,7 @@
     internal::deadline_queue m_repeats;
     internal::deadline_queue m_watched;
     internal::deadline_queue m_lingering;
+    internal::repeat_watch m_repeated;
     agent_counts m_counts;
 
     // A generation of tables that redirects are checked against, and the
--- a/packages/agent/include/crowlink/agent/agent_counts.hpp
+++ b/packages/agent/include/crowlink/agent/agent_counts.hpp
@@ -27,6 +27,7 @@
     std::uint64_t silent = 0;
     std::uint64_t unknown_flows = 0;
     std::uint64_t upstream_failed = 0;
+    std::uint64_t upstream_silent = 0;
     std::uint64_t duplicate_owners = 0;
     std::uint64_t idle_closed = 0;
     // Packets and messages dropped.
--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -50,6 +50,8 @@
 
     // Whether a member with this tag was known and has ended.
     bool has_ended(upstream_tag tag) const;
+    // Whether its lease has run out without a word of its own.
+    bool is_silent(upstream_tag tag) const;
     // Whether it has, or is silent: nothing new is sent there.
     bool is_gone(upstream_tag tag) const;
     // Whether a balancer is among the living; true as long as none is known.
--- a/packages/agent/include/crowlink/agent/upstream_life.hpp
+++ b/packages/agent/include/crowlink/agent/upstream_life.hpp
@@ -42,6 +42,13 @@
     result<void> announce(time_point now,
                           const upstream_announcement& announced);
 
+    // The agent found the upstream by itself, at its own start, before any
+    // announcement. Changes nothing where one has come.
+    void found(time_point now, const upstream_id& id, bool leaves);
+
+    // The upstream's port is closed: it has ended, whatever it said.
+    void refused();
+
     // The upstream ends by its own word. Of a life that is unknown or has
     // ended nothing is changed.
     void withdraw(time_point now, const upstream_id& id);
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -173,6 +173,7 @@
     }
     m_redirects_left = m_settings.redirects_per_tick;
     m_redirects.expire(now);
+    m_repeated.expire(now);
     m_counts.redirects_evicted = m_redirects.evicted();
     continue_check(now);
     repeat_due(now);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -141,7 +141,7 @@
     if (known != nullptr)
     {
         const bool sent = known->is_mark() ? follow_mark(now, event, *known)
-                                           : follow_redirect(event, *known);
+                                           : follow_redirect(now, event, *known);
         if (sent)
         {
             return;
@@ -164,7 +164,7 @@
     }
 }
 
-bool agent::follow_redirect(const packet_arrived& event,
+bool agent::follow_redirect(time_point now, const packet_arrived& event,
                             const internal::redirect_entry& known)
 {
     const packet_header& header = event.header;
@@ -177,6 +177,12 @@
         m_redirects.erase(header.flow);
         return false;
     }
+    if (m_members.is_silent(to.tag) && gives_up(now, event))
+    {
+        m_redirects.erase(header.flow);
+        reset_silent(header);
+        return true;
+    }
     packet_header sent = header;
     internal::look_up_at(sent, to);
     ++m_counts.redirected;
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -168,10 +168,14 @@
     return std::find(m_gone.begin(), m_gone.end(), tag) != m_gone.end();
 }
 
+bool member_tables::is_silent(upstream_tag tag) const
+{
+    return std::find(m_silent.begin(), m_silent.end(), tag) != m_silent.end();
+}
+
 bool member_tables::is_gone(upstream_tag tag) const
 {
-    return has_ended(tag) ||
-           std::find(m_silent.begin(), m_silent.end(), tag) != m_silent.end();
+    return has_ended(tag) || is_silent(tag);
 }
 
 bool member_tables::is_living_balancer(const endpoint& balancer) const
--- a/packages/agent/src/upstream_life.cpp
+++ b/packages/agent/src/upstream_life.cpp
@@ -52,6 +52,25 @@
     return {};
 }
 
+void upstream_life::found(time_point now, const upstream_id& id, bool leaves)
+{
+    if (m_status || has_ended(id))
+    {
+        return;
+    }
+    m_status = life_status{id, 0, true, leaves, false};
+    m_sequence = 0;
+    m_heard = now;
+}
+
+void upstream_life::refused()
+{
+    if (m_status)
+    {
+        m_status->is_gone = true;
+    }
+}
+
 void upstream_life::withdraw(time_point now, const upstream_id& id)
 {
     if (!m_status || m_status->id != id)
--- a/packages/agent/test/silent_owner_test.cpp
+++ b/packages/agent/test/silent_owner_test.cpp
@@ -76,6 +76,68 @@
     EXPECT_FALSE(is_sent_to_owner(fixture));
 }
 
+TEST(silent_owner, a_caller_that_repeats_itself_in_vain_is_reset)
+{
+    agent_fixture fixture(2);
+    const packet_header sent = continuing(fixture);
+    tell_owner(fixture, sent.flow);
+    show_owner_as(fixture, upstream_state::silent);
+    const packet_arrived request{sent, {}, answer_need::required};
+    // One request in two packets.
+    fixture.handle(request);
+    fixture.now += std::chrono::milliseconds(1);
+    fixture.handle(request);
+    EXPECT_TRUE(fixture.effects.caller_resets.empty());
+    fixture.now += std::chrono::milliseconds(200);
+    fixture.handle(request);
+    ASSERT_EQ(fixture.effects.caller_resets.size(), 1U);
+    EXPECT_EQ(fixture.effects.caller_resets[0].told.outcome,
+              verdict::may_have_run);
+}
+
+TEST(silent_owner, a_caller_that_acknowledges_is_served_and_left_alone)
+{
+    agent_fixture fixture(2);
+    const packet_header sent = continuing(fixture);
+    tell_owner(fixture, sent.flow);
+    show_owner_as(fixture, upstream_state::silent);
+    for (int request = 0; request < 10; ++request)
+    {
+        fixture.handle(packet_arrived{sent, {}, answer_need::required});
+        fixture.now += std::chrono::milliseconds(40);
+        fixture.handle(packet_arrived{sent, {}, answer_need::none});
+        fixture.now += std::chrono::milliseconds(500);
+    }
+    EXPECT_TRUE(fixture.effects.caller_resets.empty());
+}
+
+TEST(silent_owner, nobody_is_reset_at_one_that_control_hears)
+{
+    agent_fixture fixture(2);
+    const packet_header sent = continuing(fixture);
+    tell_owner(fixture, sent.flow);
+    for (int repeat = 0; repeat < 5; ++repeat)
+    {
+        fixture.handle(packet_arrived{sent, {}, answer_need::required});
+        fixture.now += std::chrono::milliseconds(300);
+    }
+    EXPECT_TRUE(fixture.effects.caller_resets.empty());
+}
+
+// An owner that was the head itself has told nobody of its flows.
+TEST(silent_owner, is_asked_for_flows_that_nobody_knows)
+{
+    agent_fixture fixture(2);
+    show_owner_as(fixture, upstream_state::silent);
+    packet_header sent = continuing(fixture);
+    sent.previous.push_back(agent_fixture::identity(owner));
+    fixture.handle(packet_arrived{sent, {}, answer_need::required});
+    ASSERT_FALSE(fixture.effects.forwards.empty());
+    EXPECT_EQ(fixture.effects.forwards.back().to,
+              agent_fixture::address(owner));
+    EXPECT_TRUE(fixture.effects.caller_resets.empty());
+}
+
 TEST(silent_owner, gets_no_new_flow)
 {
     agent_fixture fixture(2);
--- a/packages/agent/test/upstream_life_test.cpp
+++ b/packages/agent/test/upstream_life_test.cpp
@@ -95,6 +95,37 @@
     EXPECT_TRUE(life.status()->lived_on);
 }
 
+TEST(upstream_life, one_that_the_agent_found_is_taken_until_it_speaks)
+{
+    upstream_life life(patience);
+    life.found(start, upstream_id("i-1"), true);
+    EXPECT_EQ(life.status()->id, upstream_id("i-1"));
+    EXPECT_TRUE(life.status()->lived_on);
+    EXPECT_TRUE(life.status()->leaves);
+    ASSERT_TRUE(life.announce(start, told("i-1", 9)));
+    EXPECT_FALSE(life.status()->leaves);
+    EXPECT_EQ(life.status()->returns, 0U);
+}
+
+TEST(upstream_life, what_the_agent_found_never_replaces_an_announcement)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, told("i-2", 0)));
+    life.found(start, upstream_id("i-1"), false);
+    EXPECT_EQ(life.status()->id, upstream_id("i-2"));
+}
+
+TEST(upstream_life, one_whose_port_is_closed_has_ended_until_it_speaks)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, told("i-1", 0)));
+    life.refused();
+    EXPECT_TRUE(life.status()->is_gone);
+    ASSERT_TRUE(life.announce(start + 1s, told("i-1", 1)));
+    EXPECT_FALSE(life.status()->is_gone);
+    EXPECT_EQ(life.status()->returns, 1U);
+}
+
 } // namespace
 
 } // namespace crowlink
--- a/packages/daemon/src/agent_exchange.hpp
+++ b/packages/daemon/src/agent_exchange.hpp
@@ -22,6 +22,7 @@
     snapshot_slot<life_status> upstream;
     wake_event to_agent;
     // From the agent.
+    std::atomic<bool> upstream_refuses{false};
     snapshot_slot<std::map<upstream_id, upstream_record>> wanted;
     // Shared, since the control thread ends before the agent's.
     snapshot_slot<wake_event> to_control;
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -533,6 +533,13 @@
 {
     if constexpr (has_flow_packets)
     {
+        if (m_delivery.is_refused(m_now))
+        {
+            m_log.write(log_line(log_level::warning, "upstream_refuses")
+                            .field("upstream", m_self.id.value()));
+            m_exchange.upstream_refuses = true;
+            handle(upstream_failed{});
+        }
         const work_change done = m_delivery.take_work(m_now);
         for (std::uint32_t i = 0; i < done.started; ++i)
         {
--- a/packages/daemon/src/agent_report.cpp
+++ b/packages/daemon/src/agent_report.cpp
@@ -55,6 +55,7 @@
     add("flows_silent_total", counts.silent);
     add("flows_unknown_total", counts.unknown_flows);
     add("flows_upstream_failed_total", counts.upstream_failed);
+    add("flows_upstream_silent_total", counts.upstream_silent);
     add("flows_duplicate_owner_total", counts.duplicate_owners);
     add("flows_idle_closed_total", counts.idle_closed);
     add("packets_wrong_service_total", counts.wrong_service);
--- a/packages/daemon/src/agent_role.cpp
+++ b/packages/daemon/src/agent_role.cpp
@@ -66,6 +66,13 @@
     return taken;
 }
 
+void agent_role::found(time_point now, const upstream_id& id, bool leaves)
+{
+    const std::lock_guard lock(m_life_mutex);
+    m_life->found(now, id, leaves);
+    publish_status();
+}
+
 void agent_role::withdraw(time_point now, const upstream_id& id)
 {
     const std::lock_guard lock(m_life_mutex);
@@ -81,6 +88,10 @@
     }
     const std::lock_guard lock(m_life_mutex);
     m_life->tick(now);
+    if (m_exchange.upstream_refuses.exchange(false))
+    {
+        m_life->refused();
+    }
     publish_status();
 }
 
--- a/packages/daemon/src/flow_delivery.cpp
+++ b/packages/daemon/src/flow_delivery.cpp
@@ -18,6 +18,10 @@
 // which has sent no request by then keeps no slot busy.
 constexpr duration opening_time = std::chrono::milliseconds(1500);
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
+// An upstream acknowledges within a few milliseconds, however busy; callers
+// repeat themselves after 200 ms.
+constexpr duration owed_too_long = std::chrono::milliseconds(150);
+constexpr duration probe_interval = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -70,6 +74,10 @@
         ++m_work.started;
     }
     known.has_request = known.has_request || is_request;
+    if ((packet->flags.opens || is_request) && m_owed_since == time_point())
+    {
+        m_owed_since = m_now;
+    }
     if (m_to_upstream.full())
     {
         m_unsent += m_socket.send(m_to_upstream).dropped;
@@ -168,6 +176,7 @@
     {
         return std::nullopt;
     }
+    m_owed_since = time_point();
     upstream_packet made;
     made.payload = bytes;
     made.finishes = packet->flags.finishes;
@@ -208,6 +217,23 @@
     return std::exchange(m_unsent, 0);
 }
 
+bool flow_delivery::is_refused(time_point now)
+{
+    const bool owes = m_owed_since != time_point() &&
+                      now - m_owed_since >= owed_too_long;
+    if (owes && now >= m_next_probe)
+    {
+        m_next_probe = now + probe_interval;
+        m_probe.ask(m_upstream);
+    }
+    const bool refuses = m_probe.take() == port_probe::answer::refuses;
+    if (refuses)
+    {
+        m_owed_since = time_point();
+    }
+    return refuses;
+}
+
 work_change flow_delivery::take_work(time_point now)
 {
     m_now = now;
--- a/packages/daemon/src/flow_delivery.hpp
+++ b/packages/daemon/src/flow_delivery.hpp
@@ -6,6 +6,7 @@
 #include "crowlink/transport/datagram_batch.hpp"
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/transport/udp_socket.hpp"
+#include "port_probe.hpp"
 
 #include <array>
 #include <cstdint>
@@ -77,6 +78,10 @@
     // Sends what was delivered and answered.
     std::uint64_t flush();
 
+    // Asks the upstream's port, if the upstream owes something and has said
+    // nothing for a while; yields whether it turned out to be closed.
+    bool is_refused(time_point now);
+
     // What changed since this was last asked.
     work_change take_work(time_point now);
 
@@ -118,6 +123,11 @@
     work_change m_work;
     time_point m_next_sweep{};
     time_point m_now{};
+    // When something was delivered that nothing has come after; zero if
+    // nothing is owed.
+    time_point m_owed_since{};
+    time_point m_next_probe{};
+    port_probe m_probe;
     std::vector<std::uint8_t> m_buffer;
     std::uint64_t m_unsent = 0;
 };
--- a/packages/daemon/src/identity.cpp
+++ b/packages/daemon/src/identity.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr const char* node_suffix = "/node";
+constexpr const char* balancer_suffix = "/balancer";
+constexpr const char* agent_suffix = "/agent";
 
 result<datagram_key> load_packet_key(const std::string& file)
 {
@@ -97,6 +99,13 @@
 
 host_id node_name(const daemon_settings& settings)
 {
+    if (settings.seeds)
+    {
+        // Each role is a process of its own, and the bare name is that of the
+        // control host at this address.
+        const char* suffix = settings.balancer ? balancer_suffix : agent_suffix;
+        return host_id(settings.host.name.value() + suffix);
+    }
     return settings.control ? host_id(settings.host.name.value() + node_suffix)
                             : settings.host.name;
 }
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -1,5 +1,6 @@
 #include "running_daemon.hpp"
 
+#include "crowlink/platform/find_upstream.hpp"
 #include "platform_calls.hpp"
 
 #include <algorithm>
@@ -198,6 +199,7 @@
                 {packets->announcements, upstream_calls(*m_agents[at]), 2});
         }
     }
+    find_upstreams();
     for (platform_address& each : wanted)
     {
         auto opened = platform::http_port::start(
@@ -211,6 +213,39 @@
     return {};
 }
 
+// An agent that restarts beside a living upstream serves its flows at once
+// instead of after the next announcement.
+void running_daemon::find_upstreams()
+{
+    for (std::size_t at = 0; at < m_agents.size(); ++at)
+    {
+        const agent_role_settings& own = m_settings.agents[at];
+        if (!own.flow_packets || own.flow_packets->health_path.empty())
+        {
+            continue;
+        }
+        m_finding.emplace_back(
+            [this, at, &own]
+            {
+                const auto found = platform::find_upstream(
+                    own.upstream_address, own.flow_packets->health_path);
+                if (found)
+                {
+                    m_agents[at]->found(m_clock.now(), found->id,
+                                        found->leaves);
+                }
+            });
+    }
+}
+
+running_daemon::~running_daemon()
+{
+    for (std::thread& each : m_finding)
+    {
+        each.join();
+    }
+}
+
 bool running_daemon::is_ready() const
 {
     return !m_is_leaving && m_control->is_informed();
--- a/packages/daemon/src/running_daemon.hpp
+++ b/packages/daemon/src/running_daemon.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 #include <zmq.hpp>
 
@@ -31,6 +32,8 @@
     static result<std::unique_ptr<running_daemon>>
     start(const daemon_settings& settings, log_sink& log);
 
+    ~running_daemon();
+
     // Takes in what may change while the daemon runs: the control hosts that
     // the settings name by address.
     void reload(const daemon_settings& fresh);
@@ -61,6 +64,7 @@
     result<void> open_traffic();
     result<void> open_http();
     result<void> open_platform();
+    void find_upstreams();
     bool is_ready() const;
     void set_phase(stop_phase phase);
     std::size_t flows() const;
@@ -81,6 +85,8 @@
     std::unique_ptr<health_server> m_health;
     std::vector<std::unique_ptr<platform::http_port>> m_platform;
     std::atomic<bool> m_is_leaving{false};
+    // Each ends by itself within seconds.
+    std::vector<std::thread> m_finding;
     time_point m_drain_until{};
     time_point m_leave_until{};
     time_point m_serve_until{};
--- a/packages/settings/include/crowlink/settings/agent_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/agent_role_settings.hpp
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace crowlink
 {
@@ -31,6 +32,9 @@
     std::uint16_t caller_port = 0;
     // Where the upstream announces itself.
     endpoint announcements;
+    // Where an upstream answers for its health, and names itself; empty where
+    // the agent must not ask.
+    std::string health_path;
     // An upstream that is silent for so long has ended.
     std::uint32_t silent_after_ms = 4000;
     // Flows without any packet for so long are closed.
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -64,6 +64,7 @@
     flow_packet_settings packets;
     packets.outbound = reader.address("outbound");
     packets.announcements = reader.address("announcements");
+    packets.health_path = reader.optional_text("health_path");
     packets.silent_after_ms =
         reader.number("silent_after_ms", least_silence_ms, most_silence_ms,
                       packets.silent_after_ms);
