--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -12,6 +12,7 @@
 #include "crowlink/agent/redirect_batch.hpp"
 #include "crowlink/agent/redirect_table.hpp"
 #include "crowlink/agent/repeat_watch.hpp"
+#include "crowlink/agent/returned_flows.hpp"
 #include "crowlink/agent/shed_warden.hpp"
 
 #include <cstddef>
@@ -131,7 +132,8 @@
     void take(time_point now, const packet_header& header,
               const packet_arrived& event, flow_action how,
               std::string_view reason);
-    bool may_adopt(time_point now, packet_role role, bool was_redirected) const;
+    bool may_adopt(time_point now, const packet_header& header,
+                   bool was_redirected) const;
     void forward(packet_header header, const packet_arrived& event,
                  flow_action how, std::string_view reason);
     void leave_mark(time_point now, const packet_header& header,
@@ -224,6 +226,7 @@
     internal::deadline_queue m_watched;
     internal::deadline_queue m_lingering;
     internal::repeat_watch m_repeated;
+    internal::returned_flows m_returned;
     agent_counts m_counts;
 
     // A generation of tables that redirects are checked against, and the
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -40,19 +40,25 @@
     return m_admission.is_shedding(now);
 }
 
-void agent::on(time_point, const packet_returned& event)
+void agent::on(time_point now, const packet_returned& event)
 {
     ++m_counts.returned;
     const flow_key flow = event.header.flow;
-    const bool was_known = m_flows.find(flow) != nullptr;
-    if (was_known)
+    if (m_flows.find(flow) != nullptr)
     {
         end_flow(flow, "returned");
     }
+    const packet_arrived again{event.header, event.payload};
     if (event.header.role == packet_role::opens)
     {
-        place_elsewhere(event.header,
-                        packet_arrived{event.header, event.payload});
+        place_elsewhere(event.header, again);
+    }
+    else if (event.header.role == packet_role::continues)
+    {
+        // After a restart of several agents each may have taken it for its
+        // own: the others are tried.
+        m_returned.add(now, flow);
+        start_walk(now, event.header, again);
     }
     send_batch();
 }
@@ -174,6 +180,7 @@
     m_redirects_left = m_settings.redirects_per_tick;
     m_redirects.expire(now);
     m_repeated.expire(now);
+    m_returned.expire(now);
     m_counts.redirects_evicted = m_redirects.evicted();
     continue_check(now);
     repeat_due(now);
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -94,7 +94,7 @@
 void agent::place(time_point now, const packet_header& header,
                   const packet_arrived& event)
 {
-    if (may_adopt(now, header.role, false))
+    if (may_adopt(now, header, false))
     {
         take(now, header, event, flow_action::adopted, "upstream_lived_on");
         return;
@@ -175,9 +175,14 @@
     publish_opened(now, entry, header);
 }
 
-bool agent::may_adopt(time_point now, packet_role role,
+bool agent::may_adopt(time_point now, const packet_header& header,
                       bool was_redirected) const
 {
+    const packet_role role = header.role;
+    if (m_returned.holds(header.flow))
+    {
+        return false;
+    }
     const bool may_be_old =
         role == packet_role::any || role == packet_role::continues;
     const bool has_room = m_flows.open_count() <
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -235,7 +235,7 @@
     if (header.position != 0)
     {
         // Who sent it here took this agent for the owner.
-        if (may_adopt(now, header.role, true))
+        if (may_adopt(now, header, true))
         {
             take(now, header, event, flow_action::adopted, "upstream_lived_on");
             return;
--- a/packages/agent/src/agent_walk.cpp
+++ b/packages/agent/src/agent_walk.cpp
@@ -37,7 +37,7 @@
     const bool is_likely_owner =
         header.role == packet_role::continues || header.position == 0;
     if (header.best == packet_header::no_position && is_likely_owner &&
-        may_adopt(now, header.role, false))
+        may_adopt(now, header, false))
     {
         header.best = header.position;
     }
--- a/packages/agent/test/returned_test.cpp
+++ b/packages/agent/test/returned_test.cpp
@@ -48,6 +48,26 @@
     EXPECT_EQ(fixture.effects.refusals[0].told.outcome, verdict::not_run);
 }
 
+// Agents that restarted together each take up what may be theirs.
+TEST(returned, a_flow_that_was_taken_up_wrongly_is_looked_for_elsewhere)
+{
+    agent_fixture fixture(3);
+    fixture.handle(upstream_lived_on{});
+    packet_header later = three_candidates(fixture, packet_role::continues);
+    later.pass = packet_pass::place;
+    fixture.handle(packet_arrived{later, {}});
+    ASSERT_TRUE(fixture.core->owns(later.flow));
+    fixture.effects.forwards.clear();
+    fixture.handle(packet_returned{later, {}});
+    EXPECT_FALSE(fixture.core->owns(later.flow));
+    ASSERT_EQ(fixture.effects.forwards.size(), 1U);
+    EXPECT_EQ(fixture.effects.forwards[0].header.pass, packet_pass::walk);
+    EXPECT_NE(fixture.effects.forwards[0].to, agent_fixture::address(0));
+    // The next packet is not taken up here again.
+    fixture.handle(packet_arrived{later, {}});
+    EXPECT_FALSE(fixture.core->owns(later.flow));
+}
+
 TEST(returned, a_flow_that_the_upstream_has_lost_is_forgotten)
 {
     agent_fixture fixture(1);
