--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -17,8 +17,12 @@
 class admission
 {
 public:
-    admission(duration stall_after, time_point started)
-        : m_judge(stall_after, started)
+    // For `work_per_slot` and `slots` see agent_settings.
+    admission(duration stall_after, time_point started,
+              std::uint32_t work_per_slot = 0, std::uint32_t slots = 0)
+        : m_work_per_slot(work_per_slot)
+        , m_announced_slots(slots)
+        , m_judge(stall_after, started)
     {
     }
 
@@ -43,6 +47,9 @@
     // work, against its share.
     std::uint32_t load(std::size_t flows) const;
 
+    // Whether what runs and waits would make one more request late.
+    bool is_full_of_work() const;
+
     // Whether one more flow is within the limits. While shedding, one flow now
     // and then is, as a trial.
     bool can_admit(time_point now, std::size_t flows) const;
@@ -58,6 +65,8 @@
 private:
     std::uint32_t share(time_point now) const;
 
+    std::uint32_t m_work_per_slot;
+    std::uint32_t m_announced_slots;
     target_limits m_limits;
     sharing_policy m_sharing;
     std::uint32_t m_weight = 100;
--- a/packages/agent/include/crowlink/agent/agent_counts.hpp
+++ b/packages/agent/include/crowlink/agent/agent_counts.hpp
@@ -18,6 +18,7 @@
     std::uint64_t closed = 0;
     std::uint64_t handed_off = 0;
     std::uint64_t refused = 0;
+    std::uint64_t deferred = 0;
     // Packets sent on by a redirect, on a walk, or to where the flow is placed.
     std::uint64_t redirected = 0;
     std::uint64_t looked_up = 0;
--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -36,6 +36,9 @@
     answer_need need = answer_need::unknown;
     // The packet is the caller's last in its direction: a TCP FIN.
     bool finishes = false;
+    // The caller sends it again by itself if nothing comes: a flow that can't
+    // be opened now need not be refused yet.
+    bool comes_again = false;
 };
 
 // The upstream sent something to the caller of a flow.
--- a/packages/agent/include/crowlink/agent/agent_settings.hpp
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -46,6 +46,12 @@
     duration linger = std::chrono::seconds(10);
     // A refused caller is told to come back after this.
     duration retry_after = std::chrono::seconds(1);
+    // So much work for each slot, what runs included, keeps new flows out; 0
+    // sets no bound. For upstreams whose own queue would make requests late or
+    // be refused.
+    std::uint32_t work_per_slot = 0;
+    // Slots as the upstream announced them; 0 where the document declares them.
+    std::uint32_t slots = 0;
     // How often load is told to peers and progress is judged.
     duration assess = std::chrono::milliseconds(250);
     // With work waiting and none answered for so long, an upstream counts as
--- a/packages/agent/include/crowlink/agent/flow_decision.hpp
+++ b/packages/agent/include/crowlink/agent/flow_decision.hpp
@@ -20,6 +20,8 @@
     looked_up,
     redirected,
     refused,
+    // Neither taken nor refused: the caller asks again by itself.
+    deferred,
     reset,
     closed,
     yielded,
@@ -42,6 +44,8 @@
         return "redirected";
     case flow_action::refused:
         return "refused";
+    case flow_action::deferred:
+        return "deferred";
     case flow_action::reset:
         return "reset";
     case flow_action::closed:
--- a/packages/agent/include/crowlink/agent/upstream_life.hpp
+++ b/packages/agent/include/crowlink/agent/upstream_life.hpp
@@ -18,6 +18,8 @@
     upstream_id id;
     // Rises with each return after silence: flows of before are lost.
     std::uint32_t returns = 0;
+    // Requests that it runs at the same time; 0 where it has not said.
+    std::uint32_t slots = 0;
     // Whether it ran before this agent heard of it, so that it may hold flows.
     bool lived_on = false;
     bool leaves = false;
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -28,6 +28,10 @@
 void admission::declare(const service& declared, std::uint32_t weight)
 {
     m_limits = declared.limits;
+    if (m_announced_slots > 0)
+    {
+        m_limits.slots = m_announced_slots;
+    }
     m_sharing = declared.sharing;
     m_weight = std::max(weight, 1U);
 }
@@ -73,9 +77,15 @@
     return m_judge.wants_to_shed() && now < m_shed_until;
 }
 
+bool admission::is_full_of_work() const
+{
+    return m_work_per_slot > 0 &&
+           m_work >= std::uint64_t{m_work_per_slot} * m_limits.slots;
+}
+
 bool admission::can_admit(time_point now, std::size_t flows) const
 {
-    if (m_draining || flows >= m_limits.connections)
+    if (m_draining || flows >= m_limits.connections || is_full_of_work())
     {
         return false;
     }
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -29,7 +29,8 @@
     , m_self{settings.self.agent, m_tag}
     , m_redirects(settings.redirects_kept)
     , m_members(settings.settle, now)
-    , m_admission(settings.stall_after, now)
+    , m_admission(settings.stall_after, now, settings.work_per_slot,
+                  settings.slots)
     , m_warden(settings.shed_lifetime)
     , m_redirects_left(settings.redirects_per_tick)
 {
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -150,6 +150,16 @@
     const refusal_reason reason = m_admission.is_draining()
                                       ? refusal_reason::leaving
                                       : refusal_reason::full;
+    // Work ends within milliseconds, so that a later copy may find room; a
+    // refusal now would only bring the caller back as a new flow.
+    if (event.comes_again && m_admission.is_full_of_work())
+    {
+        ++m_counts.deferred;
+        m_redirects.erase(header.flow);
+        decide(flow_action::deferred, header.flow, header.table, candidate(),
+               "full_of_work");
+        return;
+    }
     const flow_refusal told{verdict::not_run, reason, m_settings.retry_after};
     ++m_counts.refused;
     m_effects.add(internal::refuse_effect{header.return_to, header.flow,
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -140,8 +140,9 @@
     }
     if (known != nullptr)
     {
-        const bool sent = known->is_mark() ? follow_mark(now, event, *known)
-                                           : follow_redirect(now, event, *known);
+        const bool sent = known->is_mark()
+                              ? follow_mark(now, event, *known)
+                              : follow_redirect(now, event, *known);
         if (sent)
         {
             return;
--- a/packages/agent/src/upstream_life.cpp
+++ b/packages/agent/src/upstream_life.cpp
@@ -31,7 +31,8 @@
     if (is_new)
     {
         m_status =
-            life_status{announced.id, 0, announced.sequence > first_sequence,
+            life_status{announced.id,     0,
+                        announced.slots,  announced.sequence > first_sequence,
                         announced.leaves, false};
         m_sequence = announced.sequence;
         m_heard = now;
@@ -58,7 +59,7 @@
     {
         return;
     }
-    m_status = life_status{id, 0, true, leaves, false};
+    m_status = life_status{id, 0, 0, true, leaves, false};
     m_sequence = 0;
     m_heard = now;
 }
--- /dev/null
+++ b/packages/agent/test/full_of_work_test.cpp
@@ -0,0 +1,238 @@
+#include "agent_fixture.hpp"
+#include "crowlink/agent/admission.hpp"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <queue>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// The load after an outage on the users' platform: everybody who waited asks
+// at once, and new callers go on coming at 60% of what the upstream can do.
+constexpr std::size_t waiting_callers = 90;
+constexpr duration run_time = milliseconds(35);
+constexpr duration caller_interval = milliseconds(15);
+constexpr duration played = std::chrono::seconds(6);
+constexpr std::uint32_t slots = 4;
+constexpr std::size_t upstream_queue = 16;
+// What callers do: copies of the opening packet, then a new try.
+constexpr duration copies[] = {milliseconds(0), milliseconds(200),
+                               milliseconds(600)};
+constexpr duration opening_time = milliseconds(1400);
+constexpr duration retry_pause = milliseconds(100);
+constexpr int most_tries = 3;
+constexpr duration aim = milliseconds(150);
+constexpr duration deadline = milliseconds(2500);
+
+struct outcome
+{
+    std::size_t callers = 0;
+    std::size_t in_aim = 0;
+    std::size_t late = 0;
+    // Tries that the upstream itself turned away.
+    std::size_t shed = 0;
+};
+
+// One upstream with slots and a bounded queue behind the real admission.
+class played_load
+{
+public:
+    explicit played_load(std::uint32_t work_per_slot)
+        : m_admission(std::chrono::seconds(2), m_start, work_per_slot, slots)
+    {
+        service declared;
+        declared.sharing.cold_start = duration::zero();
+        m_admission.declare(declared, 100);
+    }
+
+    outcome play()
+    {
+        for (std::size_t i = 0; i < waiting_callers; ++i)
+        {
+            ask(m_start, m_start, 1, 0);
+        }
+        for (time_point at = m_start; at < m_start + played;
+             at += caller_interval)
+        {
+            ask(at, at, 1, 0);
+        }
+        while (!m_events.empty())
+        {
+            const event next = m_events.top();
+            m_events.pop();
+            take(next);
+        }
+        return m_outcome;
+    }
+
+private:
+    struct event
+    {
+        time_point at;
+        // When the caller asked first; of a run that ends, of its caller.
+        time_point asked;
+        int tries = 0;
+        std::size_t copy = 0;
+        bool ends = false;
+
+        friend bool operator<(const event& first, const event& second)
+        {
+            return first.at > second.at;
+        }
+    };
+
+    void ask(time_point at, time_point asked, int tries, std::size_t copy)
+    {
+        m_events.push(event{at, asked, tries, copy, false});
+    }
+
+    void take(const event& next)
+    {
+        if (next.ends)
+        {
+            finish(next);
+            return;
+        }
+        m_outcome.callers += next.tries == 1 && next.copy == 0 ? 1 : 0;
+        if (m_admission.can_admit(next.at, 0))
+        {
+            reach(next);
+            return;
+        }
+        const bool comes_again = next.copy + 1 < std::size(copies);
+        if (comes_again)
+        {
+            ask(next.at - copies[next.copy] + copies[next.copy + 1], next.asked,
+                next.tries, next.copy + 1);
+            return;
+        }
+        retry(next);
+    }
+
+    void reach(const event& next)
+    {
+        if (m_running < slots)
+        {
+            run(next);
+        }
+        else if (m_queue.size() < upstream_queue)
+        {
+            m_queue.push_back(next);
+            m_admission.started(1);
+        }
+        else
+        {
+            ++m_outcome.shed;
+            retry(next);
+        }
+    }
+
+    void run(const event& next)
+    {
+        ++m_running;
+        m_admission.started(1);
+        event end = next;
+        end.at = next.at + run_time;
+        end.ends = true;
+        m_events.push(end);
+    }
+
+    void finish(const event& done)
+    {
+        --m_running;
+        m_admission.ended(done.at, 1, true);
+        const duration took = done.at - done.asked;
+        m_outcome.in_aim += took <= aim ? 1 : 0;
+        m_outcome.late += took > aim && took <= deadline ? 1 : 0;
+        if (!m_queue.empty())
+        {
+            event next = m_queue.front();
+            m_queue.pop_front();
+            m_admission.ended(done.at, 1, true);
+            next.at = done.at;
+            run(next);
+        }
+    }
+
+    void retry(const event& next)
+    {
+        const time_point again = next.at + retry_pause;
+        if (next.tries < most_tries && again - next.asked < deadline)
+        {
+            ask(again, next.asked, next.tries + 1, 0);
+        }
+    }
+
+    time_point m_start{std::chrono::hours(1)};
+    internal::admission m_admission;
+    std::priority_queue<event> m_events;
+    std::deque<event> m_queue;
+    std::size_t m_running = 0;
+    outcome m_outcome;
+};
+
+// Late answers count for a third of those on time.
+double worth(const outcome& got)
+{
+    return (static_cast<double>(got.in_aim) +
+            0.3 * static_cast<double>(got.late)) /
+           static_cast<double>(got.callers);
+}
+
+} // namespace
+
+TEST(full_of_work, callers_get_more_than_without_a_bound)
+{
+    const outcome naive = played_load(0).play();
+    const outcome bounded = played_load(4).play();
+    EXPECT_EQ(naive.callers, bounded.callers);
+    EXPECT_GT(naive.shed, 0U);
+    EXPECT_EQ(bounded.shed, 0U);
+    EXPECT_GE(bounded.in_aim, naive.in_aim);
+    EXPECT_EQ(bounded.in_aim + bounded.late, bounded.callers);
+    EXPECT_GT(worth(bounded), worth(naive));
+    RecordProperty("naive", std::to_string(worth(naive)));
+    RecordProperty("bounded", std::to_string(worth(bounded)));
+}
+
+TEST(full_of_work, a_caller_that_comes_again_is_not_refused_yet)
+{
+    agent_settings settings;
+    settings.self = agent_fixture::member(0);
+    settings.work_per_slot = 1;
+    settings.slots = 1;
+    const time_point now{std::chrono::hours(1)};
+    agent core(settings, now);
+    recording_effects effects;
+    auto view = std::make_shared<service_view>();
+    view->declared.id = service_id(5);
+    view->declared.sharing = agent_fixture::warm_sharing();
+    view->members = {agent_fixture::member(0)};
+    core.handle(now, view_changed{view}, effects);
+    core.handle(now, work_started{1}, effects);
+    packet_header opens;
+    opens.service = service_id(5);
+    opens.flow = agent_fixture::flow(1);
+    opens.role = packet_role::opens;
+    opens.current.push_back(agent_fixture::identity(0));
+    packet_arrived copy{opens, {}, answer_need::required};
+    copy.comes_again = true;
+    core.handle(now, copy, effects);
+    EXPECT_TRUE(effects.refusals.empty());
+    EXPECT_TRUE(effects.delivered.empty());
+    copy.comes_again = false;
+    core.handle(now, copy, effects);
+    ASSERT_EQ(effects.refusals.size(), 1U);
+    EXPECT_EQ(effects.refusals[0].told.outcome, verdict::not_run);
+    core.handle(now, work_ended{1, true}, effects);
+    core.handle(now, copy, effects);
+    EXPECT_EQ(effects.delivered.size(), 1U);
+}
+
+} // namespace crowlink::test
--- a/packages/agent/test/silent_owner_test.cpp
+++ b/packages/agent/test/silent_owner_test.cpp
@@ -49,8 +49,7 @@
     const std::size_t before = fixture.effects.forwards.size();
     fixture.handle(packet_arrived{sent, {}});
     return fixture.effects.forwards.size() > before &&
-           fixture.effects.forwards.back().to ==
-               agent_fixture::address(owner);
+           fixture.effects.forwards.back().to == agent_fixture::address(owner);
 }
 
 } // namespace
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -166,7 +166,7 @@
             }
             m_delivery.handling(&packet->header, packet->payload);
             handle(packet_arrived{packet->header, packet->payload, nature->need,
-                                  nature->finishes});
+                                  nature->finishes, nature->comes_again});
             m_delivery.handling(nullptr, {});
         }
         else
@@ -487,6 +487,7 @@
     m_self.started = incarnation(1);
     m_self.sequence = std::max(before + 1, wall_clock_ms());
     m_settings.self = m_self;
+    m_settings.slots = next.slots;
     m_core.emplace(m_settings, m_now);
     if (next.lived_on)
     {
--- a/packages/daemon/src/agent_report.cpp
+++ b/packages/daemon/src/agent_report.cpp
@@ -48,6 +48,7 @@
     add("flows_closed_total", counts.closed);
     add("flows_handed_off_total", counts.handed_off);
     add("flows_refused_total", counts.refused);
+    add("flows_deferred_total", counts.deferred);
     add("packets_redirected_total", counts.redirected);
     add("packets_looked_up_total", counts.looked_up);
     add("packets_diverted_total", counts.diverted);
--- a/packages/daemon/src/agent_thread.cpp
+++ b/packages/daemon/src/agent_thread.cpp
@@ -18,6 +18,7 @@
     if (own.flow_packets)
     {
         core.tcp_idle = std::chrono::seconds(own.flow_packets->idle_seconds);
+        core.work_per_slot = own.flow_packets->work_per_slot;
     }
     return core;
 }
--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -163,7 +163,8 @@
     {
         return;
     }
-    if (auto dealer = reach(m_node_name, host, m_seeds ? m_seeds->node_port : 0))
+    if (auto dealer =
+            reach(m_node_name, host, m_seeds ? m_seeds->node_port : 0))
     {
         m_control.emplace(host, std::move(*dealer));
         list_sockets();
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control_links.hpp
@@ -89,8 +89,7 @@
                   const zap_authenticator* authenticator);
 
     // Nothing where hosts are not named by their addresses.
-    std::optional<dealer_socket> reach(const host_id& self,
-                                       const host_id& host,
+    std::optional<dealer_socket> reach(const host_id& self, const host_id& host,
                                        std::uint16_t port);
 
     result<void> open_peers(zmq::context_t& context, const identity& own,
--- a/packages/daemon/src/flow_delivery.cpp
+++ b/packages/daemon/src/flow_delivery.cpp
@@ -17,6 +17,8 @@
 // A caller gives up a connection that has not opened after 1.4 s, so that one
 // which has sent no request by then keeps no slot busy.
 constexpr duration opening_time = std::chrono::milliseconds(1500);
+// Copies come after 200 and 600 ms; then the caller gives up.
+constexpr std::uint32_t last_opening_copy = 2;
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
 // An upstream acknowledges within a few milliseconds, however busy; callers
 // repeat themselves after 200 ms.
@@ -46,9 +48,12 @@
         return std::nullopt;
     }
     const bool wants_answer = packet->flags.opens || !packet->data.empty();
+    // A caller numbers the copies of its opening packet here.
+    const bool comes_again =
+        packet->flags.opens && packet->acknowledgement < last_opening_copy;
     return packet_nature{wants_answer ? answer_need::required
                                       : answer_need::none,
-                         packet->flags.finishes};
+                         packet->flags.finishes, comes_again};
 }
 
 void flow_delivery::handling(const packet_header* header, payload_view payload)
@@ -219,8 +224,8 @@
 
 bool flow_delivery::is_refused(time_point now)
 {
-    const bool owes = m_owed_since != time_point() &&
-                      now - m_owed_since >= owed_too_long;
+    const bool owes =
+        m_owed_since != time_point() && now - m_owed_since >= owed_too_long;
     if (owes && now >= m_next_probe)
     {
         m_next_probe = now + probe_interval;
--- a/packages/daemon/src/flow_delivery.hpp
+++ b/packages/daemon/src/flow_delivery.hpp
@@ -23,6 +23,7 @@
 {
     answer_need need = answer_need::unknown;
     bool finishes = false;
+    bool comes_again = false;
 };
 
 // Something that came from the upstream.
--- a/packages/daemon/src/port_probe.cpp
+++ b/packages/daemon/src/port_probe.cpp
@@ -31,8 +31,8 @@
     const auto& bytes = address.address.bytes();
     std::memcpy(&to.sin_addr, bytes.data() + bytes.size() - sizeof(to.sin_addr),
                 sizeof(to.sin_addr));
-    const int begun = ::connect(
-        m_handle, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    const int begun =
+        ::connect(m_handle, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
     m_is_refused = begun != 0 && errno == ECONNREFUSED;
 }
 
--- a/packages/daemon/test/node_name_test.cpp
+++ b/packages/daemon/test/node_name_test.cpp
@@ -11,8 +11,8 @@
 daemon_settings at_address()
 {
     daemon_settings made;
-    made.host = host_settings{host_id("10.0.0.1"), place_id("p"),
-                              region_id("r")};
+    made.host =
+        host_settings{host_id("10.0.0.1"), place_id("p"), region_id("r")};
     made.seeds.emplace();
     return made;
 }
--- a/packages/membership/src/announcer.cpp
+++ b/packages/membership/src/announcer.cpp
@@ -50,8 +50,7 @@
 void announcer::set_observers(std::vector<observer_info> observers)
 {
     const host_id before = m_order.empty() ? host_id() : home();
-    const host_id told =
-        m_order.empty() ? host_id() : m_order[m_announced_to];
+    const host_id told = m_order.empty() ? host_id() : m_order[m_announced_to];
     m_settings.observers = std::move(observers);
     order_observers();
     m_home = internal::place_in(m_order, before);
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -73,8 +73,8 @@
 {
 }
 
-void membership_host::set_control_hosts(
-    time_point now, const std::vector<observer_info>& hosts)
+void membership_host::set_control_hosts(time_point now,
+                                        const std::vector<observer_info>& hosts)
 {
     std::vector<observer_info> peers;
     std::vector<host_id> names;
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -178,7 +178,9 @@
 TEST_F(subscriber_parts, a_record_whose_lease_ran_out_is_silent_not_gone)
 {
     const auto state = [this]
-    { return m_core.view(service_id(1))->members.at(0).state; };
+    {
+        return m_core.view(service_id(1))->members.at(0).state;
+    };
     wire::stream_part expired = part(2, 5);
     add_member(expired, 7, 2);
     take(expired);
--- a/packages/settings/include/crowlink/settings/agent_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/agent_role_settings.hpp
@@ -35,6 +35,10 @@
     // Where an upstream answers for its health, and names itself; empty where
     // the agent must not ask.
     std::string health_path;
+    // So much work for each slot, what runs included, keeps new flows out; 0
+    // sets no bound. With 30 to 40 ms of work, 4 take 120 to 160 ms, which is
+    // what callers wait for on time.
+    std::uint32_t work_per_slot = 4;
     // An upstream that is silent for so long has ended.
     std::uint32_t silent_after_ms = 4000;
     // Flows without any packet for so long are closed.
--- a/packages/settings/src/daemon_section.cpp
+++ b/packages/settings/src/daemon_section.cpp
@@ -43,10 +43,10 @@
     constexpr std::uint32_t highest_port = 65535;
     seed_settings seeds;
     seeds.hosts = reader.addresses("hosts", 1);
-    seeds.peer_port = static_cast<std::uint16_t>(
-        reader.number("peer_port", 1, highest_port));
-    seeds.node_port = static_cast<std::uint16_t>(
-        reader.number("node_port", 1, highest_port));
+    seeds.peer_port =
+        static_cast<std::uint16_t>(reader.number("peer_port", 1, highest_port));
+    seeds.node_port =
+        static_cast<std::uint16_t>(reader.number("node_port", 1, highest_port));
     return seeds;
 }
 
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -65,6 +65,8 @@
     packets.outbound = reader.address("outbound");
     packets.announcements = reader.address("announcements");
     packets.health_path = reader.optional_text("health_path");
+    packets.work_per_slot = reader.number("work_per_slot", 0, most_queue_lines,
+                                          packets.work_per_slot);
     packets.silent_after_ms =
         reader.number("silent_after_ms", least_silence_ms, most_silence_ms,
                       packets.silent_after_ms);
