--- a/packages/agent/test/full_of_work_test.cpp
+++ b/packages/agent/test/full_of_work_test.cpp
@@ -24,7 +24,6 @@
 // What callers do: copies of the opening packet, then a new try.
 constexpr duration copies[] = {milliseconds(0), milliseconds(200),
                                milliseconds(600)};
-constexpr duration opening_time = milliseconds(1400);
 constexpr duration retry_pause = milliseconds(100);
 constexpr int most_tries = 3;
 constexpr duration aim = milliseconds(150);
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -7,6 +7,7 @@
 #include "process_identity.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace crowlink::internal
@@ -396,7 +397,7 @@
 template <class Delivery>
 void agent_loop<Delivery>::decide(const flow_decision& decision)
 {
-    if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+    if (m_log.enabled(level_of(decision.action)) && m_limit.allows(m_now))
     {
         m_log.write(to_log_line(m_self, decision));
     }
@@ -541,6 +542,13 @@
             m_exchange.upstream_refuses = true;
             handle(upstream_failed{});
         }
+        for (const passing_request& each : m_delivery.take_requests())
+        {
+            if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+            {
+                m_log.write(to_log_line(m_self, each));
+            }
+        }
         const work_change done = m_delivery.take_work(m_now);
         for (std::uint32_t i = 0; i < done.started; ++i)
         {
@@ -579,8 +587,14 @@
     totals.undecodable = m_undecodable;
     totals.unsent = m_unsent + m_stage.unsent();
     totals.undelivered = m_undelivered;
-    m_gauges.report.publish(
-        std::make_shared<const metrics>(to_metrics(m_self, totals)));
+    metrics report = to_metrics(m_self, totals);
+    if constexpr (has_flow_packets)
+    {
+        m_delivery.answer_times().write_to(
+            report, "crowlink_agent_answer_milliseconds",
+            fmt::format("upstream=\"{}\"", m_self.id.value()));
+    }
+    m_gauges.report.publish(std::make_shared<const metrics>(std::move(report)));
 }
 
 template class agent_loop<datagram_delivery>;
--- a/packages/daemon/src/agent_report.cpp
+++ b/packages/daemon/src/agent_report.cpp
@@ -74,9 +74,42 @@
     return out;
 }
 
+log_level level_of(flow_action action)
+{
+    switch (action)
+    {
+    case flow_action::redirected:
+    case flow_action::looked_up:
+    case flow_action::handed_off:
+        return log_level::debug;
+    default:
+        return log_level::info;
+    }
+}
+
+log_line to_log_line(const upstream_record& self,
+                     const passing_request& request)
+{
+    std::string_view step = request.is_broken_off ? "broken_off" : "delivered";
+    if (request.status)
+    {
+        step = "answered";
+    }
+    return log_line(log_level::info, "request")
+        .field("request", request.id)
+        .field("step", step)
+        .field("status", request.status.value_or(0))
+        .field("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              request.took)
+                              .count())
+        .field("flow", request.flow.to_string())
+        .field("upstream", self.id.value())
+        .field("work", request.work);
+}
+
 log_line to_log_line(const upstream_record& self, const flow_decision& decision)
 {
-    return log_line(log_level::info, "placement")
+    return log_line(level_of(decision.action), "placement")
         .field("upstream", self.id.value())
         .field("action", to_string(decision.action))
         .field("service", decision.service.value())
--- a/packages/daemon/src/agent_report.hpp
+++ b/packages/daemon/src/agent_report.hpp
@@ -6,6 +6,7 @@
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/model/upstream_record.hpp"
 #include "crowlink/requests/admission_effects.hpp"
+#include "passing_request.hpp"
 
 #include <cstdint>
 
@@ -30,10 +31,16 @@
 // As counters named crowlink_agent_*, labelled with the upstream.
 metrics to_metrics(const upstream_record& self, const agent_totals& totals);
 
+// What is decided anew for each packet is of interest only in detail.
+log_level level_of(flow_action action);
+
 // The log line of a decision on a flow, or on a request.
 log_line to_log_line(const upstream_record& self,
                      const flow_decision& decision);
 log_line to_log_line(const upstream_record& self,
                      const admission_decision& decision);
+// The log line of a step of a request that passed by.
+log_line to_log_line(const upstream_record& self,
+                     const passing_request& request);
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/agent_role.cpp
+++ b/packages/daemon/src/agent_role.cpp
@@ -61,7 +61,7 @@
         return fail(error_kind::invalid, "service",
                     "must be the service of this host's upstream");
     }
-    const result<void> taken = m_life->announce(now, told);
+    result<void> taken = m_life->announce(now, told);
     publish_status();
     return taken;
 }
--- a/packages/daemon/src/flow_delivery.cpp
+++ b/packages/daemon/src/flow_delivery.cpp
@@ -1,5 +1,6 @@
 #include "flow_delivery.hpp"
 
+#include "crowlink/platform/http_text.hpp"
 #include "crowlink/platform/wire_packet.hpp"
 
 #include <algorithm>
@@ -77,6 +78,11 @@
         known.is_busy = true;
         known.since = m_now;
         ++m_work.started;
+        ++m_at_work;
+    }
+    if (is_request && !known.has_request)
+    {
+        note_request(flow, known, packet->data);
     }
     known.has_request = known.has_request || is_request;
     if ((packet->flags.opens || is_request) && m_owed_since == time_point())
@@ -113,6 +119,7 @@
     {
         return;
     }
+    note_end(flow, found->second);
     end_work(found->second, false);
     m_flows.erase(found);
 }
@@ -125,6 +132,8 @@
     }
     flow.is_busy = false;
     flow.has_request = false;
+    flow.request.clear();
+    --m_at_work;
     ++(completed ? m_work.completed : m_work.given_up);
 }
 
@@ -204,6 +213,7 @@
     const auto known = m_flows.find(made.flow);
     if (known != m_flows.end() && !packet->data.empty())
     {
+        note_answer(made.flow, known->second, packet->data);
         end_work(known->second, true);
     }
     return made;
@@ -222,6 +232,44 @@
     return std::exchange(m_unsent, 0);
 }
 
+void flow_delivery::note_request(const flow_key& flow, activity& known,
+                                 payload_view data)
+{
+    known.request = platform::request_id(data);
+    known.requested = m_now;
+    m_requests.push_back(passing_request{flow, known.request, std::nullopt,
+                                         duration::zero(), false, m_at_work});
+}
+
+void flow_delivery::note_answer(const flow_key& flow, activity& known,
+                                payload_view data)
+{
+    if (!known.has_request)
+    {
+        return;
+    }
+    const duration took = m_now - known.requested;
+    m_answer_times.add(took);
+    m_requests.push_back(passing_request{flow, known.request,
+                                         platform::answer_status(data), took,
+                                         false, m_at_work});
+}
+
+void flow_delivery::note_end(const flow_key& flow, activity& known)
+{
+    if (known.has_request)
+    {
+        m_requests.push_back(passing_request{flow, known.request, std::nullopt,
+                                             m_now - known.requested, true,
+                                             m_at_work});
+    }
+}
+
+std::vector<passing_request> flow_delivery::take_requests()
+{
+    return std::exchange(m_requests, {});
+}
+
 bool flow_delivery::is_refused(time_point now)
 {
     const bool owes =
--- a/packages/daemon/src/flow_delivery.hpp
+++ b/packages/daemon/src/flow_delivery.hpp
@@ -2,16 +2,19 @@
 
 #include "crowlink/agent/agent_events.hpp"
 #include "crowlink/base/flow_key.hpp"
+#include "crowlink/base/latency_histogram.hpp"
 #include "crowlink/platform/flow_packet_port.hpp"
 #include "crowlink/transport/datagram_batch.hpp"
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/transport/udp_socket.hpp"
+#include "passing_request.hpp"
 #include "port_probe.hpp"
 
 #include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -83,6 +86,11 @@
     // nothing for a while; yields whether it turned out to be closed.
     bool is_refused(time_point now);
 
+    // The requests that began or ended since this was last asked.
+    std::vector<passing_request> take_requests();
+    // How long upstreams took to begin an answer.
+    const latency_histogram& answer_times() const { return m_answer_times; }
+
     // What changed since this was last asked.
     work_change take_work(time_point now);
 
@@ -94,6 +102,9 @@
         bool has_request = false;
         time_point since{};
         std::uint32_t acknowledged = 0;
+        // Of the request that runs; empty where its packet named none.
+        std::string request;
+        time_point requested{};
     };
 
     struct remembered_header
@@ -109,6 +120,9 @@
     std::optional<upstream_packet> read(std::span<std::uint8_t> bytes);
     std::uint32_t remember();
     void end_work(activity& flow, bool completed);
+    void note_request(const flow_key& flow, activity& known, payload_view data);
+    void note_answer(const flow_key& flow, activity& known, payload_view data);
+    void note_end(const flow_key& flow, activity& known);
     void put(datagram_batch& batch, payload_view payload, const endpoint& to);
 
     udp_socket m_socket;
@@ -122,6 +136,10 @@
     datagram_batch m_to_upstream;
     datagram_batch m_to_callers;
     work_change m_work;
+    // Requests that are at the upstream now.
+    std::uint32_t m_at_work = 0;
+    std::vector<passing_request> m_requests;
+    latency_histogram m_answer_times;
     time_point m_next_sweep{};
     time_point m_now{};
     // When something was delivered that nothing has come after; zero if
