--- a/packages/daemon/src/agent_loop.hpp
+++ b/packages/daemon/src/agent_loop.hpp
@@ -124,4 +124,18 @@
     std::uint64_t m_undelivered = 0;
 };
 
+// In agent_loop_upstream.cpp; called for flow packets only.
+template <>
+void agent_loop<flow_delivery>::take_status();
+template <>
+void agent_loop<flow_delivery>::follow(const life_status& next);
+template <>
+void agent_loop<flow_delivery>::start_core(const life_status& next);
+template <>
+void agent_loop<flow_delivery>::take_packet(const upstream_packet& packet);
+template <>
+void agent_loop<flow_delivery>::take_returned(const upstream_packet& packet);
+template <>
+void agent_loop<flow_delivery>::take_work();
+
 } // namespace crowlink::internal
--- /dev/null
+++ b/packages/daemon/src/agent_loop_upstream.cpp
@@ -0,0 +1,147 @@
+#include "agent_loop.hpp"
+#include "agent_report.hpp"
+#include "process_identity.hpp"
+
+#include <algorithm>
+
+// What an agent's loop does for an upstream that announces itself and speaks
+// whole packets of connections.
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// As many upstreams in a row as may still have to be announced as gone.
+constexpr std::size_t records_kept = 16;
+
+} // namespace
+
+template <>
+void agent_loop<flow_delivery>::take_status()
+{
+    const auto next = m_exchange.upstream.read();
+    if (next == nullptr || next == m_upstream)
+    {
+        return;
+    }
+    follow(*next);
+    m_upstream = next;
+}
+
+template <>
+void agent_loop<flow_delivery>::follow(const life_status& next)
+{
+    m_log.write(log_line(log_level::info, "upstream_announced")
+                    .field("upstream", next.id.value())
+                    .field("returns", next.returns)
+                    .field("lived_on", next.lived_on)
+                    .field("leaves", next.leaves)
+                    .field("gone", next.is_gone));
+    const bool is_new = m_upstream == nullptr || m_upstream->id != next.id ||
+                        m_upstream->returns != next.returns;
+    if (is_new)
+    {
+        // Whatever was open at the life before is lost with it.
+        handle(upstream_failed{});
+        start_core(next);
+    }
+    if (next.leaves)
+    {
+        handle(leave_requested{});
+    }
+    if (next.is_gone)
+    {
+        handle(upstream_failed{});
+    }
+}
+
+template <>
+void agent_loop<flow_delivery>::start_core(const life_status& next)
+{
+    const auto known = m_wanted.find(next.id);
+    const std::uint64_t before =
+        known == m_wanted.end() ? 0 : known->second.sequence;
+    while (m_wanted.size() >= records_kept)
+    {
+        m_wanted.erase(m_wanted.begin());
+    }
+    m_self.id = next.id;
+    // The id is new with each life, so that a life has one incarnation; the
+    // clock makes the sequence rise over restarts of this process.
+    m_self.started = incarnation(1);
+    m_self.sequence = std::max(before + 1, wall_clock_ms());
+    m_settings.self = m_self;
+    m_settings.slots = next.slots;
+    m_core.emplace(m_settings, m_now);
+    if (next.lived_on)
+    {
+        handle(upstream_lived_on{});
+    }
+    if (m_view != nullptr)
+    {
+        handle(view_changed{m_view});
+    }
+}
+
+template <>
+void agent_loop<flow_delivery>::take_packet(const upstream_packet& packet)
+{
+    if (packet.is_returned)
+    {
+        take_returned(packet);
+        return;
+    }
+    // Always: what the upstream says is for the caller, whoever else has
+    // forgotten the flow.
+    m_delivery.answer(packet.flow, packet.payload);
+    handle(upstream_answered{packet.flow, packet.payload, packet.finishes});
+    if (packet.resets)
+    {
+        handle(upstream_closed{packet.flow});
+    }
+}
+
+template <>
+void agent_loop<flow_delivery>::take_returned(const upstream_packet& packet)
+{
+    if (packet.delivered_with)
+    {
+        handle(packet_returned{*packet.delivered_with, packet.payload});
+    }
+}
+
+template <>
+void agent_loop<flow_delivery>::take_work()
+{
+    if (m_delivery.is_refused(m_now))
+    {
+        m_log.write(log_line(log_level::warning, "upstream_refuses")
+                        .field("upstream", m_self.id.value()));
+        m_exchange.upstream_refuses = true;
+        handle(upstream_failed{});
+    }
+    for (const passing_request& each : m_delivery.take_requests())
+    {
+        if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+        {
+            m_log.write(to_log_line(m_self, each));
+        }
+    }
+    const work_change done = m_delivery.take_work(m_now);
+    for (std::uint32_t i = 0; i < done.started; ++i)
+    {
+        handle(work_started{1});
+    }
+    for (std::uint32_t i = 0; i < done.completed; ++i)
+    {
+        handle(work_ended{1, true});
+    }
+    for (std::uint32_t i = 0; i < done.given_up; ++i)
+    {
+        handle(work_ended{1, false});
+    }
+}
+
+} // namespace crowlink::internal
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -38,6 +38,7 @@
 std::vector<std::string> texts(const std::vector<host_id>& hosts)
 {
     std::vector<std::string> out;
+    out.reserve(hosts.size());
     for (const host_id& each : hosts)
     {
         out.push_back(each.value());
@@ -151,10 +152,10 @@
         m_log.write(log_line(log_level::info, "http_listening")
                         .field("address", bound->to_string()));
     }
-    const result<void> platform = open_platform();
-    if (!platform)
+    result<void> opened_platform = open_platform();
+    if (!opened_platform)
     {
-        return platform;
+        return opened_platform;
     }
     if (m_settings.health)
     {
--- a/packages/forwarding/test/forwarding_set_test.cpp
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -189,7 +189,7 @@
         second += chosen(set, flow_to_shared(i)) == service_id(2) ? 1 : 0;
     }
     // Four standard deviations of a tenth of the flows are 120.
-    EXPECT_NEAR(second, flows / 10, 120);
+    EXPECT_NEAR(second, flows * 0.1, 120);
 }
 
 TEST(forwarding_set, a_change_of_weights_moves_only_what_it_must)
--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -220,11 +220,9 @@
         return "";
     }
 
-    // The members of a view, without what only orders their records.
     static std::vector<upstream_record> members(const service_view& view)
     {
         std::vector<upstream_record> out = view.members;
-        // Those whose lease ran out are not there, only not forgotten.
         std::erase_if(out, [](const upstream_record& each)
                       { return each.state == upstream_state::silent; });
         for (upstream_record& record : out)
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -1,5 +1,7 @@
 #include "crowlink/settings.hpp"
 
+#include "crowlink/model/system_document.hpp"
+
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <string>
@@ -153,6 +155,88 @@
     EXPECT_EQ(found.error().front().kind, error_kind::storage);
 }
 
+constexpr const char* seeded_control = R"({
+  "host": {"name": "10.1.0.10", "place": "quezon", "region": "ncr"},
+  "trusted_network": true,
+  "seeds": {"hosts": ["10.1.0.10:8166", "10.2.0.40:8166", "10.3.0.7:8166"],
+            "peer_port": 7720, "node_port": 7721},
+  "control": {"data_folder": "data", "losses_borne": 1, "election_ms": 500,
+              "peer_listen": "10.1.0.10:7720",
+              "node_listen": "10.1.0.10:7721"}
+})";
+
+TEST(settings, seeds_name_control_hosts_by_their_addresses)
+{
+    const settings_result found = parse_settings(seeded_control, "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    ASSERT_EQ(found->control->peers.size(), 3U);
+    EXPECT_EQ(found->control->peers[1].host, host_id("10.2.0.40"));
+    EXPECT_EQ(found->control->peers[1].address,
+              *endpoint::parse("10.2.0.40:7720"));
+    EXPECT_TRUE(found->control->peers[2].voter);
+    EXPECT_EQ(found->control_endpoints[2].address,
+              *endpoint::parse("10.3.0.7:7721"));
+    EXPECT_EQ(found->control->losses_borne, 1U);
+    EXPECT_TRUE(found->control->may_found);
+}
+
+TEST(settings, of_an_even_number_of_seeds_the_last_has_no_vote)
+{
+    const settings_result found = parse_settings(
+        replaced(seeded_control, ", \"10.3.0.7:8166\"", ""), "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    ASSERT_EQ(found->control->peers.size(), 2U);
+    EXPECT_TRUE(found->control->peers[0].voter);
+    EXPECT_FALSE(found->control->peers[1].voter);
+}
+
+TEST(settings, a_control_host_that_is_no_seed_waits_to_be_admitted)
+{
+    const settings_result found =
+        parse_settings(replaced(seeded_control, "\"name\": \"10.1.0.10\"",
+                                "\"name\": \"10.9.0.1\""),
+                       "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    ASSERT_EQ(found->control->peers.size(), 4U);
+    EXPECT_EQ(found->control->peers[3].host, host_id("10.9.0.1"));
+    EXPECT_FALSE(found->control->peers[3].voter);
+}
+
+TEST(settings, a_network_is_trusted_only_where_that_is_said)
+{
+    const settings_result found =
+        parse_settings(replaced(seeded_control, "\"trusted_network\": true",
+                                "\"lease_ms\": 600"),
+                       "f");
+    EXPECT_TRUE(names(found, "f: /control/peer_listen", "loopback"));
+}
+
+TEST(settings, seeds_name_no_keys)
+{
+    const settings_result found =
+        parse_settings(replaced(seeded_control, "\"trusted_network\": true",
+                                "\"keys\": {\"own\": \"own.key\"}"),
+                       "f");
+    EXPECT_TRUE(names(found, "f: /seeds", "found with \"keys\""));
+}
+
+TEST(settings, an_upstream_that_announces_itself_is_known_by_its_service)
+{
+    const std::string text =
+        replaced(valid_node, "\"upstream\": \"hiraman-1\", \"service\": 1",
+                 "\"delivery\": \"flow_packets\", \"service_name\": "
+                 "\"huvo11a\", \"flow_packets\": {\"outbound\": "
+                 "\"127.0.0.1:9300\", \"announcements\": "
+                 "\"127.0.0.1:9301\"}");
+    const settings_result found = parse_settings(text, "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    const agent_role_settings& agent = found->agents.front();
+    EXPECT_EQ(agent.upstream, upstream_id());
+    EXPECT_EQ(agent.service, number_of_service("huvo11a"));
+    ASSERT_TRUE(agent.flow_packets);
+    EXPECT_EQ(agent.flow_packets->caller_port, 9101);
+}
+
 TEST(key_grants, tell_roles_services_and_revoked_keys_apart)
 {
     const std::string first(40, 'a');
