--- a/packages/daemon/src/flow_delivery.cpp
+++ b/packages/daemon/src/flow_delivery.cpp
@@ -20,6 +20,10 @@
 constexpr duration opening_time = std::chrono::milliseconds(1500);
 // Copies come after 200 and 600 ms; then the caller gives up.
 constexpr std::uint32_t last_opening_copy = 2;
+// The users' callers give up after 1.5 to 3 s, downloads aside, whose work
+// takes milliseconds: what has not been answered by then keeps no slot busy
+// here, or was answered to an agent before this one.
+constexpr duration longest_work = std::chrono::seconds(3);
 constexpr duration sweep_interval = std::chrono::milliseconds(250);
 // An upstream acknowledges within a few milliseconds, however busy; callers
 // repeat themselves after 200 ms.
@@ -70,10 +74,14 @@
     {
         return false;
     }
-    activity& known = m_flows[flow];
+    const auto [place, is_new] = m_flows.try_emplace(flow);
+    activity& known = place->second;
     known.acknowledged = packet->acknowledgement;
-    const bool is_request = !packet->data.empty();
-    if ((packet->flags.opens || is_request) && !known.is_busy)
+    // What comes again is no new work: the upstream answers it from what it
+    // has, perhaps with nothing.
+    const bool is_request = brings_data(known, *packet);
+    const bool is_opening = packet->flags.opens && is_new;
+    if ((is_opening || is_request) && !known.is_busy)
     {
         known.is_busy = true;
         known.since = m_now;
@@ -100,6 +108,26 @@
     return true;
 }
 
+bool flow_delivery::brings_data(activity& known,
+                                const platform::wire_packet& packet)
+{
+    if (packet.data.empty())
+    {
+        return false;
+    }
+    const auto end =
+        packet.sequence + static_cast<std::uint32_t>(packet.data.size());
+    // Sequences wrap around: the sign of the difference tells the order.
+    const bool is_new =
+        !known.next_sequence ||
+        static_cast<std::int32_t>(end - *known.next_sequence) > 0;
+    if (is_new)
+    {
+        known.next_sequence = end;
+    }
+    return is_new;
+}
+
 // Zero where no header belongs to what is delivered.
 std::uint32_t flow_delivery::remember()
 {
@@ -210,15 +238,36 @@
         return made;
     }
     made.flow = flow_key{packet->destination, packet->source, transport::tcp};
-    const auto known = m_flows.find(made.flow);
-    if (known != m_flows.end() && !packet->data.empty())
+    if (!packet->data.empty())
     {
-        note_answer(made.flow, known->second, packet->data);
-        end_work(known->second, true);
+        answer_came(made.flow, packet->data);
+    }
+    if (made.finishes || made.resets)
+    {
+        upstream_ended(made.flow);
     }
     return made;
 }
 
+void flow_delivery::answer_came(const flow_key& flow, payload_view data)
+{
+    const auto known = m_flows.find(flow);
+    if (known != m_flows.end())
+    {
+        note_answer(flow, known->second, data);
+        end_work(known->second, true);
+    }
+}
+
+void flow_delivery::upstream_ended(const flow_key& flow)
+{
+    const auto known = m_flows.find(flow);
+    if (known != m_flows.end())
+    {
+        end_work(known->second, true);
+    }
+}
+
 std::uint64_t flow_delivery::flush()
 {
     if (m_to_upstream.size() > 0)
@@ -295,7 +344,9 @@
         m_next_sweep = now + sweep_interval;
         for (auto& [flow, known] : m_flows)
         {
-            if (!known.has_request && now - known.since >= opening_time)
+            const duration longest =
+                known.has_request ? longest_work : opening_time;
+            if (now - known.since >= longest)
             {
                 end_work(known, false);
             }
--- a/packages/daemon/src/flow_delivery.hpp
+++ b/packages/daemon/src/flow_delivery.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/latency_histogram.hpp"
 #include "crowlink/platform/flow_packet_port.hpp"
+#include "crowlink/platform/wire_packet.hpp"
 #include "crowlink/transport/datagram_batch.hpp"
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/transport/udp_socket.hpp"
@@ -69,6 +70,12 @@
     bool deliver(const flow_key& flow, payload_view payload);
     void close(const flow_key& flow);
 
+    // The upstream has begun to answer the flow's request.
+    void answer_came(const flow_key& flow, payload_view data = {});
+
+    // The upstream has ended its side of the flow: nothing of it runs there.
+    void upstream_ended(const flow_key& flow);
+
     // To the caller.
     void answer(const flow_key& flow, payload_view payload);
     // A reset; only where the caller's latest acknowledgement is known, or
@@ -102,6 +109,9 @@
         bool has_request = false;
         time_point since{};
         std::uint32_t acknowledged = 0;
+        // Behind the last of the caller's data that came; what lies before it
+        // comes again. Empty before the first.
+        std::optional<std::uint32_t> next_sequence;
         // Of the request that runs; empty where its packet named none.
         std::string request;
         time_point requested{};
@@ -119,6 +129,9 @@
 
     std::optional<upstream_packet> read(std::span<std::uint8_t> bytes);
     std::uint32_t remember();
+    // Whether the packet carries data that has not come before; notes it.
+    static bool brings_data(activity& known,
+                            const platform::wire_packet& packet);
     void end_work(activity& flow, bool completed);
     void note_request(const flow_key& flow, activity& known, payload_view data);
     void note_answer(const flow_key& flow, activity& known, payload_view data);
--- /dev/null
+++ b/packages/daemon/test/flow_delivery_test.cpp
@@ -0,0 +1,97 @@
+#include "flow_delivery.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+const endpoint any_port = *endpoint::parse("127.0.0.1:0");
+const flow_key flow{*endpoint::parse("127.0.0.1:40001"),
+                    *endpoint::parse("198.18.0.1:443"), transport::tcp};
+
+constexpr std::uint8_t opens = 32;
+constexpr std::uint8_t acknowledges = 8;
+
+// A caller's packet: only the fields that a delivery reads.
+std::vector<std::uint8_t> packet(std::uint8_t flags, std::uint8_t sequence,
+                                 std::uint8_t size)
+{
+    constexpr std::size_t sequence_end = 4;
+    constexpr std::size_t size_end = 30;
+    std::vector<std::uint8_t> bytes(platform::wire_packet::header_bytes +
+                                    std::size_t{size});
+    bytes[0] = flags;
+    bytes[sequence_end] = sequence;
+    bytes[size_end] = size;
+    return bytes;
+}
+
+class delivery : public testing::Test
+{
+protected:
+    delivery()
+        : m_upstream(*udp_socket::bind(any_port))
+        , m_core(*udp_socket::bind(any_port), m_upstream.local(), 9, m_poller,
+                 1)
+    {
+    }
+
+    std::uint32_t started_by(const std::vector<std::uint8_t>& bytes)
+    {
+        EXPECT_TRUE(m_core.deliver(flow, bytes));
+        return m_core.take_work(time_point()).started;
+    }
+
+    udp_socket m_upstream;
+    poller m_poller;
+    flow_delivery m_core;
+};
+
+TEST_F(delivery, an_opening_and_its_request_are_one_piece_of_work)
+{
+    EXPECT_EQ(started_by(packet(opens, 1, 0)), 1U);
+    EXPECT_EQ(started_by(packet(acknowledges, 2, 10)), 0U);
+    m_core.close(flow);
+    EXPECT_EQ(m_core.take_work(time_point()).given_up, 1U);
+}
+
+// After an outage callers repeat what was answered meanwhile. Counted as work,
+// it kept an agent full until the flow was forgotten ten seconds later.
+TEST_F(delivery, what_comes_again_is_no_new_work)
+{
+    EXPECT_EQ(started_by(packet(acknowledges, 2, 10)), 1U);
+    m_core.answer_came(flow);
+    EXPECT_EQ(m_core.take_work(time_point()).completed, 1U);
+    EXPECT_EQ(started_by(packet(acknowledges, 2, 10)), 0U);
+    EXPECT_EQ(started_by(packet(opens, 1, 0)), 0U);
+    // The next request on the same connection is.
+    EXPECT_EQ(started_by(packet(acknowledges, 12, 10)), 1U);
+}
+
+// An agent that restarted sees a request again whose answer has passed already.
+TEST_F(delivery, work_ends_with_the_upstreams_side_of_the_flow)
+{
+    EXPECT_EQ(started_by(packet(acknowledges, 2, 10)), 1U);
+    m_core.upstream_ended(flow);
+    EXPECT_EQ(m_core.take_work(time_point()).completed, 1U);
+    m_core.close(flow);
+    EXPECT_EQ(m_core.take_work(time_point()).given_up, 0U);
+}
+
+TEST_F(delivery, work_that_nobody_waits_for_any_more_is_given_up)
+{
+    const time_point start{std::chrono::hours(1)};
+    (void)m_core.take_work(start);
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, 10)));
+    const std::chrono::milliseconds just_before(2900);
+    EXPECT_EQ(m_core.take_work(start + just_before).given_up, 0U);
+    const std::chrono::milliseconds after(3300);
+    EXPECT_EQ(m_core.take_work(start + after).given_up, 1U);
+}
+
+} // namespace
+
+} // namespace crowlink::internal
