--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -99,8 +99,7 @@
                                          const identity& own,
                                          const daemon_settings& settings)
 {
-    const bool is_node = settings.balancer || !settings.agents.empty();
-    if (!is_node)
+    if (!settings.is_node())
     {
         // Nobody would read what comes, and the wait would never rest.
         return {};
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -61,7 +61,7 @@
             return tl::unexpected(opened.error());
         }
     }
-    if (settings.balancer || !settings.agents.empty())
+    if (settings.is_node())
     {
         made->open_node(settings);
     }
--- a/packages/daemon/src/identity.cpp
+++ b/packages/daemon/src/identity.cpp
@@ -11,6 +11,16 @@
 constexpr const char* node_suffix = "/node";
 constexpr const char* balancer_suffix = "/balancer";
 constexpr const char* agent_suffix = "/agent";
+constexpr const char* relay_suffix = "/relay";
+
+const char* role_suffix(const daemon_settings& settings)
+{
+    if (settings.balancer)
+    {
+        return balancer_suffix;
+    }
+    return settings.operator_relay ? relay_suffix : agent_suffix;
+}
 
 result<datagram_key> load_packet_key(const std::string& file)
 {
@@ -103,8 +113,7 @@
     {
         // Each role is a process of its own, and the bare name is that of the
         // control host at this address.
-        const char* suffix = settings.balancer ? balancer_suffix : agent_suffix;
-        return host_id(settings.host.name.value() + suffix);
+        return host_id(settings.host.name.value() + role_suffix(settings));
     }
     return settings.control ? host_id(settings.host.name.value() + node_suffix)
                             : settings.host.name;
--- a/packages/daemon/src/platform_calls.cpp
+++ b/packages/daemon/src/platform_calls.cpp
@@ -105,19 +105,35 @@
 }
 
 // Control hosts that are found by seeds are named by their addresses.
-std::optional<ip_address> leader(control_thread& control, const host_id& self)
+std::optional<ip_address> address_of(const result<host_id>& host)
 {
-    const auto asked = control.ask<host_id>(
-        [](control_thread::context& with)
-        { return with.documents->core().status(with.now).leader; });
-    if (!asked || *asked == self)
+    if (!host)
     {
         return std::nullopt;
     }
-    const auto address = ip_address::parse(asked->value());
+    const auto address = ip_address::parse(host->value());
     return address ? std::optional(*address) : std::nullopt;
 }
 
+std::optional<ip_address> leader(control_thread& control, const host_id& self)
+{
+    const auto asked = control.ask<host_id>(
+        [](control_thread::context& with)
+        { return with.documents->core().status(with.now).leader; });
+    return asked && *asked == self ? std::nullopt : address_of(asked);
+}
+
+// The control host that serves this node answers operators, or knows who leads.
+std::optional<ip_address> publisher(control_thread& control)
+{
+    return address_of(control.ask<host_id>(
+        [](control_thread::context& with)
+        {
+            const subscriber& own = with.node->subscribed();
+            return own.attached() ? own.source() : host_id();
+        }));
+}
+
 } // namespace
 
 platform::http_calls operator_calls(control_thread& control,
@@ -141,6 +157,16 @@
     return calls;
 }
 
+platform::http_calls relay_calls(control_thread& control)
+{
+    platform::http_calls calls;
+    calls.document_host = [&control]
+    {
+        return publisher(control);
+    };
+    return calls;
+}
+
 platform::http_calls upstream_calls(agent_role& agent)
 {
     platform::http_calls calls;
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/running_daemon.cpp
@@ -18,6 +18,8 @@
 // An operator calls again after a second, elsewhere; up to eight calls are
 // under way at once.
 constexpr std::size_t operator_threads = 8;
+// A relay's answers wait for nothing.
+constexpr std::size_t relay_threads = 2;
 // The fabric may hand packets to a balancer that left for a while.
 constexpr std::chrono::seconds balancer_grace(3);
 
@@ -191,6 +193,11 @@
                           operator_calls(*m_control, m_settings),
                           operator_threads});
     }
+    if (m_settings.operator_relay)
+    {
+        wanted.push_back({*m_settings.operator_relay, relay_calls(*m_control),
+                          relay_threads});
+    }
     for (std::size_t at = 0; at < m_agents.size(); ++at)
     {
         const auto& packets = m_settings.agents[at].flow_packets;
@@ -375,7 +382,8 @@
                     .field("host", m_settings.host.name.value())
                     .field("control", m_settings.control.has_value())
                     .field("balancer", m_settings.balancer.has_value())
-                    .field("agents", m_agents.size()));
+                    .field("agents", m_agents.size())
+                    .field("relay", m_settings.operator_relay.has_value()));
 }
 
 } // namespace crowlink::internal
--- a/packages/daemon/test/node_name_test.cpp
+++ b/packages/daemon/test/node_name_test.cpp
@@ -24,6 +24,10 @@
     daemon_settings balancer = at_address();
     balancer.balancer.emplace();
     const daemon_settings agent = at_address();
+    daemon_settings relay = at_address();
+    relay.operator_relay = endpoint();
+    EXPECT_NE(node_name(relay), node_name(agent));
+    EXPECT_NE(node_name(relay), node_name(balancer));
     EXPECT_NE(node_name(balancer), balancer.host.name);
     EXPECT_NE(node_name(agent), agent.host.name);
     EXPECT_NE(node_name(balancer), node_name(agent));
--- a/packages/settings/include/crowlink/settings/daemon_settings.hpp
+++ b/packages/settings/include/crowlink/settings/daemon_settings.hpp
@@ -33,6 +33,9 @@
     std::optional<control_role_settings> control;
     std::optional<balancer_role_settings> balancer;
     std::vector<agent_role_settings> agents;
+    // Where a host without a disk sends the users' platform's operators on to
+    // a control host; none if absent.
+    std::optional<endpoint> operator_relay{};
     // Control traffic that one node may send or receive, bytes a second.
     std::uint32_t pacing_bytes_per_second = 8192;
     // Where health, readiness and metrics are served; none if absent.
@@ -45,6 +48,12 @@
     // A lease that is not renewed for so long ends.
     std::uint32_t lease_ms = 6000;
 
+    // Whether this daemon asks control for what is in force.
+    bool is_node() const
+    {
+        return balancer || !agents.empty() || operator_relay;
+    }
+
     friend auto operator<=>(const daemon_settings&,
                             const daemon_settings&) = default;
 };
--- a/packages/settings/src/daemon_section.cpp
+++ b/packages/settings/src/daemon_section.cpp
@@ -96,10 +96,16 @@
 
 void check_roles(object_reader& reader, const daemon_settings& daemon)
 {
-    if (!daemon.control && !daemon.balancer && daemon.agents.empty())
+    if (!daemon.control && !daemon.is_node())
     {
         reader.refuse("", "no role; allowed: at least one of control, "
-                          "balancer, agents");
+                          "balancer, agents, operator_relay");
+    }
+    if (daemon.control && daemon.operator_relay)
+    {
+        reader.refuse("operator_relay", "found with \"control\"; allowed: one "
+                                        "of them, as control answers operators "
+                                        "itself");
     }
     if (!daemon.control && daemon.control_endpoints.empty())
     {
@@ -290,6 +296,10 @@
         daemon.balancer = reader.object("balancer", read_balancer);
     }
     daemon.agents = reader.objects("agents", read_agent);
+    if (reader.has("operator_relay"))
+    {
+        daemon.operator_relay = reader.address("operator_relay");
+    }
     read_seeds(reader, daemon);
     daemon.is_network_trusted =
         reader.flag("trusted_network", daemon.is_network_trusted);
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -220,6 +220,32 @@
     EXPECT_TRUE(names(found, "f: /seeds", "found with \"keys\""));
 }
 
+constexpr const char* relay_text = R"({
+  "host": {"name": "10.1.0.11", "place": "quezon", "region": "ncr"},
+  "trusted_network": true,
+  "seeds": {"hosts": ["10.1.0.10:8166"], "peer_port": 7720,
+            "node_port": 7721},
+  "operator_relay": "10.1.0.11:8166"
+})";
+
+TEST(settings, a_host_without_a_disk_may_relay_operators)
+{
+    const settings_result found = parse_settings(relay_text, "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    EXPECT_EQ(found->operator_relay, *endpoint::parse("10.1.0.11:8166"));
+    EXPECT_TRUE(found->is_node());
+    EXPECT_FALSE(found->control);
+}
+
+TEST(settings, a_control_host_relays_no_operators)
+{
+    const settings_result found = parse_settings(
+        replaced(seeded_control, "\"control\"",
+                 "\"operator_relay\": \"10.1.0.10:8166\", \"control\""),
+        "f");
+    EXPECT_TRUE(names(found, "f: /operator_relay", "found with \"control\""));
+}
+
 TEST(settings, an_upstream_that_announces_itself_is_known_by_its_service)
 {
     const std::string text =
