--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -113,7 +113,15 @@
                                   std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
                   const packet_arrived& event);
-    const candidate* silent_candidate(const packet_header& header) const;
+    void start_search(time_point now, packet_header header,
+                      const packet_arrived& event);
+    void search(time_point now, const packet_header& header,
+                const packet_arrived& event);
+    void end_search(time_point now, const packet_header& header,
+                    const packet_arrived& event);
+    void search_on(const packet_header& header, const packet_arrived& event,
+                   const candidate& next);
+    bool search_proves(time_point now, const packet_header& header) const;
     bool gives_up(time_point now, const packet_arrived& event);
     void reset_silent(const packet_header& header);
     void reset_unknown(const packet_header& header);
@@ -234,6 +242,7 @@
     std::uint32_t m_check = 1;
     bool m_checking = false;
     std::uint32_t m_redirects_left = 0;
+    std::uint32_t m_searches_left = 0;
     std::vector<upstream_tag> m_renewed;
 
     bool m_announced = false;
--- a/packages/agent/include/crowlink/agent/agent_settings.hpp
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -42,6 +42,17 @@
     // Flows without any packet for so long are closed.
     duration udp_idle = std::chrono::hours(4);
     duration tcp_idle = std::chrono::hours(24);
+    // For so long after its first view an agent takes no search for proof that
+    // nobody has a flow: members that restarted with it may not be announced
+    // yet. Twice the third of a lease in which each member renews.
+    duration members_known_after = std::chrono::seconds(4);
+    // Bounds the searches that are begun at one tick; beyond that a caller's
+    // next copy begins one. At 50 ms a tick 1,280 a second, as many flows as
+    // one upstream may lose at once.
+    std::uint32_t searches_per_tick = 64;
+    // In services with more members than this nobody is searched for: each
+    // search costs as many packets.
+    std::uint32_t most_searched = 64;
     // A flow that both ends have finished is kept for so long.
     duration linger = std::chrono::seconds(10);
     // A refused caller is told to come back after this.
--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace crowlink::internal
@@ -48,6 +49,18 @@
     // present one and those of the settling time, know beyond it.
     void widen(packet_header& header, time_point now) const;
 
+    // The member that a search for the flow's owner meets first, or next after
+    // the given place in its order; nothing after the last one. Silent members
+    // are left out.
+    std::optional<candidate> next_in_search(const flow_key& flow,
+                                            std::uint64_t after) const;
+    // The members that control does not hear.
+    std::vector<candidate> silent_members() const;
+    std::size_t members() const { return m_view ? m_view->members.size() : 0; }
+    bool is_member(upstream_tag tag) const;
+    // When the first view came.
+    std::optional<time_point> known_since() const { return m_known_since; }
+
     // Whether a member with this tag was known and has ended.
     bool has_ended(upstream_tag tag) const;
     // Whether its lease has run out without a word of its own.
@@ -72,6 +85,7 @@
 
     duration m_settle;
     time_point m_unsettled_until;
+    std::optional<time_point> m_known_since;
     std::shared_ptr<const service_view> m_view;
     std::shared_ptr<const forwarding_table> m_table;
     // Oldest first.
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -33,6 +33,7 @@
                   settings.slots)
     , m_warden(settings.shed_lifetime)
     , m_redirects_left(settings.redirects_per_tick)
+    , m_searches_left(settings.searches_per_tick)
 {
 }
 
@@ -59,7 +60,14 @@
         // After a restart of several agents each may have taken it for its
         // own: the others are tried.
         m_returned.add(now, flow);
-        start_walk(now, event.header, again);
+        if (event.header.pass == packet_pass::search)
+        {
+            search(now, event.header, again);
+        }
+        else
+        {
+            start_walk(now, event.header, again);
+        }
     }
     send_batch();
 }
@@ -179,6 +187,7 @@
         m_effects.add(m_record);
     }
     m_redirects_left = m_settings.redirects_per_tick;
+    m_searches_left = m_settings.searches_per_tick;
     m_redirects.expire(now);
     m_repeated.expire(now);
     m_returned.expire(now);
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -101,7 +101,7 @@
     }
     if (header.role == packet_role::continues)
     {
-        reset_unknown(header);
+        start_search(now, header, event);
         return;
     }
     if (!m_admission.can_admit(now, m_flows.open_count()))
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -12,6 +12,8 @@
 // More agents than a packet meets in a walk over two chains, an admission over
 // one, and a few detours.
 constexpr std::uint8_t hop_limit = 32;
+// As many more as a search goes to at most.
+constexpr std::uint8_t search_hop_limit = 128;
 
 // The marks of a trail end one after another. Who starts to follow it needs
 // time to reach the last one, where the flow's owner is known.
@@ -129,7 +131,8 @@
 {
     const packet_header& header = event.header;
     const internal::redirect_entry* known = m_redirects.find(header.flow, now);
-    if (header.hops >= hop_limit)
+    const bool is_search = header.pass == packet_pass::search;
+    if (header.hops >= (is_search ? search_hop_limit : hop_limit))
     {
         ++m_counts.too_many_hops;
         // Whatever is known here led nowhere.
@@ -138,7 +141,9 @@
                "too_many_hops");
         return;
     }
-    if (known != nullptr)
+    // A search meets every member; what one of them was told long ago must not
+    // turn it aside.
+    if (known != nullptr && !is_search)
     {
         const bool sent = known->is_mark()
                               ? follow_mark(now, event, *known)
@@ -162,6 +167,9 @@
     case packet_pass::place:
         place(now, header, event);
         break;
+    case packet_pass::search:
+        search(now, header, event);
+        break;
     }
 }
 
--- a/packages/agent/src/agent_walk.cpp
+++ b/packages/agent/src/agent_walk.cpp
@@ -129,21 +129,9 @@
         forward(header, event, flow_action::looked_up, "may_adopt");
         return;
     }
-    const candidate* silent = silent_candidate(header);
-    if (header.role == packet_role::continues && silent != nullptr)
-    {
-        if (gives_up(now, event))
-        {
-            reset_silent(header);
-            return;
-        }
-        internal::look_up_at(header, candidate(*silent));
-        forward(header, event, flow_action::looked_up, "owner_may_be_silent");
-        return;
-    }
     if (header.role == packet_role::continues)
     {
-        reset_unknown(header);
+        start_search(now, header, event);
         return;
     }
     if (internal::may_open(header.role))
@@ -152,60 +140,4 @@
     }
 }
 
-// One that control does not hear may own the flow all the same: owners that
-// are the head themselves have told nobody. Beyond the hops of one walk the
-// packet has been there.
-const candidate* agent::silent_candidate(const packet_header& header) const
-{
-    constexpr std::uint8_t hops_of_a_walk = 2 * candidate_chain::capacity + 1;
-    const std::size_t count = header.current.size() + header.previous.size();
-    for (std::size_t i = 0; i < count && header.hops <= hops_of_a_walk; ++i)
-    {
-        const candidate* next = internal::candidate_at(header, i);
-        if (m_members.is_silent(next->tag))
-        {
-            return next;
-        }
-    }
-    return nullptr;
-}
-
-// Whether the caller of a flow at a silent upstream waits in vain.
-bool agent::gives_up(time_point now, const packet_arrived& event)
-{
-    const flow_key& flow = event.header.flow;
-    if (event.need == answer_need::required)
-    {
-        return m_repeated.sent(now, flow);
-    }
-    if (event.need == answer_need::none)
-    {
-        m_repeated.acknowledged(flow);
-    }
-    return false;
-}
-
-void agent::reset_silent(const packet_header& header)
-{
-    m_repeated.forget(header.flow);
-    ++m_counts.upstream_silent;
-    const flow_refusal told{verdict::may_have_run,
-                            refusal_reason::upstream_failed, duration::zero()};
-    m_effects.add(
-        internal::reset_caller_effect{header.return_to, header.flow, told});
-    decide(flow_action::reset, header.flow, header.table, candidate(),
-           "upstream_silent");
-}
-
-void agent::reset_unknown(const packet_header& header)
-{
-    ++m_counts.unknown_flows;
-    const flow_refusal told{verdict::may_have_run, refusal_reason::unknown_flow,
-                            duration::zero()};
-    m_effects.add(
-        internal::reset_caller_effect{header.return_to, header.flow, told});
-    decide(flow_action::reset, header.flow, header.table, candidate(),
-           to_string(told.reason));
-}
-
 } // namespace crowlink
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -46,6 +46,7 @@
         return found;
     }
     found.accepted = true;
+    m_known_since = m_known_since.value_or(now);
     ++m_generation;
     note_members(*view, found);
     note_silent(*view);
@@ -163,6 +164,54 @@
     }
 }
 
+std::optional<candidate>
+member_tables::next_in_search(const flow_key& flow, std::uint64_t after) const
+{
+    if (!m_view)
+    {
+        return std::nullopt;
+    }
+    const std::uint64_t hash = stable_hash(flow);
+    std::optional<candidate> next;
+    std::uint64_t next_order = 0;
+    for (const upstream_record& member : m_view->members)
+    {
+        const candidate each{member.agent, tag_of(member)};
+        const std::uint64_t order = walk_order(hash, each);
+        const bool is_nearer = !next || order < next_order;
+        if (order > after && is_nearer && !is_gone(each.tag))
+        {
+            next = each;
+            next_order = order;
+        }
+    }
+    return next;
+}
+
+std::vector<candidate> member_tables::silent_members() const
+{
+    std::vector<candidate> found;
+    if (!m_view)
+    {
+        return found;
+    }
+    for (const upstream_record& member : m_view->members)
+    {
+        if (member.state == upstream_state::silent)
+        {
+            found.push_back(candidate{member.agent, tag_of(member)});
+        }
+    }
+    return found;
+}
+
+bool member_tables::is_member(upstream_tag tag) const
+{
+    return m_view && std::any_of(m_view->members.begin(), m_view->members.end(),
+                                 [tag](const upstream_record& member)
+                                 { return tag_of(member) == tag; });
+}
+
 bool member_tables::has_ended(upstream_tag tag) const
 {
     return std::find(m_gone.begin(), m_gone.end(), tag) != m_gone.end();
--- a/packages/daemon/src/agent_loop_effects.hpp
+++ b/packages/daemon/src/agent_loop_effects.hpp
@@ -76,13 +76,7 @@
 {
     if constexpr (has_flow_packets)
     {
-        // That nobody on the way knows a flow is no proof that nobody has it:
-        // its owner may be cut off from those who asked. The caller's own
-        // deadline ends it.
-        if (told.reason != refusal_reason::unknown_flow)
-        {
-            m_delivery.reset(flow, true);
-        }
+        m_delivery.reset(flow, true);
         return;
     }
     send_datagram(to, to_notice(flow, told));
--- a/packages/daemon/src/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent_loop_upstream.cpp
@@ -108,7 +108,10 @@
 {
     if (packet.delivered_with)
     {
+        // A reset of its caller is worked out from the packet itself.
+        m_delivery.handling(&*packet.delivered_with, packet.payload);
         handle(packet_returned{*packet.delivered_with, packet.payload});
+        m_delivery.handling(nullptr, {});
     }
 }
 
--- a/packages/daemon/src/agent_role.cpp
+++ b/packages/daemon/src/agent_role.cpp
@@ -37,8 +37,8 @@
     }
     first.where = settings.host.place;
     first.weight = own.weight;
-    auto thread = agent_thread::start(first, own, std::move(*tunnel), keys,
-                                      made->m_exchange, log, settings.log);
+    auto thread = agent_thread::start(first, settings, own, std::move(*tunnel),
+                                      keys, made->m_exchange, log);
     if (!thread)
     {
         return tl::unexpected(thread.error());
--- a/packages/daemon/src/agent_thread.cpp
+++ b/packages/daemon/src/agent_thread.cpp
@@ -1,6 +1,7 @@
 #include "agent_thread.hpp"
 
 #include "agent_loop.hpp"
+#include "lease_scale.hpp"
 
 #include <utility>
 
@@ -11,10 +12,12 @@
 {
 
 agent_settings to_core(const upstream_record& first,
+                       const daemon_settings& settings,
                        const agent_role_settings& own)
 {
     agent_settings core;
     core.self = first;
+    core.members_known_after = lease_scale(settings)(core.members_known_after);
     if (own.flow_packets)
     {
         core.tcp_idle = std::chrono::seconds(own.flow_packets->idle_seconds);
@@ -37,24 +40,23 @@
 
 // The loop lives on its thread alone.
 template <class Delivery>
-std::thread run(const upstream_record& first, const agent_role_settings& own,
-                loop_sockets sockets, const key_ring& keys,
-                agent_exchange& exchange, agent_gauges& gauges, log_sink& log,
-                const log_settings& logging)
+std::thread run(const upstream_record& first, const daemon_settings& settings,
+                const agent_role_settings& own, loop_sockets sockets,
+                const key_ring& keys, agent_exchange& exchange,
+                agent_gauges& gauges, log_sink& log)
 {
     auto loop = std::make_unique<agent_loop<Delivery>>(
-        to_core(first, own), own, std::move(sockets), keys, exchange, gauges,
-        log, logging);
+        to_core(first, settings, own), own, std::move(sockets), keys, exchange,
+        gauges, log, settings.log);
     return std::thread([running = std::move(loop)] { running->run(); });
 }
 
 } // namespace
 
-result<std::unique_ptr<agent_thread>>
-agent_thread::start(const upstream_record& first,
-                    const agent_role_settings& own, udp_socket tunnel,
-                    const key_ring& keys, agent_exchange& exchange,
-                    log_sink& log, const log_settings& logging)
+result<std::unique_ptr<agent_thread>> agent_thread::start(
+    const upstream_record& first, const daemon_settings& settings,
+    const agent_role_settings& own, udp_socket tunnel, const key_ring& keys,
+    agent_exchange& exchange, log_sink& log)
 {
     auto delivery = bind_delivery(own);
     if (!delivery)
@@ -72,8 +74,9 @@
     }
     std::unique_ptr<agent_thread> made(new agent_thread(exchange));
     made->m_thread =
-        begin(first, own, loop_sockets{std::move(tunnel), std::move(*delivery)},
-              keys, exchange, made->m_gauges, log, logging);
+        begin(first, settings, own,
+              loop_sockets{std::move(tunnel), std::move(*delivery)}, keys,
+              exchange, made->m_gauges, log);
     return made;
 }
 
--- a/packages/daemon/src/agent_thread.hpp
+++ b/packages/daemon/src/agent_thread.hpp
@@ -31,9 +31,9 @@
     // Binds the sockets towards the upstream. The exchange must outlive the
     // thread.
     static result<std::unique_ptr<agent_thread>>
-    start(const upstream_record& first, const agent_role_settings& own,
-          udp_socket tunnel, const key_ring& keys, agent_exchange& exchange,
-          log_sink& log, const log_settings& logging);
+    start(const upstream_record& first, const daemon_settings& settings,
+          const agent_role_settings& own, udp_socket tunnel,
+          const key_ring& keys, agent_exchange& exchange, log_sink& log);
     agent_thread(const agent_thread&) = delete;
     agent_thread& operator=(const agent_thread&) = delete;
     ~agent_thread();
--- a/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
@@ -35,10 +35,14 @@
     place,
     // Goes through both chains, in an order that all agents agree on.
     walk,
+    // The walk met no owner: goes to every other member of the service, in an
+    // order that all agents agree on. Where `best` is set, the packet is a copy
+    // that goes no further.
+    search,
 };
 
 // The codec takes nothing beyond this one.
-constexpr packet_pass last_packet_pass = packet_pass::walk;
+constexpr packet_pass last_packet_pass = packet_pass::search;
 
 // What travels in front of each caller's packet from a balancer to an agent
 // and from agent to agent. It carries all that an agent needs, so that tables
