--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -39,6 +39,9 @@
     // The caller sends it again by itself if nothing comes: a flow that can't
     // be opened now need not be refused yet.
     bool comes_again = false;
+    // Where the packet begins in what the caller sends on this flow: copies of
+    // one packet have the same place.
+    std::uint32_t sequence = 0;
 };
 
 // The upstream sent something to the caller of a flow.
--- a/packages/agent/include/crowlink/agent/repeat_watch.hpp
+++ b/packages/agent/include/crowlink/agent/repeat_watch.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/base/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <unordered_map>
 
 namespace crowlink::internal
@@ -23,16 +24,24 @@
     // A flow that was quiet for so long is forgotten.
     static constexpr duration lifetime = std::chrono::seconds(10);
 
-    // A packet with data or one that opens: whether it repeats an earlier one.
-    bool sent(time_point now, const flow_key& flow);
+    // A packet with data or one that opens, by its place in what the caller
+    // sends: whether it repeats an earlier one. A caller that goes on was
+    // answered, perhaps without a packet that only acknowledges.
+    bool sent(time_point now, const flow_key& flow, std::uint32_t sequence);
     // A packet that only acknowledges: the flow is served.
     void acknowledged(const flow_key& flow) { m_first.erase(flow); }
     void forget(const flow_key& flow) { m_first.erase(flow); }
     void expire(time_point now);
 
 private:
-    // When the first packet that nothing has followed up was sent.
-    std::unordered_map<flow_key, time_point> m_first;
+    // The first packet that nothing has followed up.
+    struct unanswered
+    {
+        time_point sent;
+        std::uint32_t sequence = 0;
+    };
+
+    std::unordered_map<flow_key, unanswered> m_first;
 };
 
 } // namespace crowlink::internal
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -121,7 +121,7 @@
     const flow_key& flow = event.header.flow;
     if (event.need == answer_need::required)
     {
-        return m_repeated.sent(now, flow);
+        return m_repeated.sent(now, flow, event.sequence);
     }
     if (event.need == answer_need::none)
     {
--- a/packages/agent/test/silent_owner_test.cpp
+++ b/packages/agent/test/silent_owner_test.cpp
@@ -110,6 +110,43 @@
     EXPECT_TRUE(fixture.effects.caller_resets.empty());
 }
 
+// An answer in one packet is acknowledged by the caller's next request.
+TEST(silent_owner, a_caller_that_goes_on_is_served_and_left_alone)
+{
+    agent_fixture fixture(2);
+    const packet_header sent = continuing(fixture);
+    tell_owner(fixture, sent.flow);
+    show_owner_as(fixture, upstream_state::silent);
+    constexpr std::uint32_t request_bytes = 120;
+    std::uint32_t sequence = 0xffffff00;
+    for (int request = 0; request < 10; ++request)
+    {
+        packet_arrived arrived{sent, {}, answer_need::required};
+        arrived.sequence = sequence;
+        fixture.handle(arrived);
+        sequence += request_bytes;
+        fixture.now += std::chrono::milliseconds(500);
+    }
+    EXPECT_TRUE(fixture.effects.caller_resets.empty());
+}
+
+// A request in two packets, of which the first one is repeated.
+TEST(silent_owner, a_copy_of_the_first_of_several_packets_is_a_repeat)
+{
+    agent_fixture fixture(2);
+    const packet_header sent = continuing(fixture);
+    tell_owner(fixture, sent.flow);
+    show_owner_as(fixture, upstream_state::silent);
+    for (const std::uint32_t sequence : {0U, 1200U, 0U})
+    {
+        packet_arrived arrived{sent, {}, answer_need::required};
+        arrived.sequence = sequence;
+        fixture.handle(arrived);
+        fixture.now += std::chrono::milliseconds(sequence == 0 ? 1 : 200);
+    }
+    EXPECT_EQ(fixture.effects.caller_resets.size(), 1U);
+}
+
 TEST(silent_owner, nobody_is_reset_at_one_that_control_hears)
 {
     agent_fixture fixture(2);
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent_loop.cpp
@@ -164,7 +164,8 @@
             }
             m_delivery.handling(&packet->header, packet->payload);
             handle(packet_arrived{packet->header, packet->payload, nature->need,
-                                  nature->finishes, nature->comes_again});
+                                  nature->finishes, nature->comes_again,
+                                  nature->sequence});
             m_delivery.handling(nullptr, {});
         }
         else
--- a/packages/daemon/src/flow_delivery.cpp
+++ b/packages/daemon/src/flow_delivery.cpp
@@ -58,7 +58,7 @@
         packet->flags.opens && packet->acknowledgement < last_opening_copy;
     return packet_nature{wants_answer ? answer_need::required
                                       : answer_need::none,
-                         packet->flags.finishes, comes_again};
+                         packet->flags.finishes, comes_again, packet->sequence};
 }
 
 void flow_delivery::handling(const packet_header* header, payload_view payload)
--- a/packages/daemon/src/flow_delivery.hpp
+++ b/packages/daemon/src/flow_delivery.hpp
@@ -28,6 +28,7 @@
     answer_need need = answer_need::unknown;
     bool finishes = false;
     bool comes_again = false;
+    std::uint32_t sequence = 0;
 };
 
 // Something that came from the upstream.
