--- a/packages/replication/include/crowlink/replication/voter_policy.hpp
+++ b/packages/replication/include/crowlink/replication/voter_policy.hpp
@@ -23,6 +23,10 @@
     // A host counts as there if it was heard of within this time; hosts that
     // are no members say hello once a second.
     duration heard_within = std::chrono::milliseconds(1500);
+    // A host without a vote that has not answered for so long is no member any
+    // more; it is admitted again when it is back. Far above a restart, since
+    // nothing waits for such a host.
+    duration forgotten_after = std::chrono::seconds(30);
 
     friend auto operator<=>(const voter_policy_settings&,
                             const voter_policy_settings&) = default;
@@ -35,7 +39,10 @@
 //    its former vote can never be given again;
 // 2. while there are fewer voters than the losses to be borne ask for, and
 //    where a voter is lost, another host that is there becomes a voter;
-// 3. a lost voter beyond that number is removed.
+// 3. a lost voter beyond that number is removed;
+// 4. any other host that is there becomes a member without a vote, so that it
+//    holds the document, answers operators and serves nodes;
+// 5. a member without a vote that is gone for long is removed.
 //
 // The last voter is never removed, and a lost one only once another has its
 // place: a host that is back soon keeps its vote.
@@ -58,6 +65,8 @@
     std::optional<member_change> readmit(const replica_status& status) const;
     std::optional<member_change> add(const replica_status& status) const;
     std::optional<member_change> remove(const replica_status& status) const;
+    std::optional<member_change> admit(const replica_status& status) const;
+    std::optional<member_change> forget(const replica_status& status) const;
 
     voter_policy_settings m_settings;
 };
--- a/packages/replication/src/voter_policy.cpp
+++ b/packages/replication/src/voter_policy.cpp
@@ -49,7 +49,15 @@
     {
         return change;
     }
-    return remove(status);
+    if (auto change = remove(status))
+    {
+        return change;
+    }
+    if (auto change = admit(status))
+    {
+        return change;
+    }
+    return forget(status);
 }
 
 std::size_t voter_policy::wanted() const
@@ -144,4 +152,35 @@
                          disk_id()};
 }
 
+// One that was removed as a lost voter comes back with its log, and would
+// neither hear of changes nor be heard by the others.
+std::optional<member_change>
+voter_policy::admit(const replica_status& status) const
+{
+    for (const stranger_status& stranger : status.strangers)
+    {
+        if (is_there(stranger))
+        {
+            return member_change{member_change_kind::add_observer,
+                                 stranger.host, stranger.disk};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<member_change>
+voter_policy::forget(const replica_status& status) const
+{
+    for (const member_status& one : status.members)
+    {
+        const bool is_gone = one.age && *one.age > m_settings.forgotten_after;
+        if (one.who.role == member_role::observer && is_gone)
+        {
+            return member_change{member_change_kind::remove, one.who.host,
+                                 disk_id()};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace crowlink::replication
--- a/packages/replication/test/voter_policy_test.cpp
+++ b/packages/replication/test/voter_policy_test.cpp
@@ -108,7 +108,7 @@
     const auto status = leader_of(
         {voter("a", 1), voter("b", 2), voter("c", 3, milliseconds(2000))},
         {stranger("d", 4)});
-    EXPECT_FALSE(decide(status));
+    EXPECT_EQ(decide(status), change(member_change_kind::add_observer, "d", 4));
 }
 
 TEST(voter_policy, grows_to_what_the_losses_ask_for)
@@ -118,7 +118,8 @@
                    member_of("d", 4, member_role::observer, just_heard)},
                   {stranger("e", 5)});
     EXPECT_EQ(decide(status, 2), change(member_change_kind::add_voter, "d", 4));
-    EXPECT_FALSE(decide(status, 1));
+    EXPECT_EQ(decide(status, 1),
+              change(member_change_kind::add_observer, "e", 5));
 }
 
 TEST(voter_policy, a_host_that_said_hello_long_ago_is_not_taken)
@@ -139,6 +140,29 @@
     EXPECT_EQ(decide(never), change(member_change_kind::remove, "b", 0));
 }
 
+// A planned restart took longer than a loss: the host was removed, came back
+// with its log, and was left out of everything.
+TEST(voter_policy, a_host_that_is_there_without_need_becomes_an_observer)
+{
+    stranger_status removed = stranger("d", 4);
+    removed.blank = false;
+    const auto status =
+        leader_of({voter("a", 1), voter("b", 2), voter("c", 3)}, {removed});
+    EXPECT_EQ(decide(status), change(member_change_kind::add_observer, "d", 4));
+}
+
+TEST(voter_policy, an_observer_that_is_gone_for_long_is_no_member)
+{
+    const auto with = [](duration age)
+    {
+        return leader_of({voter("a", 1), voter("b", 2), voter("c", 3),
+                          member_of("d", 4, member_role::observer, age)});
+    };
+    EXPECT_FALSE(decide(with(milliseconds(20000))));
+    EXPECT_EQ(decide(with(long_silent)),
+              change(member_change_kind::remove, "d", 0));
+}
+
 } // namespace
 
 } // namespace crowlink::replication
