--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/membership_controller.cpp
@@ -135,9 +135,25 @@
     }
     m_core.set_document_age(board.document_age.get());
     send(m_core.tick(now));
+    log_expired();
     m_nodes.purge(now);
 }
 
+void membership_controller::log_expired()
+{
+    for (const expired_lease& each : m_core.observing().take_expired())
+    {
+        const auto doubted =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                each.doubted_for);
+        m_log.write(log_line(log_level::info, "lease_expired")
+                        .field("upstream", each.id.value())
+                        .field("service", each.service.value())
+                        .field("observer", each.home.value())
+                        .field("doubted_ms", doubted.count()));
+    }
+}
+
 // A host that the settings do not name is taken to be in this host's region:
 // nothing tells more of it than its address.
 observer_info membership_controller::info_of(const host_id& host) const
--- a/packages/daemon/src/membership_controller.hpp
+++ b/packages/daemon/src/membership_controller.hpp
@@ -45,6 +45,7 @@
 
 private:
     observer_info info_of(const host_id& host) const;
+    void log_expired();
     void note(time_point now, const host_id& node,
               const wire::membership_message& message);
     void send(const std::vector<membership_send>& sends);
--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -3,6 +3,7 @@
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/membership/digest_book.hpp"
+#include "crowlink/membership/expired_lease.hpp"
 #include "crowlink/membership/observed_record.hpp"
 #include "crowlink/membership/observer_output.hpp"
 #include "crowlink/membership/observer_settings.hpp"
@@ -12,6 +13,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace crowlink
@@ -57,6 +59,12 @@
     std::vector<region_age> cut_regions(time_point now) const;
 
     const metrics& counters() const { return m_metrics; }
+    // The leases that were judged to have run out since the last call; at most
+    // 256 of them.
+    std::vector<expired_lease> take_expired()
+    {
+        return std::exchange(m_expired, {});
+    }
 
 private:
     using table = std::map<internal::record_key, internal::observed_record>;
@@ -116,6 +124,7 @@
     void place_back(time_point now, const place_id& where,
                     observer_output& out);
     void expire_silent(time_point now, observer_output& out);
+    void note_expired(time_point now, const internal::observed_record& held);
     bool may_expire(time_point now, const internal::observed_record& held);
     bool may_be_whole_place(time_point now, const place_id& where) const;
     bool within_cap(time_point now, const internal::observed_record& held,
@@ -148,6 +157,7 @@
     // The silence seems to be this host's own.
     bool m_held_back = false;
     metrics m_metrics;
+    std::vector<expired_lease> m_expired;
 };
 
 } // namespace crowlink
--- a/packages/membership/src/observer_judgement.cpp
+++ b/packages/membership/src/observer_judgement.cpp
@@ -217,6 +217,7 @@
         }
         if (may_expire(now, each->second))
         {
+            note_expired(now, each->second);
             observed_record next = each->second;
             next.record.state = upstream_state::gone;
             next.gone_at = now;
@@ -234,6 +235,16 @@
     }
 }
 
+void observer::note_expired(time_point now, const observed_record& held)
+{
+    constexpr std::size_t most_kept = 256;
+    if (m_expired.size() < most_kept)
+    {
+        m_expired.push_back(expired_lease{held.record.service, held.record.id,
+                                          held.home, now - held.suspect_since});
+    }
+}
+
 bool observer::purge(time_point now, const observed_record& held) const
 {
     return held.record.state == upstream_state::gone &&
--- a/packages/replication/include/crowlink/replication/replica_status.hpp
+++ b/packages/replication/include/crowlink/replication/replica_status.hpp
@@ -56,6 +56,8 @@
     // Since this host last knew that it held all that was committed; very long
     // before it knew that for the first time.
     duration document_age{};
+    // Since this host leads; zero on others.
+    duration led_for{};
     // Match indexes and ages are known on the leader only.
     std::vector<member_status> members;
     std::vector<stranger_status> strangers;
--- a/packages/replication/include/crowlink/replication/voter_policy.hpp
+++ b/packages/replication/include/crowlink/replication/voter_policy.hpp
@@ -59,7 +59,8 @@
 
 private:
     std::size_t wanted() const;
-    bool is_lost(const member_status& member) const;
+    bool is_lost(const replica_status& status,
+                 const member_status& member) const;
     bool is_there(const stranger_status& stranger) const;
 
     std::optional<member_change> readmit(const replica_status& status) const;
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -324,6 +324,7 @@
     const bool leads = m_role == replica_role::leader;
     out.age = now - (leads ? quorum_contact(now).value_or(m_led_since)
                            : m_leader_contact);
+    out.led_for = leads ? now - m_led_since : duration::zero();
     out.document_age = leads ? out.age : now - m_current_at;
     for (const member& one : members().members())
     {
--- a/packages/replication/src/replica_members.cpp
+++ b/packages/replication/src/replica_members.cpp
@@ -42,7 +42,9 @@
 
 void replica_core::say_hello()
 {
-    const bool is_member = members().contains(m_settings.self, m_disk);
+    // One that was removed while it was away still finds itself in its log.
+    const bool is_member = members().contains(m_settings.self, m_disk) &&
+                           m_now - m_leader_contact < hello_interval;
     const bool lately = m_hello_sent && m_now - *m_hello_sent < hello_interval;
     if (is_member || lately)
     {
--- a/packages/replication/src/voter_policy.cpp
+++ b/packages/replication/src/voter_policy.cpp
@@ -65,9 +65,11 @@
     return std::min(most_voters, 2 * m_settings.losses + 1);
 }
 
-bool voter_policy::is_lost(const member_status& member) const
+// A new leader has heard of nobody yet.
+bool voter_policy::is_lost(const replica_status& status,
+                           const member_status& member) const
 {
-    return !member.age || *member.age > m_settings.lost_after;
+    return member.age.value_or(status.led_for) > m_settings.lost_after;
 }
 
 bool voter_policy::is_there(const stranger_status& stranger) const
@@ -100,8 +102,8 @@
     const std::size_t aim = wanted();
     const bool has_lost =
         std::any_of(status.members.begin(), status.members.end(),
-                    [this](const member_status& one)
-                    { return counts(one.who) && is_lost(one); });
+                    [this, &status](const member_status& one)
+                    { return counts(one.who) && is_lost(status, one); });
     const bool has_room = voters < aim || (has_lost && voters == aim);
     if (!has_room)
     {
@@ -109,7 +111,7 @@
     }
     for (const member_status& one : status.members)
     {
-        if (one.who.role == member_role::observer && !is_lost(one))
+        if (one.who.role == member_role::observer && !is_lost(status, one))
         {
             return member_change{member_change_kind::add_voter, one.who.host,
                                  one.who.disk};
@@ -139,7 +141,7 @@
         // One that never answered this leader is lost longest.
         const bool is_longer = longest == nullptr || !one.age ||
                                (longest->age && *longest->age < *one.age);
-        if (counts(one.who) && is_lost(one) && is_longer)
+        if (counts(one.who) && is_lost(status, one) && is_longer)
         {
             longest = &one;
         }
--- a/packages/replication/test/unattended_test.cpp
+++ b/packages/replication/test/unattended_test.cpp
@@ -138,6 +138,40 @@
     }
 }
 
+// Removed while it was away, it comes back with a log in which it is a member.
+TEST(unattended, a_host_that_was_removed_while_away_is_a_member_again)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        fake_cluster cluster(3, 1, seed, unattended());
+        make_versions(cluster, 1, "a");
+        const std::size_t away = settle(cluster);
+        cluster.crash(away);
+        const auto is_listed = [&]
+        {
+            const auto leader = cluster.leader();
+            if (!leader)
+            {
+                return false;
+            }
+            const auto members = cluster.status(*leader).members;
+            return std::any_of(
+                members.begin(), members.end(),
+                [&](const member_status& one)
+                { return one.who.host == fake_cluster::name(away); });
+        };
+        ASSERT_TRUE(cluster.run_until(
+            [&] { return cluster.leader() && !is_listed(); }));
+        cluster.restart(away);
+        EXPECT_TRUE(cluster.run_until(is_listed, repair_steps))
+            << "seed " << seed;
+        make_versions(cluster, 1, "b");
+        EXPECT_TRUE(cluster.run_until(
+            [&] { return cluster.version(away) == 2; }, repair_steps));
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
 TEST(unattended, five_voters_bear_two_losses_after_growing_from_three)
 {
     fake_cluster cluster(3, 2, 5, unattended(2));
--- a/packages/replication/test/voter_policy_test.cpp
+++ b/packages/replication/test/voter_policy_test.cpp
@@ -36,6 +36,7 @@
 {
     replica_status status;
     status.role = replica_role::leader;
+    status.led_for = long_silent;
     status.members = std::move(members);
     status.strangers = std::move(strangers);
     return status;
@@ -140,6 +141,18 @@
     EXPECT_EQ(decide(never), change(member_change_kind::remove, "b", 0));
 }
 
+// The leader's host was stopped; who took over removed it half a second later.
+TEST(voter_policy, a_new_leader_gives_everybody_the_time_to_answer)
+{
+    replica_status status =
+        leader_of({voter("a", 1), voter("b", 2), voter("c", 3), voter("d", 4)});
+    status.members[2].age = std::nullopt;
+    status.led_for = milliseconds(500);
+    EXPECT_FALSE(decide(status));
+    status.led_for = long_silent;
+    EXPECT_EQ(decide(status), change(member_change_kind::remove, "c", 0));
+}
+
 // A planned restart took longer than a loss: the host was removed, came back
 // with its log, and was left out of everything.
 TEST(voter_policy, a_host_that_is_there_without_need_becomes_an_observer)
