--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -8,6 +8,7 @@
 #include "crowlink/agent/deadline_queue.hpp"
 #include "crowlink/agent/effect_queue.hpp"
 #include "crowlink/agent/flow_table.hpp"
+#include "crowlink/agent/held_searches.hpp"
 #include "crowlink/agent/member_tables.hpp"
 #include "crowlink/agent/redirect_batch.hpp"
 #include "crowlink/agent/redirect_table.hpp"
@@ -121,7 +122,11 @@
                     const packet_arrived& event);
     void search_on(const packet_header& header, const packet_arrived& event,
                    const candidate& next);
-    bool search_proves(time_point now, const packet_header& header) const;
+    void release_held(time_point now);
+    void search_again(const internal::held_search& held,
+                      const candidate& first);
+    bool knows_members(time_point now) const;
+    bool may_be_moved(const packet_header& header) const;
     bool gives_up(time_point now, const packet_arrived& event);
     void reset_silent(const packet_header& header);
     void reset_unknown(const packet_header& header);
@@ -235,6 +240,9 @@
     internal::deadline_queue m_lingering;
     internal::repeat_watch m_repeated;
     internal::returned_flows m_returned;
+    internal::held_searches m_held;
+    // Those of this tick; its effects refer to them.
+    std::vector<internal::held_search> m_released;
     agent_counts m_counts;
 
     // A generation of tables that redirects are checked against, and the
--- a/packages/agent/include/crowlink/agent/agent_settings.hpp
+++ b/packages/agent/include/crowlink/agent/agent_settings.hpp
@@ -44,8 +44,8 @@
     duration tcp_idle = std::chrono::hours(24);
     // For so long after its first view an agent takes no search for proof that
     // nobody has a flow: members that restarted with it may not be announced
-    // yet. Twice the third of a lease in which each member renews.
-    duration members_known_after = std::chrono::seconds(4);
+    // yet. The third of a lease within which each of them renews.
+    duration members_known_after = std::chrono::seconds(2);
     // Bounds the searches that are begun at one tick; beyond that a caller's
     // next copy begins one. At 50 ms a tick 1,280 a second, as many flows as
     // one upstream may lose at once.
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -196,6 +196,7 @@
     repeat_due(now);
     renew_due(now);
     find_silent(now);
+    release_held(now);
     close_finished(now);
     close_idle(now);
     if (now >= m_next_assessment)
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -2,6 +2,7 @@
 #include "crowlink/agent/chain_walk.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace crowlink
 {
@@ -93,26 +94,71 @@
         copy.best = copy.position;
         forward(copy, event, flow_action::looked_up, "owner_may_be_silent");
     }
-    if (silent.empty() && search_proves(now, header))
+    if (!silent.empty() || may_be_moved(header))
     {
-        reset_unknown(header);
+        return;
+    }
+    if (!knows_members(now))
+    {
+        m_held.hold(header, event.payload);
+        return;
+    }
+    reset_unknown(header);
+}
+
+// What was held is searched for anew, through the network even where this agent
+// comes first: each packet is handled as one that arrives.
+void agent::release_held(time_point now)
+{
+    if (!knows_members(now))
+    {
+        return;
     }
+    m_released.clear();
+    while (m_searches_left > 0)
+    {
+        std::optional<internal::held_search> held = m_held.take();
+        if (!held)
+        {
+            return;
+        }
+        const auto first = m_members.next_in_search(held->header.flow, 0);
+        if (first)
+        {
+            m_released.push_back(std::move(*held));
+            search_again(m_released.back(), *first);
+        }
+    }
+}
+
+void agent::search_again(const internal::held_search& held,
+                         const candidate& first)
+{
+    --m_searches_left;
+    packet_header sent = held.header;
+    sent.hops = 0;
+    internal::address_to(sent, first);
+    ++m_counts.searched;
+    forward(sent, packet_arrived{held.header, held.payload},
+            flow_action::looked_up, "searched_for");
 }
 
-// Not while members may be missing from the view, nor for a flow whose address
-// was moved here from a service whose members this agent does not know.
-bool agent::search_proves(time_point now, const packet_header& header) const
+// Members that restarted together with this one may not be announced yet.
+bool agent::knows_members(time_point now) const
 {
     const auto since = m_members.known_since();
-    const bool is_complete =
-        since && now - *since >= m_settings.members_known_after;
-    const bool is_moved =
-        std::any_of(header.previous.begin(), header.previous.end(),
-                    [this](const candidate& each) {
-                        return !m_members.is_member(each.tag) &&
-                               !m_members.has_ended(each.tag);
-                    });
-    return is_complete && !is_moved;
+    return since && now - *since >= m_settings.members_known_after;
+}
+
+// Whether the flow's address was moved here from a service whose members this
+// agent does not know: they may have it.
+bool agent::may_be_moved(const packet_header& header) const
+{
+    return std::any_of(header.previous.begin(), header.previous.end(),
+                       [this](const candidate& each) {
+                           return !m_members.is_member(each.tag) &&
+                                  !m_members.has_ended(each.tag);
+                       });
 }
 
 // Whether a caller waits in vain for a flow that was sent to silent upstreams.
--- a/packages/agent/test/search_test.cpp
+++ b/packages/agent/test/search_test.cpp
@@ -213,11 +213,28 @@
     }
     service.send(flow_number);
     EXPECT_EQ(service.resets, 0U);
+    // The caller's packet waited: its next copy may be far off.
     service.pass(std::chrono::seconds(5));
-    service.send(flow_number);
     EXPECT_EQ(service.resets, 1U);
 }
 
+TEST(search, what_was_held_finds_an_owner_that_became_known)
+{
+    searched_service service;
+    service.hold(3, flow_number);
+    for (std::size_t i = 0; i < members; ++i)
+    {
+        service.restart(i, i == 3);
+    }
+    service.cut_off = 3;
+    service.send(flow_number);
+    service.cut_off = members;
+    service.send(flow_number);
+    service.pass(std::chrono::seconds(5));
+    EXPECT_EQ(service.resets, 0U);
+    EXPECT_FALSE(service.delivered.empty());
+}
+
 TEST(search, a_silent_member_that_serves_the_flow_keeps_it)
 {
     searched_service service;
--- a/packages/daemon/src/balancer_thread.cpp
+++ b/packages/daemon/src/balancer_thread.cpp
@@ -17,6 +17,11 @@
 constexpr poller::token stop_token = 0;
 constexpr poller::token tunnel_token = 1;
 constexpr poller::token first_caller_token = 2;
+// Callers' packets wait in the kernel while a balancer starts, since each that
+// is lost costs its caller the time until the next copy. Callers give up
+// opening after 1.4 s; what is older would be in vain.
+constexpr duration longest_start = std::chrono::milliseconds(1400);
+constexpr std::chrono::milliseconds start_poll(10);
 
 } // namespace
 
@@ -37,10 +42,6 @@
 {
     m_poller.add(m_stop.handle(), stop_token);
     m_poller.add(m_tunnel.handle(), tunnel_token);
-    for (std::size_t at = 0; at < m_callers.size(); ++at)
-    {
-        m_poller.add(m_callers[at].handle(), first_caller_token + at);
-    }
     publish_report();
     m_thread = std::thread([this] { run(); });
 }
@@ -53,12 +54,33 @@
     m_thread.join();
 }
 
+// Waits for the first tables, for a bounded time.
+template <caller_port Port>
+void balancer_thread<Port>::start_listening()
+{
+    const bool is_known = m_sets.read() != nullptr;
+    if (!is_known && m_clock.now() - m_started < longest_start)
+    {
+        return;
+    }
+    for (std::size_t at = 0; at < m_callers.size(); ++at)
+    {
+        m_poller.add(m_callers[at].handle(), first_caller_token + at);
+    }
+    m_listens = true;
+}
+
 template <caller_port Port>
 void balancer_thread<Port>::run()
 {
     while (!m_stopping)
     {
-        const auto ready = m_poller.wait(report_interval);
+        if (!m_listens)
+        {
+            start_listening();
+        }
+        const auto ready =
+            m_poller.wait(m_listens ? report_interval : start_poll);
         m_now = m_clock.now();
         for (const poller::token token : ready)
         {
--- a/packages/daemon/src/balancer_thread.hpp
+++ b/packages/daemon/src/balancer_thread.hpp
@@ -43,6 +43,7 @@
     const metrics_slot& report() const { return m_report; }
 
 private:
+    void start_listening();
     void run();
     void take_from_callers(const udp_socket& socket);
     void refuse_unopened(const caller_packet& packet);
@@ -69,6 +70,9 @@
     poller m_poller;
     wake_event m_stop;
     steady_clock_source m_clock;
+    // When it started, and whether it reads callers' packets by now.
+    time_point m_started = m_clock.now();
+    bool m_listens = false;
     std::array<std::uint64_t, packet_drop_count> m_packet_drops{};
     std::uint64_t m_unsent = 0;
     std::uint64_t m_truncated = 0;
