--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -12,6 +12,30 @@
 constexpr const char* peer_domain = "control";
 constexpr const char* node_domain = "balancer+agent";
 
+// A host that relays listens where it would as a control host: others may have
+// been told that it is one.
+std::optional<endpoint> relay_listen(const daemon_settings& settings,
+                                     std::uint16_t seed_settings::*port)
+{
+    if (!settings.operator_relay || !settings.seeds)
+    {
+        return std::nullopt;
+    }
+    return endpoint{settings.operator_relay->address, (*settings.seeds).*port};
+}
+
+std::optional<endpoint> peer_listen(const daemon_settings& settings)
+{
+    return settings.control ? std::optional(settings.control->peer_listen)
+                            : relay_listen(settings, &seed_settings::peer_port);
+}
+
+std::optional<endpoint> node_listen(const daemon_settings& settings)
+{
+    return settings.control ? std::optional(settings.control->node_listen)
+                            : relay_listen(settings, &seed_settings::node_port);
+}
+
 } // namespace
 
 control_links::control_links(zmq::context_t& context,
@@ -48,17 +72,22 @@
                                        const identity& own,
                                        const daemon_settings& settings)
 {
-    if (!settings.control)
+    const auto listen = peer_listen(settings);
+    if (!listen)
     {
         return {};
     }
-    result<router_socket> router = router_socket::bind(
-        context, settings.control->peer_listen, own.pair, peer_domain);
+    result<router_socket> router =
+        router_socket::bind(context, *listen, own.pair, peer_domain);
     if (!router)
     {
         return tl::unexpected(router.error());
     }
     m_peer_router.emplace(std::move(*router));
+    if (!settings.control)
+    {
+        return {};
+    }
     for (const control_peer& peer : settings.control->peers)
     {
         if (peer.host == settings.host.name)
@@ -81,12 +110,13 @@
                                        const identity& own,
                                        const daemon_settings& settings)
 {
-    if (!settings.control)
+    const auto listen = node_listen(settings);
+    if (!listen)
     {
         return {};
     }
-    result<router_socket> router = router_socket::bind(
-        context, settings.control->node_listen, own.pair, node_domain);
+    result<router_socket> router =
+        router_socket::bind(context, *listen, own.pair, node_domain);
     if (!router)
     {
         return tl::unexpected(router.error());
@@ -352,6 +382,11 @@
            found->second.send(message_channel::membership, bytes);
 }
 
+std::optional<endpoint> control_links::peer_address() const
+{
+    return m_peer_router ? std::optional(m_peer_router->local()) : std::nullopt;
+}
+
 std::optional<endpoint> control_links::node_address() const
 {
     if (!m_node_router)
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control_links.hpp
@@ -81,6 +81,8 @@
 
     // Where nodes connect, with the port that was chosen.
     std::optional<endpoint> node_address() const;
+    // Where other control hosts connect.
+    std::optional<endpoint> peer_address() const;
 
     const metrics& counters() const { return m_metrics; }
 
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -109,6 +109,10 @@
     }
     m_node.emplace(settings, *m_links, m_log, std::move(records), random_bits(),
                    m_clock.now());
+    if (settings.operator_relay)
+    {
+        m_relay.emplace(*m_links, m_log);
+    }
 }
 
 control_thread::~control_thread()
@@ -173,6 +177,10 @@
         {
             m_node->handle(now, *message, m_board);
         }
+        else if (m_relay)
+        {
+            m_relay->handle(*message, *m_node);
+        }
         else if (message->channel == message_channel::membership)
         {
             m_membership->handle(now, *message);
--- a/packages/daemon/src/control_thread.hpp
+++ b/packages/daemon/src/control_thread.hpp
@@ -9,6 +9,7 @@
 #include "mailbox.hpp"
 #include "membership_controller.hpp"
 #include "node_controller.hpp"
+#include "relay_controller.hpp"
 
 #include <atomic>
 #include <functional>
@@ -103,6 +104,7 @@
     std::optional<document_controller> m_documents;
     std::optional<membership_controller> m_membership;
     std::optional<node_controller> m_node;
+    std::optional<relay_controller> m_relay;
     steady_clock_source m_clock;
     snapshot_slot<metrics> m_metrics;
     time_point m_next_metrics{};
--- a/packages/daemon/src/document_controller.cpp
+++ b/packages/daemon/src/document_controller.cpp
@@ -60,6 +60,7 @@
     , m_links(links)
     , m_log(log)
     , m_core(to_core(settings), storage.take_restored(), now, random)
+    , m_takes_relayed(settings.is_network_trusted && settings.seeds)
 {
     if (settings.control->losses_borne)
     {
@@ -78,13 +79,17 @@
                                  blackboard& board)
 {
     auto decoded = replication::decode_message(message.bytes);
-    if (!decoded || decoded->from != message.sender)
+    // A hello may be passed on by a host that is not part of the log.
+    const bool is_relayed =
+        decoded && m_takes_relayed &&
+        std::holds_alternative<replication::hello>(decoded->body);
+    if (!decoded || (decoded->from != message.sender && !is_relayed))
     {
         m_log.write(log_line(log_level::warning, "replication_message_refused")
                         .field("sender", message.sender.value()));
         return;
     }
-    m_links.reach_peer(message.sender);
+    m_links.reach_peer(decoded->from);
     carry_out(
         m_core.handle(now, replication::message_received{std::move(*decoded)}),
         board);
--- a/packages/daemon/src/document_controller.hpp
+++ b/packages/daemon/src/document_controller.hpp
@@ -71,6 +71,9 @@
     control_links& m_links;
     log_sink& m_log;
     replication::replicated_document m_core;
+    // Whether hellos may come from others than their senders: nobody else can
+    // reach this network.
+    bool m_takes_relayed = false;
     // Empty where operators alone decide who votes.
     std::optional<replication::voter_policy> m_voters;
     time_point m_next_policy{};
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -208,6 +208,17 @@
     board.views.set(std::move(views));
 }
 
+void node_controller::introduce(const host_id& host)
+{
+    const bool is_known =
+        std::find(m_learned.begin(), m_learned.end(), host) != m_learned.end();
+    if (!is_known)
+    {
+        m_learned.push_back(host);
+        m_is_hosts_due = true;
+    }
+}
+
 // Asks those that control itself named; the seeds help while nobody has, or
 // where all of those are gone.
 void node_controller::follow_hosts(time_point now, const blackboard& board)
@@ -221,21 +232,33 @@
     }
     std::set<host_id> all(m_learned.begin(), m_learned.end());
     all.insert(seeds.begin(), seeds.end());
-    std::vector<observer_info> hosts;
     for (const host_id& host : all)
     {
         m_links.reach_control(host);
-        hosts.push_back(observer_info{host, m_where, m_announcing.region});
     }
+    std::vector<observer_info> hosts =
+        infos_of(std::vector<host_id>(all.begin(), all.end()));
     m_links.keep_control(all);
-    m_announcing.observers = hosts;
+    m_announcing.observers = m_learned.empty() ? hosts : infos_of(m_learned);
     for (announcer& each : m_announcers)
     {
-        each.set_observers(hosts);
+        each.set_observers(m_announcing.observers);
     }
     m_subscriber.set_publishers(now, std::move(hosts));
 }
 
+std::vector<observer_info>
+node_controller::infos_of(const std::vector<host_id>& hosts) const
+{
+    std::vector<observer_info> infos;
+    infos.reserve(hosts.size());
+    for (const host_id& host : hosts)
+    {
+        infos.push_back(observer_info{host, m_where, m_announcing.region});
+    }
+    return infos;
+}
+
 // Upstreams that announce themselves are known only when they do.
 void node_controller::add_announcers(time_point now, const blackboard& board)
 {
--- a/packages/daemon/src/node_controller.hpp
+++ b/packages/daemon/src/node_controller.hpp
@@ -29,6 +29,10 @@
     void advance(time_point now, blackboard& board);
 
     const subscriber& subscribed() const { return m_subscriber; }
+    // The control hosts that control named last.
+    const std::vector<host_id>& learned() const { return m_learned; }
+    // Another control host is there, by its own word.
+    void introduce(const host_id& host);
     // Whether every record was announced as it is now.
     bool settled() const;
 
@@ -37,6 +41,8 @@
     void take(const subscriber_output& out, blackboard& board);
     void change_records(time_point now, const blackboard& board);
     void follow_hosts(time_point now, const blackboard& board);
+    std::vector<observer_info>
+    infos_of(const std::vector<host_id>& hosts) const;
     void add_announcers(time_point now, const blackboard& board);
     announcer* find(std::uint32_t service, const std::string& id);
 
--- /dev/null
+++ b/packages/daemon/test/relay_controller_test.cpp
@@ -0,0 +1,119 @@
+#include "relay_controller.hpp"
+
+#include "crowlink/replication/message_codec.hpp"
+#include "node_controller.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// Rounds of 100 ms at most; a run that passes needs a few.
+constexpr int most_rounds = 300;
+constexpr std::chrono::milliseconds patience(100);
+
+const host_id leader("127.0.0.5");
+
+daemon_settings relay_settings()
+{
+    daemon_settings made;
+    made.host =
+        host_settings{host_id("127.0.0.1"), place_id("p"), region_id("r")};
+    made.is_network_trusted = true;
+    made.operator_relay = *endpoint::parse("127.0.0.1:0");
+    made.seeds = seed_settings{};
+    return made;
+}
+
+// A relay in this process, and others that connect to it over loopback.
+class relay : public testing::Test
+{
+protected:
+    relay()
+        : m_links(*control_links::open(m_zmq, m_settings, identity(), nullptr))
+        , m_node(m_settings, *m_links, m_log, {}, 1, time_point())
+        , m_core(*m_links, m_log)
+    {
+    }
+
+    dealer_socket connect(const host_id& name, const endpoint& to)
+    {
+        return *dealer_socket::connect(m_zmq, name, to, std::nullopt, "");
+    }
+
+    // Lets the relay handle messages until `done` or for a bounded time.
+    template <class Done>
+    bool serve_until(const Done& done)
+    {
+        for (int round = 0; round < most_rounds && !done(); ++round)
+        {
+            m_links->wait(patience, m_wake);
+            while (const auto message = m_links->next())
+            {
+                m_core.handle(*message, m_node);
+            }
+        }
+        return done();
+    }
+
+    void say_hello(dealer_socket& as_leader)
+    {
+        replication::replica_message message;
+        message.from = leader;
+        message.to = m_settings.host.name;
+        message.body = replication::hello{false};
+        ASSERT_TRUE(as_leader.send(message_channel::replication,
+                                   replication::encode_message(message)));
+    }
+
+    daemon_settings m_settings = relay_settings();
+    zmq::context_t m_zmq;
+    log_sink m_log{stdout, log_format::key_value, log_level::error, 16};
+    wake_event m_wake;
+    std::unique_ptr<control_links> m_links;
+    node_controller m_node;
+    relay_controller m_core;
+};
+
+TEST_F(relay, tells_nodes_of_control_hosts_that_said_hello)
+{
+    dealer_socket as_leader = connect(leader, *m_links->peer_address());
+    say_hello(as_leader);
+    ASSERT_TRUE(serve_until([&] { return !m_node.learned().empty(); }));
+    EXPECT_EQ(m_node.learned(), std::vector{leader});
+
+    dealer_socket node = connect(host_id("n"), *m_links->node_address());
+    wire::membership_message asked;
+    asked.mutable_attach_request();
+    ASSERT_TRUE(
+        node.send(message_channel::membership, asked.SerializeAsString()));
+    std::optional<dealer_socket::message> answer;
+    ASSERT_TRUE(serve_until(
+        [&]
+        {
+            answer = answer ? answer : node.receive();
+            return answer.has_value();
+        }));
+    wire::membership_message told;
+    ASSERT_TRUE(told.ParseFromString(answer->bytes));
+    ASSERT_EQ(told.refused().control_hosts_size(), 1);
+    EXPECT_EQ(told.refused().control_hosts(0), leader.value());
+}
+
+TEST_F(relay, takes_a_hello_from_its_own_sender_alone)
+{
+    dealer_socket other = connect(host_id("x"), *m_links->peer_address());
+    say_hello(other);
+    dealer_socket as_leader = connect(leader, *m_links->peer_address());
+    // Whatever came first was handled by the time that this one is.
+    say_hello(as_leader);
+    ASSERT_TRUE(serve_until([&] { return !m_node.learned().empty(); }));
+    EXPECT_EQ(m_node.learned(), std::vector{leader});
+}
+
+} // namespace
+
+} // namespace crowlink::internal
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -70,6 +70,8 @@
 
     void take_part(time_point now, const wire::stream_part& in);
     void apply(time_point now, const wire::stream_part& in);
+    template <class Names>
+    void take_hosts(const Names& names);
     void take_digest(time_point now, const wire::stream_digest& in);
     void note_version(time_point now, std::uint64_t version);
     void emit(subscriber_output& out);
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -122,6 +122,8 @@
     }
     else if (in.has_refused() && m_phase == phase::attaching)
     {
+        take_hosts(in.refused().control_hosts());
+        out.control_hosts = std::exchange(m_control_hosts, std::nullopt);
         next_publisher(now);
     }
     return out;
@@ -157,17 +159,24 @@
     apply(now, in);
 }
 
-void subscriber::apply(time_point now, const wire::stream_part& in)
+template <class Names>
+void subscriber::take_hosts(const Names& names)
 {
-    note_version(now, in.version());
-    if (in.control_hosts_set())
+    if (names.empty())
     {
-        m_control_hosts.emplace();
-        for (const std::string& name : in.control_hosts())
-        {
-            m_control_hosts->emplace_back(name);
-        }
+        return;
+    }
+    m_control_hosts.emplace();
+    for (const std::string& name : names)
+    {
+        m_control_hosts->emplace_back(name);
     }
+}
+
+void subscriber::apply(time_point now, const wire::stream_part& in)
+{
+    note_version(now, in.version());
+    take_hosts(in.control_hosts());
     if (in.lost_places_set())
     {
         std::set<place_id> lost;
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -118,6 +118,22 @@
     return {};
 }
 
+// Settings may name a host that is no control host but knows some.
+TEST(subscriber, learns_control_hosts_from_one_that_refuses_it)
+{
+    subscriber_settings settings;
+    settings.wants.all_services = true;
+    settings.publishers = {{host_id("a"), place_id("p"), region_id("r")}};
+    time_point now{};
+    subscriber core(settings, 1, now);
+    ASSERT_EQ(next_asked(core, now, std::chrono::seconds(2)), host_id("a"));
+    wire::membership_message refused;
+    refused.mutable_refused()->add_control_hosts("b");
+    const subscriber_output out = core.handle(now, host_id("a"), refused);
+    ASSERT_TRUE(out.control_hosts);
+    EXPECT_EQ(*out.control_hosts, std::vector{host_id("b")});
+}
+
 TEST(subscriber, leaves_a_publisher_whose_connection_broke_at_once)
 {
     subscriber_settings settings;
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -130,6 +130,7 @@
     void on(const replica_message& message, const forwarded_change& body);
     void on(const replica_message& message, const forwarded_answer& body);
     void say_hello();
+    void introduce_itself();
     void found();
     void admit_observer();
     void forget_strangers();
--- a/packages/replication/src/replica_members.cpp
+++ b/packages/replication/src/replica_members.cpp
@@ -57,6 +57,24 @@
     }
 }
 
+// To those that are named by the settings and are no members: hosts without a
+// disk, which tell others where control is.
+void replica_core::introduce_itself()
+{
+    if (m_hello_sent && m_now - *m_hello_sent < hello_interval)
+    {
+        return;
+    }
+    m_hello_sent = m_now;
+    for (const host_id& peer : m_settings.peers)
+    {
+        if (members().find(peer) == nullptr)
+        {
+            send(peer, disk_id(), hello{false});
+        }
+    }
+}
+
 void replica_core::found()
 {
     const std::vector<host_id>& founders = m_settings.founding_voters;
--- a/packages/replication/test/unattended_test.cpp
+++ b/packages/replication/test/unattended_test.cpp
@@ -172,6 +172,24 @@
     }
 }
 
+// Hosts that the settings name, but that are no members, tell others where
+// control is: the leader must make itself known to them.
+TEST(unattended, a_leader_says_hello_to_hosts_that_are_no_members)
+{
+    fake_cluster cluster(3, 1, 3);
+    settle(cluster);
+    const auto is_known = [&]
+    {
+        const auto leader = cluster.leader();
+        const auto strangers = cluster.status(3).strangers;
+        return leader &&
+               std::any_of(strangers.begin(), strangers.end(),
+                           [&](const stranger_status& one)
+                           { return one.host == fake_cluster::name(*leader); });
+    };
+    EXPECT_TRUE(cluster.run_until(is_known, steps_of(2)));
+}
+
 TEST(unattended, five_voters_bear_two_losses_after_growing_from_three)
 {
     fake_cluster cluster(3, 2, 5, unattended(2));
