--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -3,7 +3,6 @@
 #include "crowlink/base/hash.hpp"
 #include "crowlink/membership/balancer_record.hpp"
 #include "member_codec.hpp"
-#include "observer_order.hpp"
 
 #include <algorithm>
 #include <random>
@@ -47,31 +46,6 @@
     m_next = now + duration(spread(m_random));
 }
 
-void subscriber::set_publishers(time_point now,
-                                std::vector<observer_info> publishers)
-{
-    const host_id before = m_order.empty() ? host_id() : source();
-    m_settings.publishers = std::move(publishers);
-    order_publishers();
-    m_source = internal::place_in(m_order, before);
-    if (m_order.empty() || source() != before)
-    {
-        m_behind_since.reset();
-        repair(now);
-    }
-}
-
-void subscriber::order_publishers()
-{
-    m_order = internal::order_for(m_settings.self.value(), m_settings.region,
-                                  m_settings.publishers);
-}
-
-const host_id& subscriber::source() const
-{
-    return m_order[m_source];
-}
-
 std::vector<service_id> subscriber::services() const
 {
     std::vector<service_id> out;
@@ -340,21 +314,6 @@
     return out;
 }
 
-void subscriber::connection_lost(time_point now, const host_id& publisher)
-{
-    if (m_order.empty() || publisher != source())
-    {
-        return;
-    }
-    if (m_phase == phase::waiting)
-    {
-        // Nothing was asked yet; the time to ask stays.
-        m_source = (m_source + 1) % m_order.size();
-        return;
-    }
-    next_publisher(now);
-}
-
 void subscriber::attach(time_point now, subscriber_output& out)
 {
     m_phase = phase::attaching;
@@ -383,13 +342,6 @@
     wait(now);
 }
 
-void subscriber::next_publisher(time_point now)
-{
-    m_source = (m_source + 1) % m_order.size();
-    m_behind_since.reset();
-    repair(now);
-}
-
 void subscriber::wait(time_point now)
 {
     std::uniform_real_distribution<double> share(least_jitter, 1.0);
