--- a/packages/agent/include/crowlink/agent/upstream_announcement.hpp
+++ b/packages/agent/include/crowlink/agent/upstream_announcement.hpp
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace crowlink
@@ -13,8 +14,12 @@
 // What an upstream says of itself to the agent beside it, again and again.
 struct upstream_announcement
 {
-    // Names one life of the upstream: each start takes a new one.
+    // Names the upstream; one that starts again may keep the name.
     upstream_id id;
+    // Tells the lives of one name apart: the Unix time of the upstream's start
+    // in milliseconds. Absent where upstreams don't tell it; then each start
+    // has a name of its own.
+    std::optional<incarnation> started;
     // The service's name.
     std::string service;
     // Rises with each announcement of one life; a late one is known by it.
--- a/packages/agent/include/crowlink/agent/upstream_life.hpp
+++ b/packages/agent/include/crowlink/agent/upstream_life.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/agent/upstream_announcement.hpp"
+#include "crowlink/agent/upstream_farewell.hpp"
 #include "crowlink/base/error.hpp"
 #include "crowlink/base/time.hpp"
 
@@ -16,6 +17,8 @@
 struct life_status
 {
     upstream_id id;
+    // Higher in each later life of the same name; absent until it is told.
+    std::optional<incarnation> started;
     // Rises with each return after silence: flows of before are lost.
     std::uint32_t returns = 0;
     // Requests that it runs at the same time; 0 where it has not said.
@@ -29,7 +32,9 @@
     friend auto operator<=>(const life_status&, const life_status&) = default;
 };
 
-// Follows the lives of the upstream beside an agent, one after the other. An
+// Follows the lives of the upstream beside an agent, one after the other. A
+// life is a name and the time of its start: an upstream that starts again under
+// its name holds nothing of before, and its sequence begins anew. An
 // announcement of an ended life may come late, when the next one has begun at
 // the same address: it is refused. Without I/O.
 class upstream_life
@@ -39,7 +44,8 @@
     // again.
     explicit upstream_life(duration patience) : m_patience(patience) {}
 
-    // `conflict` for a life that has ended; what is older than the newest
+    // `conflict` for a life that has ended, `invalid` where the start is
+    // missing that this life told before; what is older than the newest
     // announcement of the same life is taken and changes nothing.
     result<void> announce(time_point now,
                           const upstream_announcement& announced);
@@ -53,7 +59,7 @@
 
     // The upstream ends by its own word. Of a life that is unknown or has
     // ended nothing is changed.
-    void withdraw(time_point now, const upstream_id& id);
+    void withdraw(time_point now, const upstream_farewell& told);
 
     // Notices silence.
     void tick(time_point now);
@@ -62,15 +68,25 @@
     const std::optional<life_status>& status() const { return m_status; }
 
 private:
-    bool has_ended(const upstream_id& id) const;
-    void end(const upstream_id& id);
+    // A life that has ended.
+    struct ended_life
+    {
+        upstream_id id;
+        std::optional<incarnation> started;
+    };
+
+    bool has_ended(const upstream_announcement& announced) const;
+    result<void> check_start(const upstream_announcement& announced) const;
+    bool is_new_life(const upstream_announcement& announced) const;
+    void begin(const upstream_announcement& announced);
+    void end_present();
 
     duration m_patience;
     std::optional<life_status> m_status;
     std::uint64_t m_sequence = 0;
     time_point m_heard{};
     // Oldest first, bounded.
-    std::deque<upstream_id> m_ended;
+    std::deque<ended_life> m_ended;
 };
 
 } // namespace crowlink
--- a/packages/agent/src/upstream_life.cpp
+++ b/packages/agent/src/upstream_life.cpp
@@ -18,27 +18,20 @@
 result<void> upstream_life::announce(time_point now,
                                      const upstream_announcement& announced)
 {
-    if (has_ended(announced.id))
+    if (const auto checked = check_start(announced); !checked)
     {
-        return fail(error_kind::conflict, announced.id.value(),
-                    "this life of the upstream has ended");
+        return checked;
     }
-    const bool is_new = !m_status || m_status->id != announced.id;
-    if (is_new && m_status)
+    m_heard = now;
+    if (is_new_life(announced))
     {
-        end(m_status->id);
+        begin(announced);
+        return {};
     }
-    if (is_new)
+    if (!m_status->started)
     {
-        m_status =
-            life_status{announced.id,     0,
-                        announced.slots,  announced.sequence > first_sequence,
-                        announced.leaves, false};
-        m_sequence = announced.sequence;
-        m_heard = now;
-        return {};
+        m_status->started = announced.started;
     }
-    m_heard = now;
     if (m_status->is_gone)
     {
         m_status->is_gone = false;
@@ -53,13 +46,59 @@
     return {};
 }
 
+result<void>
+upstream_life::check_start(const upstream_announcement& announced) const
+{
+    if (has_ended(announced))
+    {
+        return fail(error_kind::conflict, announced.id.value(),
+                    "this life of the upstream has ended");
+    }
+    const bool same_name = m_status && m_status->id == announced.id;
+    if (same_name && m_status->started && !announced.started)
+    {
+        return fail(error_kind::invalid, announced.id.value(),
+                    "must tell its start, as this life did before");
+    }
+    if (same_name && m_status->started > announced.started)
+    {
+        return fail(error_kind::conflict, announced.id.value(),
+                    "a later life of the upstream has begun");
+    }
+    return {};
+}
+
+// A start that is told for the first time belongs to the life that is known:
+// taking it for a new one would end flows that the upstream may hold.
+bool upstream_life::is_new_life(const upstream_announcement& announced) const
+{
+    if (!m_status || m_status->id != announced.id)
+    {
+        return true;
+    }
+    return m_status->started && m_status->started < announced.started;
+}
+
+void upstream_life::begin(const upstream_announcement& announced)
+{
+    end_present();
+    m_sequence = announced.sequence;
+    m_status = life_status{announced.id,
+                           announced.started,
+                           0,
+                           announced.slots,
+                           announced.sequence > first_sequence,
+                           announced.leaves,
+                           false};
+}
+
 void upstream_life::found(time_point now, const upstream_id& id, bool leaves)
 {
-    if (m_status || has_ended(id))
+    if (m_status)
     {
         return;
     }
-    m_status = life_status{id, 0, 0, true, leaves, false};
+    m_status = life_status{id, std::nullopt, 0, 0, true, leaves, false};
     m_sequence = 0;
     m_heard = now;
 }
@@ -72,15 +111,18 @@
     }
 }
 
-void upstream_life::withdraw(time_point now, const upstream_id& id)
+void upstream_life::withdraw(time_point now, const upstream_farewell& told)
 {
-    if (!m_status || m_status->id != id)
+    const bool is_present = m_status && m_status->id == told.id;
+    const bool is_another = is_present && told.started && m_status->started &&
+                            told.started != m_status->started;
+    if (!is_present || is_another)
     {
         return;
     }
     m_heard = now;
     m_status->is_gone = true;
-    end(id);
+    end_present();
 }
 
 void upstream_life::tick(time_point now)
@@ -91,18 +133,30 @@
     }
 }
 
-bool upstream_life::has_ended(const upstream_id& id) const
+// An ended life that told its start leaves room for later ones of its name; one
+// that did not ended its name.
+bool upstream_life::has_ended(const upstream_announcement& announced) const
 {
-    return std::find(m_ended.begin(), m_ended.end(), id) != m_ended.end();
+    return std::any_of(m_ended.begin(), m_ended.end(),
+                       [&announced](const ended_life& each)
+                       {
+                           return each.id == announced.id &&
+                                  (!each.started ||
+                                   announced.started <= each.started);
+                       });
 }
 
-void upstream_life::end(const upstream_id& id)
+void upstream_life::end_present()
 {
+    if (!m_status)
+    {
+        return;
+    }
     if (m_ended.size() == ended_kept)
     {
         m_ended.pop_front();
     }
-    m_ended.push_back(id);
+    m_ended.push_back(ended_life{m_status->id, m_status->started});
 }
 
 } // namespace crowlink
--- a/packages/agent/test/upstream_life_test.cpp
+++ b/packages/agent/test/upstream_life_test.cpp
@@ -24,6 +24,20 @@
     return made;
 }
 
+upstream_announcement born(const char* id, std::uint64_t started,
+                           std::uint64_t sequence)
+{
+    upstream_announcement made = told(id, sequence);
+    made.started = incarnation(started);
+    return made;
+}
+
+upstream_farewell left(const char* id,
+                       std::optional<incarnation> started = std::nullopt)
+{
+    return upstream_farewell{upstream_id(id), started};
+}
+
 TEST(upstream_life, is_unknown_until_it_announces_itself)
 {
     upstream_life life(patience);
@@ -58,7 +72,7 @@
 {
     upstream_life life(patience);
     ASSERT_TRUE(life.announce(start, told("i-1", 0)));
-    life.withdraw(start + 1s, upstream_id("i-1"));
+    life.withdraw(start + 1s, left("i-1"));
     EXPECT_TRUE(life.status()->is_gone);
     EXPECT_FALSE(life.announce(start + 2s, told("i-1", 1)));
     EXPECT_TRUE(life.status()->is_gone);
@@ -68,7 +82,7 @@
 {
     upstream_life life(patience);
     ASSERT_TRUE(life.announce(start, told("i-2", 0)));
-    life.withdraw(start, upstream_id("i-1"));
+    life.withdraw(start, left("i-1"));
     EXPECT_FALSE(life.status()->is_gone);
 }
 
@@ -126,6 +140,82 @@
     EXPECT_EQ(life.status()->returns, 1U);
 }
 
+TEST(upstream_life, one_that_starts_again_under_its_name_holds_nothing)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, born("i-1", 1000, 41)));
+    EXPECT_TRUE(life.status()->lived_on);
+    ASSERT_TRUE(life.announce(start + 1s, born("i-1", 2000, 1)));
+    EXPECT_EQ(life.status()->started, incarnation(2000));
+    EXPECT_FALSE(life.status()->lived_on);
+    EXPECT_FALSE(life.status()->is_gone);
+}
+
+TEST(upstream_life, the_sequence_of_a_new_life_starts_anew)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, born("i-1", 1000, 41)));
+    ASSERT_TRUE(life.announce(start + 1s, born("i-1", 2000, 1)));
+    upstream_announcement leaving = born("i-1", 2000, 2);
+    leaving.leaves = true;
+    ASSERT_TRUE(life.announce(start + 2s, leaving));
+    EXPECT_TRUE(life.status()->leaves);
+}
+
+TEST(upstream_life, a_late_word_of_the_former_life_changes_nothing)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, born("i-1", 1000, 3)));
+    ASSERT_TRUE(life.announce(start + 1s, born("i-1", 2000, 1)));
+    const life_status before = *life.status();
+    const auto late = life.announce(start + 2s, born("i-1", 1000, 4));
+    ASSERT_FALSE(late);
+    EXPECT_EQ(late.error().kind, error_kind::conflict);
+    life.withdraw(start + 2s, left("i-1", incarnation(1000)));
+    EXPECT_EQ(*life.status(), before);
+}
+
+TEST(upstream_life, one_that_took_its_leave_may_start_again_under_its_name)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, born("i-1", 1000, 3)));
+    life.withdraw(start + 1s, left("i-1"));
+    EXPECT_FALSE(life.announce(start + 2s, born("i-1", 1000, 4)));
+    ASSERT_TRUE(life.announce(start + 3s, born("i-1", 2000, 1)));
+    EXPECT_FALSE(life.status()->is_gone);
+    EXPECT_FALSE(life.status()->lived_on);
+}
+
+TEST(upstream_life, a_life_that_told_its_start_goes_on_telling_it)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, born("i-1", 1000, 3)));
+    const life_status before = *life.status();
+    const auto other = life.announce(start + 1s, told("i-1", 4, true));
+    ASSERT_FALSE(other);
+    EXPECT_EQ(other.error().kind, error_kind::invalid);
+    EXPECT_EQ(*life.status(), before);
+}
+
+TEST(upstream_life, one_that_the_agent_found_tells_its_start_and_lives_on)
+{
+    upstream_life life(patience);
+    life.found(start, upstream_id("i-1"), false);
+    ASSERT_TRUE(life.announce(start + 1s, born("i-1", 1000, 9)));
+    EXPECT_EQ(life.status()->started, incarnation(1000));
+    EXPECT_TRUE(life.status()->lived_on);
+    EXPECT_EQ(life.status()->returns, 0U);
+}
+
+TEST(upstream_life, a_refused_word_is_no_sign_of_life)
+{
+    upstream_life life(patience);
+    ASSERT_TRUE(life.announce(start, born("i-1", 1000, 3)));
+    EXPECT_FALSE(life.announce(start + 3s, told("i-1", 4)));
+    life.tick(start + patience);
+    EXPECT_TRUE(life.status()->is_gone);
+}
+
 } // namespace
 
 } // namespace crowlink
--- a/packages/daemon/src/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent_loop_upstream.cpp
@@ -16,6 +16,26 @@
 // As many upstreams in a row as may still have to be announced as gone.
 constexpr std::size_t records_kept = 16;
 
+// Where upstreams don't tell their start, the name is new with each life, and
+// all lives have this one.
+constexpr std::uint64_t untold_start = 1;
+
+incarnation incarnation_of(const life_status& life)
+{
+    return life.started.value_or(incarnation(untold_start));
+}
+
+// Whether the upstream beside this agent holds nothing of before.
+bool is_another_life(const life_status* before, const life_status& next)
+{
+    if (before == nullptr || before->id != next.id ||
+        before->returns != next.returns)
+    {
+        return true;
+    }
+    return before->started && before->started != next.started;
+}
+
 } // namespace
 
 template <>
@@ -35,18 +55,23 @@
 {
     m_log.write(log_line(log_level::info, "upstream_announced")
                     .field("upstream", next.id.value())
+                    .field("started", incarnation_of(next).value())
                     .field("returns", next.returns)
                     .field("lived_on", next.lived_on)
                     .field("leaves", next.leaves)
                     .field("gone", next.is_gone));
-    const bool is_new = m_upstream == nullptr || m_upstream->id != next.id ||
-                        m_upstream->returns != next.returns;
-    if (is_new)
+    if (is_another_life(m_upstream.get(), next))
     {
         // Whatever was open at the life before is lost with it.
         handle(upstream_failed{});
         start_core(next);
     }
+    else if (m_upstream->started != next.started)
+    {
+        // Found by this agent at its own start, which tells no time. Only the
+        // upstream's word gives the name that peers know it by.
+        start_core(next);
+    }
     if (next.leaves)
     {
         handle(leave_requested{});
@@ -68,9 +93,8 @@
         m_wanted.erase(m_wanted.begin());
     }
     m_self.id = next.id;
-    // The id is new with each life, so that a life has one incarnation; the
-    // clock makes the sequence rise over restarts of this process.
-    m_self.started = incarnation(1);
+    // The clock makes the sequence rise over restarts of this process.
+    m_self.started = incarnation_of(next);
     m_self.sequence = std::max(before + 1, wall_clock_ms());
     m_settings.self = m_self;
     m_settings.slots = next.slots;
--- a/packages/daemon/src/platform_calls.cpp
+++ b/packages/daemon/src/platform_calls.cpp
@@ -174,9 +174,9 @@
     {
         return agent.announce(steady_clock_source().now(), told);
     };
-    calls.withdraw = [&agent](const upstream_id& id) -> result<void>
+    calls.withdraw = [&agent](const upstream_farewell& told) -> result<void>
     {
-        agent.withdraw(steady_clock_source().now(), id);
+        agent.withdraw(steady_clock_source().now(), told);
         return {};
     };
     return calls;
