--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/membership_controller.cpp
@@ -46,6 +46,7 @@
     const lease_scale scale(settings);
     core.digest_every = scale(core.digest_every);
     core.stale_after = scale(core.stale_after);
+    core.waiting_timeout = scale(core.waiting_timeout);
     return core;
 }
 
@@ -134,11 +135,31 @@
         m_core.set_control_hosts(now, hosts);
     }
     m_core.set_document_age(board.document_age.get());
+    log_publishing(board);
     send(m_core.tick(now));
     log_expired();
     m_nodes.purge(now);
 }
 
+// Before the tick, so that those who waited are still counted as such.
+void membership_controller::log_publishing(const blackboard& board)
+{
+    const publisher& publishing = m_core.publishing();
+    if (publishing.is_sure() == m_is_sure)
+    {
+        return;
+    }
+    m_is_sure = publishing.is_sure();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        board.document_age.get());
+    m_log.write(log_line(log_level::info, "publishing")
+                    .field("sure", m_is_sure)
+                    .field("version", publishing.version().value())
+                    .field("age_ms", age.count())
+                    .field("nodes", publishing.nodes())
+                    .field("waiting", publishing.waiting()));
+}
+
 void membership_controller::log_expired()
 {
     for (const expired_lease& each : m_core.observing().take_expired())
--- a/packages/daemon/src/membership_controller.hpp
+++ b/packages/daemon/src/membership_controller.hpp
@@ -46,6 +46,8 @@
 private:
     observer_info info_of(const host_id& host) const;
     void log_expired();
+    // Logs when this host becomes, or is no longer, sure of the document.
+    void log_publishing(const blackboard& board);
     void note(time_point now, const host_id& node,
               const wire::membership_message& message);
     void send(const std::vector<membership_send>& sends);
@@ -53,6 +55,7 @@
     control_links& m_links;
     log_sink& m_log;
     membership_host m_core;
+    bool m_is_sure = false;
     announcement_gate<granted_announcements> m_gate;
     board_reader<applied_document> m_document;
     board_reader<std::vector<host_id>> m_members;
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -61,6 +61,7 @@
     const lease_scale scale(settings);
     core.silence_timeout = scale(core.silence_timeout);
     core.answer_timeout = scale(core.answer_timeout);
+    core.kept_patience = scale(core.kept_patience);
     core.stale_after = scale(core.stale_after);
     core.alive_every = scale(core.alive_every);
     core.behind_timeout = scale(core.behind_timeout);
@@ -155,6 +156,7 @@
         m_subscriber.connection_lost(now, lost);
     }
     take(m_subscriber.tick(now), board);
+    log_publisher();
     const config_version in_force = m_subscriber.applied_version();
     if (in_force > board.node_version.get())
     {
@@ -165,6 +167,22 @@
     board.node_version.set(in_force);
 }
 
+void node_controller::log_publisher()
+{
+    const host_id serving =
+        m_subscriber.attached() ? m_subscriber.source() : host_id();
+    if (serving == m_serving)
+    {
+        return;
+    }
+    const bool is_lost = serving.value().empty();
+    m_log.write(log_line(log_level::info,
+                         is_lost ? "publisher_left" : "publisher_attached")
+                    .field("host", (is_lost ? m_serving : serving).value())
+                    .field("version", m_subscriber.applied_version().value()));
+    m_serving = serving;
+}
+
 bool node_controller::settled() const
 {
     return std::all_of(m_announcers.begin(), m_announcers.end(),
--- a/packages/daemon/src/node_controller.hpp
+++ b/packages/daemon/src/node_controller.hpp
@@ -40,6 +40,8 @@
     void send(const std::vector<membership_send>& sends);
     void take(const subscriber_output& out, blackboard& board);
     void change_records(time_point now, const blackboard& board);
+    // Logs whose stream this node takes, when that changes.
+    void log_publisher();
     void follow_hosts(time_point now, const blackboard& board);
     std::vector<observer_info>
     infos_of(const std::vector<host_id>& hosts) const;
@@ -54,6 +56,8 @@
     place_id m_where;
     // The control hosts that control named last.
     std::vector<host_id> m_learned;
+    // Whose stream it takes; empty for nobody's.
+    host_id m_serving;
     bool m_is_hosts_due = false;
     board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -39,7 +39,7 @@
     void set_document_age(duration age) { m_document_age = age; }
     void set_cut_regions(std::vector<region_age> ages);
 
-    // Until it is ready, a publisher refuses nodes.
+    // Until it is ready, a publisher keeps nodes waiting.
     void set_ready(bool ready) { m_ready = ready; }
 
     // Takes a message of a subscriber; others are ignored.
@@ -50,6 +50,13 @@
 
     config_version version() const { return m_state.version(); }
     std::size_t nodes() const { return m_sessions.size(); }
+    // Nodes that asked and may not be served yet.
+    std::size_t waiting() const { return m_waiting.size(); }
+    // Whether a node that starts anew may be told what is in force.
+    bool is_sure() const
+    {
+        return m_ready && m_document_age <= m_settings.stale_after;
+    }
     // What it knows of the document and of the members.
     const internal::published_state& state() const { return m_state; }
 
@@ -59,8 +66,19 @@
 private:
     using session_map = std::map<host_id, internal::publisher_session>;
 
+    // What a node asked for, and when.
+    struct waiting_node
+    {
+        wire::attach wanted;
+        time_point since{};
+    };
+
     void attached(time_point now, const host_id& from, const wire::attach& in,
                   std::vector<membership_send>& out);
+    bool has_room(const host_id& node) const;
+    bool may_serve(const wire::attach& wanted) const;
+    void begin(time_point now, const host_id& node, const wire::attach& wanted);
+    void serve_waiting(time_point now);
     bool serve(time_point now, const host_id& node,
                internal::publisher_session& session,
                std::vector<membership_send>& out);
@@ -75,6 +93,7 @@
     publisher_settings m_settings;
     internal::published_state m_state;
     session_map m_sessions;
+    std::map<host_id, waiting_node> m_waiting;
     std::set<place_id> m_lost_places;
     std::vector<host_id> m_control_hosts;
     std::vector<region_age> m_cut_regions;
--- a/packages/membership/include/crowlink/membership/publisher_settings.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_settings.hpp
@@ -22,6 +22,9 @@
     // A node that knows no document yet is refused while this host has not
     // known for so long that its own is the newest.
     duration stale_after = std::chrono::seconds(4);
+    // A node that asked while this host may not serve is kept in mind for this
+    // long. It exceeds the node's patience with this host by a little.
+    duration waiting_timeout = std::chrono::milliseconds(2500);
     // A node that was not heard for this long is forgotten.
     duration node_timeout = std::chrono::seconds(30);
     // Changes that are kept for nodes that lag; one that lags more is asked to
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -78,6 +78,7 @@
     void attach(time_point now, subscriber_output& out);
     void repair(time_point now);
     void next_publisher(time_point now);
+    void refused(time_point now, bool kept);
     void wait(time_point now);
     void order_publishers();
     std::uint64_t root() const;
--- a/packages/membership/include/crowlink/membership/subscriber_settings.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber_settings.hpp
@@ -23,6 +23,9 @@
     // change must be in force, and above two digests.
     duration silence_timeout = std::chrono::milliseconds(4500);
     duration answer_timeout = std::chrono::seconds(2);
+    // How long the node stays with a publisher that keeps its request but may
+    // not serve yet. An election takes less; one that is cut off is left.
+    duration kept_patience = std::chrono::seconds(2);
     duration alive_every = std::chrono::seconds(5);
     // A publisher that has not known for so long that its document is the
     // newest is left for another one, at most once in the silence timeout: when
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -185,51 +185,93 @@
                          const wire::attach& in,
                          std::vector<membership_send>& out)
 {
-    const bool known = m_sessions.count(from) != 0;
-    const bool room = known || m_sessions.size() < m_settings.node_capacity;
     const bool sound =
         in.services_size() <= static_cast<int>(most_listed_services);
-    // What is in force could have been overtaken: a node that starts anew must
-    // not take it for the newest.
-    const bool stale =
-        in.version() == 0 && m_document_age > m_settings.stale_after;
-    if (!m_ready || !room || !sound || stale)
+    const bool is_taken = sound && has_room(from);
+    if (is_taken && may_serve(in))
     {
-        wire::membership_message refused;
-        refused.mutable_refused();
-        out.push_back(membership_send{from, std::move(refused)});
+        begin(now, from, in);
         return;
     }
-    const auto pace = known
-                          ? m_sessions[from].pace
-                          : internal::token_bucket(m_settings.bytes_a_second,
-                                                   m_settings.burst_bytes, now);
-    const std::uint64_t bytes = known ? m_sessions[from].bytes : 0;
+    if (is_taken)
+    {
+        m_waiting[from] = waiting_node{in, now};
+    }
+    wire::membership_message refused;
+    refused.mutable_refused()->set_kept(is_taken);
+    out.push_back(membership_send{from, std::move(refused)});
+}
+
+bool publisher::has_room(const host_id& node) const
+{
+    const bool known =
+        m_sessions.count(node) != 0 || m_waiting.count(node) != 0;
+    return known ||
+           m_sessions.size() + m_waiting.size() < m_settings.node_capacity;
+}
+
+// What is in force could have been overtaken: a node that starts anew must not
+// take it for the newest.
+bool publisher::may_serve(const wire::attach& wanted) const
+{
+    return wanted.version() == 0 ? is_sure() : m_ready;
+}
+
+void publisher::begin(time_point now, const host_id& node,
+                      const wire::attach& wanted)
+{
+    m_waiting.erase(node);
+    const auto before = m_sessions.find(node);
+    const bool known = before != m_sessions.end();
     publisher_session session;
-    session.wants = selection_of(in);
+    session.wants = selection_of(wanted);
     session.stream = static_cast<std::uint32_t>(m_random()) | 1U;
-    session.pace = pace;
-    session.bytes = bytes;
+    session.pace = known ? before->second.pace
+                         : internal::token_bucket(m_settings.bytes_a_second,
+                                                  m_settings.burst_bytes, now);
+    session.bytes = known ? before->second.bytes : 0;
     session.urgent = m_state.urgent().end();
     session.ordinary = m_state.ordinary().end();
     session.heard = now;
     session.next_digest = now + m_settings.digest_every;
     session.snapshot.active = true;
     const auto buckets = buckets_of(m_state, session.wants);
-    const bool compared = in.buckets_size() == static_cast<int>(buckets.size());
+    const bool compared =
+        wanted.buckets_size() == static_cast<int>(buckets.size());
     for (std::size_t index = 0; index < buckets.size(); ++index)
     {
         const auto mine = static_cast<std::uint32_t>(buckets[index]);
         session.snapshot.covered[index] =
-            !compared || in.buckets(static_cast<int>(index)) != mine;
+            !compared || wanted.buckets(static_cast<int>(index)) != mine;
+    }
+    m_sessions[node] = std::move(session);
+}
+
+// All nodes come at once when all control hosts were away. Kept in mind they
+// need not ask again and again: each is served at the tick in which this host
+// may, instead of after a wait of its own.
+void publisher::serve_waiting(time_point now)
+{
+    std::erase_if(
+        m_waiting, [this, now](const auto& each)
+        { return now - each.second.since > m_settings.waiting_timeout; });
+    std::map<host_id, waiting_node> waiting = std::exchange(m_waiting, {});
+    for (auto& [node, each] : waiting)
+    {
+        if (may_serve(each.wanted))
+        {
+            begin(now, node, each.wanted);
+            continue;
+        }
+        m_waiting.emplace(node, std::move(each));
     }
-    m_sessions[from] = std::move(session);
 }
 
 std::vector<membership_send> publisher::tick(time_point now)
 {
     std::vector<membership_send> out;
     m_state.purge(now);
+    serve_waiting(now);
     for (auto each = m_sessions.begin(); each != m_sessions.end();)
     {
         const bool kept = serve(now, each->first, each->second, out);
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -98,7 +98,7 @@
     {
         take_hosts(in.refused().control_hosts());
         out.control_hosts = std::exchange(m_control_hosts, std::nullopt);
-        next_publisher(now);
+        refused(now, in.refused().kept());
     }
     return out;
 }
--- a/packages/membership/src/subscriber_publishers.cpp
+++ b/packages/membership/src/subscriber_publishers.cpp
@@ -49,6 +49,18 @@
     next_publisher(now);
 }
 
+// One that keeps the request serves it as soon as it may. It could be cut off
+// from the others, so that the node does not stay for ever.
+void subscriber::refused(time_point now, bool kept)
+{
+    if (kept)
+    {
+        m_next = now + m_settings.kept_patience;
+        return;
+    }
+    next_publisher(now);
+}
+
 void subscriber::next_publisher(time_point now)
 {
     m_source = (m_source + 1) % m_order.size();
--- /dev/null
+++ b/packages/membership/test/waiting_test.cpp
@@ -0,0 +1,168 @@
+#include "fake_cluster.hpp"
+
+// Nodes that ask while no control host may tell what is in force.
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+wire::membership_message attach_request()
+{
+    wire::membership_message out;
+    out.mutable_attach_request()->set_all_services(true);
+    return out;
+}
+
+system_document one_service()
+{
+    system_document document;
+    service declared;
+    declared.id = service_id(1);
+    declared.name = "service";
+    document.services.push_back(declared);
+    return document;
+}
+
+class waiting_nodes : public ::testing::Test
+{
+protected:
+    waiting_nodes() : m_core(publisher_settings(), 1)
+    {
+        m_core.set_ready(true);
+        m_core.set_document_age(std::chrono::hours(1));
+        m_core.document_changed(config_version(7), one_service());
+    }
+
+    bool is_kept(const wire::membership_message& request)
+    {
+        const auto answers = m_core.handle(m_now, host_id("node"), request);
+        return answers.size() == 1 && answers[0].message.has_refused() &&
+               answers[0].message.refused().kept();
+    }
+
+    time_point m_now{std::chrono::hours(1)};
+    publisher m_core;
+};
+
+TEST_F(waiting_nodes, one_is_told_nothing_before_the_document_is_sure)
+{
+    EXPECT_TRUE(is_kept(attach_request()));
+    m_now += std::chrono::seconds(1);
+    EXPECT_TRUE(m_core.tick(m_now).empty());
+    EXPECT_EQ(m_core.nodes(), 0U);
+    EXPECT_EQ(m_core.waiting(), 1U);
+}
+
+TEST_F(waiting_nodes, one_is_served_at_the_tick_in_which_the_document_is_sure)
+{
+    ASSERT_TRUE(is_kept(attach_request()));
+    m_now += std::chrono::milliseconds(500);
+    m_core.set_document_age(duration::zero());
+    const auto sends = m_core.tick(m_now);
+    ASSERT_FALSE(sends.empty());
+    EXPECT_EQ(sends[0].to, host_id("node"));
+    ASSERT_TRUE(sends[0].message.has_part());
+    EXPECT_EQ(sends[0].message.part().sequence(), 1U);
+    EXPECT_TRUE(sends[0].message.part().document_complete());
+    EXPECT_EQ(m_core.waiting(), 0U);
+}
+
+TEST_F(waiting_nodes, one_that_has_given_up_is_forgotten)
+{
+    ASSERT_TRUE(is_kept(attach_request()));
+    m_now += publisher_settings().waiting_timeout + std::chrono::seconds(1);
+    m_core.set_document_age(duration::zero());
+    EXPECT_TRUE(m_core.tick(m_now).empty());
+    EXPECT_EQ(m_core.waiting(), 0U);
+}
+
+TEST_F(waiting_nodes, are_no_more_than_a_control_host_may_serve)
+{
+    publisher_settings settings;
+    settings.node_capacity = 2;
+    publisher core(settings, 1);
+    int kept = 0;
+    for (const char* node : {"a", "b", "c"})
+    {
+        const auto sent = core.handle(m_now, host_id(node), attach_request());
+        kept += sent.at(0).message.refused().kept() ? 1 : 0;
+    }
+    EXPECT_EQ(kept, 2);
+    EXPECT_EQ(core.waiting(), 2U);
+}
+
+// A node whose request a control host keeps.
+class kept_node : public ::testing::Test
+{
+protected:
+    kept_node() : m_core(settings(), 1, m_now) {}
+
+    static subscriber_settings settings()
+    {
+        subscriber_settings out;
+        out.wants.all_services = true;
+        out.publishers = {{host_id("a"), place_id("p"), region_id("r")},
+                          {host_id("b"), place_id("p"), region_id("r")}};
+        return out;
+    }
+
+    // Ticks until it asks; yields whom.
+    host_id next_asked(duration longest)
+    {
+        const time_point end = m_now + longest;
+        while (m_now < end)
+        {
+            m_now += std::chrono::milliseconds(50);
+            for (const membership_send& each : m_core.tick(m_now).sends)
+            {
+                if (each.message.has_attach_request())
+                {
+                    return each.to;
+                }
+            }
+        }
+        return {};
+    }
+
+    void keep(const host_id& by)
+    {
+        wire::membership_message refused;
+        refused.mutable_refused()->set_kept(true);
+        m_core.handle(m_now, by, refused);
+    }
+
+    time_point m_now{std::chrono::hours(1)};
+    subscriber m_core;
+};
+
+TEST_F(kept_node, asks_nobody_else_while_it_is_kept)
+{
+    const host_id first = next_asked(std::chrono::seconds(2));
+    ASSERT_NE(first, host_id());
+    keep(first);
+    EXPECT_EQ(next_asked(std::chrono::milliseconds(1900)), host_id());
+    wire::membership_message message;
+    wire::stream_part& part = *message.mutable_part();
+    part.set_stream(5);
+    part.set_sequence(1);
+    part.set_version(9);
+    part.set_document_complete(true);
+    m_core.handle(m_now, first, message);
+    EXPECT_TRUE(m_core.attached());
+    EXPECT_EQ(m_core.applied_version(), config_version(9));
+}
+
+TEST_F(kept_node, leaves_one_that_never_may_serve)
+{
+    const host_id first = next_asked(std::chrono::seconds(2));
+    keep(first);
+    const host_id second = next_asked(std::chrono::seconds(4));
+    EXPECT_NE(second, host_id());
+    EXPECT_NE(second, first);
+}
+
+} // namespace
+
+} // namespace crowlink::test
