--- a/packages/replication/include/crowlink/replication/hard_state.hpp
+++ b/packages/replication/include/crowlink/replication/hard_state.hpp
@@ -19,6 +19,10 @@
     log_index commit = 0;
     // Drawn when the log was founded; 0 before.
     std::uint64_t cluster = 0;
+    // Who leads this term, or led it; empty until the leader was heard. Only
+    // its lease can still bind this host: a term begins after all leases of
+    // earlier ones have ended.
+    host_id leader{};
 
     friend auto operator<=>(const hard_state&, const hard_state&) = default;
 };
--- a/packages/replication/include/crowlink/replication/replica_rules.hpp
+++ b/packages/replication/include/crowlink/replication/replica_rules.hpp
@@ -14,6 +14,12 @@
     // Heed a vote only between hosts that still have the disks that they were
     // admitted with.
     bool check_disk = true;
+    // Grant no vote within the election timeout of the own start, since a lease
+    // may have been confirmed just before.
+    bool wait_after_start = true;
+    // Take a leader's lease for ended only by a message of the term that it
+    // led.
+    bool check_ended_term = true;
 
     friend auto operator<=>(const replica_rules&,
                             const replica_rules&) = default;
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -50,6 +50,15 @@
     m_state.commit = std::min(m_state.commit, m_log.last_index());
     m_verified = m_state.commit;
     postpone_election();
+    const bool led =
+        !m_state.leader.value().empty() && m_state.leader == m_settings.self;
+    if (led || !m_rules.wait_after_start)
+    {
+        // The only lease that could bind this host was its own, which ended
+        // with its process.
+        m_leader_contact = now - m_settings.election_timeout;
+        m_election_due = now;
+    }
 }
 
 std::vector<replica_effect> replica_core::start()
@@ -114,6 +123,10 @@
     }
     say_hello();
     found();
+    if (m_leader.value().empty() && members().contains(m_settings.self, m_disk))
+    {
+        introduce_itself();
+    }
     const bool stalled =
         m_queue.stalled(m_now, m_settings.storage_stall_timeout);
     if (m_now >= m_election_due && may_campaign() && !stalled)
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -92,6 +92,8 @@
     void count_votes();
     void become_leader();
     bool hears_leader() const;
+    void heed_end_of_lease(const replica_message& message, bool pre_vote);
+    void forget_leader(std::string reason);
     bool is_up_to_date(const vote_request& request) const;
     void on(const replica_message& message, const vote_request& body);
     void on(const replica_message& message, const vote_reply& body);
--- a/packages/replication/src/replica_election.cpp
+++ b/packages/replication/src/replica_election.cpp
@@ -13,6 +13,7 @@
     {
         m_state.term = term;
         m_state.vote = host_id();
+        m_state.leader = host_id();
         m_queue.set_state(m_state);
         // Every leader has what is committed; more is not known of a new one.
         m_verified = m_state.commit;
@@ -54,6 +55,7 @@
     postpone_election();
     ++m_state.term;
     m_state.vote = m_settings.self;
+    m_state.leader = host_id();
     m_queue.set_state(m_state);
     m_verified = m_state.commit;
     m_leader_commit = 0;
@@ -116,6 +118,8 @@
     m_votes.clear();
     m_peers.clear();
     m_led_since = m_now;
+    m_state.leader = m_settings.self;
+    m_queue.set_state(m_state);
     m_uncommitted_bytes = 0;
     for (log_index index = m_state.commit + 1; index <= m_log.last_index();
          ++index)
@@ -136,6 +140,42 @@
            m_now - m_leader_contact < m_settings.election_timeout;
 }
 
+// A host that asks whether it could win an election does not lead, and will
+// never lead again in the term in which it asks; one that is in a later term
+// leads no earlier one. If it led this host's term, its lease is over, and
+// nobody needs to wait for it. A leader whose process was killed or lost power
+// asks as soon as it is back; one that stays away is waited for.
+void replica_core::heed_end_of_lease(const replica_message& message,
+                                     bool pre_vote)
+{
+    const bool led = message.from == m_state.leader;
+    const bool is_over = message.term > m_state.term ||
+                         (pre_vote && message.term == m_state.term) ||
+                         !m_rules.check_ended_term;
+    const member* known = members().find(message.from);
+    const bool same_disk = known != nullptr && known->disk == message.from_disk;
+    if (led && is_over && same_disk)
+    {
+        forget_leader("the leader asks for votes itself");
+    }
+}
+
+// Should the former leader not win, another one of those that waited for it
+// campaigns soon; the wait gives the former the first try.
+void replica_core::forget_leader(std::string reason)
+{
+    m_leader_contact = m_now - m_settings.election_timeout;
+    std::uniform_int_distribution<duration::rep> spread(
+        m_settings.election_spread.count() / 2,
+        m_settings.election_spread.count());
+    m_election_due =
+        std::min(m_election_due, m_now + duration(spread(m_random)));
+    if (m_role == replica_role::follower)
+    {
+        change_role(replica_role::follower, host_id(), std::move(reason));
+    }
+}
+
 bool replica_core::is_up_to_date(const vote_request& request) const
 {
     if (request.last_term != m_log.last_term())
@@ -165,6 +205,7 @@
 void replica_core::on_pre_vote(const replica_message& message,
                                const vote_request& body)
 {
+    heed_end_of_lease(message, true);
     const bool granted =
         !hears_leader() && body.term > m_state.term && is_up_to_date(body);
     send_when_durable(message.from, message.from_disk,
@@ -174,6 +215,7 @@
 void replica_core::on_vote(const replica_message& message,
                            const vote_request& body)
 {
+    heed_end_of_lease(message, false);
     // Ignored as a whole, so that a host which cannot hear the leader does not
     // depose it.
     if (hears_leader())
--- a/packages/replication/src/replica_follow.cpp
+++ b/packages/replication/src/replica_follow.cpp
@@ -41,6 +41,11 @@
     adopt_cluster(message);
     follow(message.term, message.from, "heard from the leader");
     m_leader_contact = m_now;
+    if (m_state.leader != message.from)
+    {
+        m_state.leader = message.from;
+        m_queue.set_state(m_state);
+    }
     return true;
 }
 
--- a/packages/replication/src/wire_convert.cpp
+++ b/packages/replication/src/wire_convert.cpp
@@ -85,13 +85,14 @@
     out.set_vote(value.vote.value());
     out.set_commit(value.commit);
     out.set_cluster(value.cluster);
+    out.set_leader(value.leader.value());
     return out;
 }
 
 hard_state from_wire(const wire::HardState& value)
 {
     return hard_state{value.term(), host_id(value.vote()), value.commit(),
-                      value.cluster()};
+                      value.cluster(), host_id(value.leader())};
 }
 
 wire::DocumentChange to_wire(const document_change& value)
--- a/packages/replication/test/mutant_test.cpp
+++ b/packages/replication/test/mutant_test.cpp
@@ -98,6 +98,35 @@
     return cluster.violation();
 }
 
+// Two hosts restart at the moment in which the leader is cut off. It holds its
+// lease, which the two confirmed, and may be read.
+std::string voters_restart(const cluster_rules& rules, std::uint64_t seed)
+{
+    fake_cluster cluster(3, 0, seed, rules);
+    make_versions(cluster, 1, "a");
+    const std::size_t leader = settle(cluster);
+    cluster.isolate(leader);
+    for (std::size_t host = 0; host < cluster.size(); ++host)
+    {
+        if (host != leader)
+        {
+            cluster.crash(host);
+            cluster.restart(host);
+        }
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        cluster.run(10);
+        const auto next = cluster.leader();
+        if (next && *next != leader)
+        {
+            cluster.propose(*next, "b" + std::to_string(i),
+                            cluster.version(*next));
+        }
+    }
+    return cluster.violation();
+}
+
 TEST(mutant, without_fsync_is_caught)
 {
     cluster_rules mutant;
@@ -130,6 +159,14 @@
     EXPECT_GT(violations(a_disk_is_lost, mutant), 0U);
 }
 
+TEST(mutant, votes_right_after_a_restart_are_caught)
+{
+    cluster_rules mutant;
+    mutant.replica.wait_after_start = false;
+    EXPECT_EQ(violations(voters_restart, cluster_rules{}), 0U);
+    EXPECT_GT(violations(voters_restart, mutant), 0U);
+}
+
 } // namespace
 
 } // namespace crowlink::replication
