--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -150,7 +150,7 @@
     m_board.phase.set(stop_phase::running);
     if (m_documents)
     {
-        m_documents->start(m_board);
+        m_documents->start(m_clock.now(), m_board);
     }
     const duration tick = m_documents ? control_tick : node_tick;
     while (!m_stopping)
--- a/packages/daemon/src/document_controller.cpp
+++ b/packages/daemon/src/document_controller.cpp
@@ -70,9 +70,12 @@
     }
 }
 
-void document_controller::start(blackboard& board)
+// The members that the log names are reached before the first message to them:
+// what is sent to a host that is not reached is lost.
+void document_controller::start(time_point now, blackboard& board)
 {
     carry_out(m_core.start(), board);
+    follow_members(m_core.status(now), board);
 }
 
 void document_controller::handle(time_point now, const inbound_message& message,
--- a/packages/daemon/src/document_controller.hpp
+++ b/packages/daemon/src/document_controller.hpp
@@ -30,7 +30,7 @@
                         log_sink& log, seeded_random random, time_point now);
 
     // To be called once, before the others.
-    void start(blackboard& board);
+    void start(time_point now, blackboard& board);
 
     void handle(time_point now, const inbound_message& message,
                 blackboard& board);
--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/membership_controller.cpp
@@ -28,6 +28,7 @@
     core.settle = scale(core.settle);
     core.heartbeat_every = scale(core.heartbeat_every);
     core.digest_every = scale(core.digest_every);
+    core.start_digest_every = scale(core.start_digest_every);
     core.peer_timeout = scale(core.peer_timeout);
     core.orphan_grace = scale(core.orphan_grace);
     core.expiry_window = scale(core.expiry_window);
--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -108,8 +108,10 @@
                observer_output& out);
     void send_changes(observer_output& out);
     void send_heartbeats(time_point now, observer_output& out) const;
-    void send_digest(const host_id& to, observer_output& out) const;
+    void send_digest(const host_id& to, bool asks, observer_output& out) const;
     void send_next_digest(observer_output& out);
+    void ask_for_digests(time_point now, observer_output& out);
+    void note_equal_digest(const host_id& from, bool is_ready);
     std::vector<bool> buckets_to_send(const wire::observer_digest& in);
     void forgive_pause(time_point now);
 
@@ -152,6 +154,9 @@
     time_point m_last_tick;
     time_point m_next_heartbeat;
     time_point m_next_digest;
+    time_point m_next_question;
+    // Peers that have just started as well, and hold the same records.
+    std::set<host_id> m_agreeing;
     time_point m_next_judgement;
     bool m_ready = false;
     // The silence seems to be this host's own.
--- a/packages/membership/include/crowlink/membership/observer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/observer_settings.hpp
@@ -23,6 +23,10 @@
     duration heartbeat_every = std::chrono::seconds(1);
     // One peer, in turn, is sent a digest this often.
     duration digest_every = std::chrono::seconds(1);
+    // One that has just started asks every peer for a digest this often. Until
+    // a digest equals its own it may not publish, so that after a restart of
+    // all every node waits for this. One is 1 KB.
+    duration start_digest_every = std::chrono::milliseconds(100);
     // A peer that nobody heard for this long is held to be dead.
     duration peer_timeout = std::chrono::seconds(5);
     // The time that announcers have to find a new home when theirs died, or to
@@ -48,8 +52,9 @@
     // A home that reports a place as lost gives the others this long to agree.
     duration report_wait = std::chrono::seconds(4);
     duration judge_every = std::chrono::milliseconds(500);
-    // A started observer may publish once a peer's digest equalled its own, or
-    // after this time if it heard no peer at all.
+    // A started observer may publish once the digest of a peer that may, or
+    // those of most others that have started too, equalled its own, or after
+    // this time if it heard no peer at all.
     duration start_grace = std::chrono::seconds(10);
     // The most records in one message to a peer, and the most messages that
     // answer one digest.
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -95,6 +95,7 @@
     , m_last_tick(now)
     , m_next_heartbeat(now)
     , m_next_digest(now)
+    , m_next_question(now)
     , m_next_judgement(now)
     , m_ready(m_settings.peers.empty())
 {
@@ -147,7 +148,7 @@
         heartbeat(now, from, in.heartbeat());
         if (was_silent)
         {
-            send_digest(from, out);
+            send_digest(from, false, out);
         }
     }
     else if (in.has_digest())
@@ -286,6 +287,10 @@
         m_next_digest = now + m_settings.digest_every;
         send_next_digest(out);
     }
+    if (!m_ready && now >= m_next_question)
+    {
+        ask_for_digests(now, out);
+    }
     if (now >= m_next_judgement)
     {
         m_next_judgement = now + m_settings.judge_every;
--- a/packages/membership/src/observer_peers.cpp
+++ b/packages/membership/src/observer_peers.cpp
@@ -108,13 +108,36 @@
         return;
     }
     m_next_peer = (m_next_peer + 1) % m_settings.peers.size();
-    send_digest(m_settings.peers[m_next_peer].id, out);
+    send_digest(m_settings.peers[m_next_peer].id, false, out);
 }
 
-void observer::send_digest(const host_id& to, observer_output& out) const
+void observer::ask_for_digests(time_point now, observer_output& out)
+{
+    m_next_question = now + m_settings.start_digest_every;
+    for (const observer_info& peer : m_settings.peers)
+    {
+        send_digest(peer.id, true, out);
+    }
+}
+
+// All may have lost everything at once: then nobody is left to learn from, and
+// those that agree are right once they are most. Two that restart beside a
+// third one may agree on too little until its records come, a round trip later.
+void observer::note_equal_digest(const host_id& from, bool is_ready)
+{
+    m_agreeing.insert(from);
+    const std::size_t agreeing = m_agreeing.size() + 1;
+    const std::size_t all = m_settings.peers.size() + 1;
+    m_ready = m_ready || is_ready || agreeing * 2 > all;
+}
+
+void observer::send_digest(const host_id& to, bool asks,
+                           observer_output& out) const
 {
     wire::membership_message message;
     auto& body = *message.mutable_digest();
+    body.set_asks(asks);
+    body.set_ready(m_ready);
     for (const std::uint64_t bucket : m_book.buckets())
     {
         body.add_buckets(bucket);
@@ -133,9 +156,14 @@
     if (std::equal(in.buckets().begin(), in.buckets().end(),
                    m_book.buckets().begin()))
     {
-        m_ready = true;
+        note_equal_digest(from, in.ready());
+        if (in.asks())
+        {
+            send_digest(from, false, out);
+        }
         return;
     }
+    m_agreeing.erase(from);
     m_metrics.count("membership_digest_differences_total");
     const auto chosen = buckets_to_send(in);
     internal::change_batch batch(m_settings.records_a_message);
@@ -150,6 +178,11 @@
     {
         out.sends.push_back(membership_send{from, std::move(message)});
     }
+    if (in.asks())
+    {
+        // After the records, so that the asker holds them when it compares.
+        send_digest(from, false, out);
+    }
 }
 
 // As many differing buckets as one answer may hold, from a place that moves
--- /dev/null
+++ b/packages/membership/test/readiness_test.cpp
@@ -0,0 +1,92 @@
+#include "fake_cluster.hpp"
+
+// When a control host that has started may publish.
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+constexpr std::size_t upstreams = 30;
+
+void build(fake_cluster& cluster)
+{
+    service declared;
+    declared.id = service_id(1);
+    declared.name = "service";
+    cluster.document.services.push_back(declared);
+    for (const char* name : {"c0", "c1", "c2"})
+    {
+        cluster.add_control(name, "p", "r");
+    }
+    cluster.start_controls();
+    for (std::size_t index = 0; index < upstreams; ++index)
+    {
+        cluster.add_upstream("u" + std::to_string(index), 1, "p", "r");
+    }
+    cluster.run(std::chrono::seconds(20));
+}
+
+bool is_ready(const fake_cluster& cluster, std::size_t index)
+{
+    return cluster.controls[index].core->observing().ready();
+}
+
+} // namespace
+
+// One second for each peer in turn would pass without their asking.
+TEST(readiness, control_hosts_that_started_together_agree_at_once)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fake_cluster cluster(seed);
+        build(cluster);
+        cluster.start_controls();
+        cluster.run(std::chrono::milliseconds(700));
+        for (std::size_t index = 0; index < cluster.controls.size(); ++index)
+        {
+            EXPECT_TRUE(is_ready(cluster, index)) << index << " of " << seed;
+        }
+    }
+}
+
+TEST(readiness, one_that_restarts_beside_others_holds_their_records_first)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fake_cluster cluster(seed);
+        build(cluster);
+        // So that its records are those that the others hold, not announced
+        // anew.
+        for (auto& each : cluster.announcers)
+        {
+            each.core.reset();
+        }
+        cluster.start_control(1);
+        ASSERT_FALSE(is_ready(cluster, 1));
+        while (!is_ready(cluster, 1))
+        {
+            cluster.step();
+        }
+        EXPECT_EQ(cluster.controls[1].core->observing().living(), upstreams);
+    }
+}
+
+TEST(readiness, one_that_hears_nobody_waits)
+{
+    fake_cluster cluster(1);
+    build(cluster);
+    cluster.network.drop = [](const host_id& from, const host_id& to,
+                              const wire::membership_message&)
+    {
+        return from == host_id("c1") || to == host_id("c1");
+    };
+    cluster.start_control(1);
+    cluster.run(std::chrono::seconds(9));
+    EXPECT_FALSE(is_ready(cluster, 1));
+    cluster.run(std::chrono::seconds(3));
+    EXPECT_TRUE(is_ready(cluster, 1));
+}
+
+} // namespace crowlink::test
