--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control_links.cpp
@@ -1,5 +1,9 @@
 #include "control_links.hpp"
 
+#include "lease_scale.hpp"
+
+#include <algorithm>
+
 namespace crowlink::internal
 {
 
@@ -36,6 +40,17 @@
                             : relay_listen(settings, &seed_settings::node_port);
 }
 
+// Shorter leases go with shorter round trips, so that the tries to connect are
+// as much shorter. With a lease of 1.8 s a try takes 150 ms instead of 500 ms.
+connect_times scaled_times(const daemon_settings& settings)
+{
+    const lease_scale scale(settings);
+    connect_times times;
+    times.attempt = scale(times.attempt);
+    times.longest_wait = std::max(times.first_wait, scale(times.longest_wait));
+    return times;
+}
+
 } // namespace
 
 control_links::control_links(zmq::context_t& context,
@@ -46,6 +61,7 @@
     , m_self(settings.host.name)
     , m_node_name(internal::node_name(settings))
     , m_authenticator(authenticator)
+    , m_times(scaled_times(settings))
 {
 }
 
@@ -96,7 +112,7 @@
         }
         result<dealer_socket> dealer =
             dealer_socket::connect(context, settings.host.name, peer.address,
-                                   own.pair, peer.public_key);
+                                   own.pair, peer.public_key, m_times);
         if (!dealer)
         {
             return tl::unexpected(dealer.error());
@@ -144,8 +160,9 @@
     }
     for (const control_endpoint& each : endpoints)
     {
-        result<dealer_socket> dealer = dealer_socket::connect(
-            context, m_node_name, each.address, own.pair, each.public_key);
+        result<dealer_socket> dealer =
+            dealer_socket::connect(context, m_node_name, each.address, own.pair,
+                                   each.public_key, m_times);
         if (!dealer)
         {
             return tl::unexpected(dealer.error());
@@ -165,7 +182,7 @@
         return std::nullopt;
     }
     result<dealer_socket> dealer = dealer_socket::connect(
-        m_context, self, endpoint{*address, port}, std::nullopt, "");
+        m_context, self, endpoint{*address, port}, std::nullopt, "", m_times);
     if (!dealer)
     {
         m_metrics.count("crowlink_control_hosts_unreachable_total");
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control_links.hpp
@@ -111,6 +111,7 @@
     host_id m_self;
     host_id m_node_name;
     const zap_authenticator* m_authenticator;
+    connect_times m_times;
     std::optional<router_socket> m_peer_router;
     std::optional<router_socket> m_node_router;
     std::map<host_id, dealer_socket> m_peers;
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/node_controller.cpp
@@ -151,10 +151,7 @@
     {
         send(each.tick(now));
     }
-    for (const host_id& lost : m_links.lost_control())
-    {
-        m_subscriber.connection_lost(now, lost);
-    }
+    follow_connections(now);
     take(m_subscriber.tick(now), board);
     log_publisher();
     const config_version in_force = m_subscriber.applied_version();
@@ -167,6 +164,23 @@
     board.node_version.set(in_force);
 }
 
+void node_controller::follow_connections(time_point now)
+{
+    const std::vector<host_id> lost = m_links.lost_control();
+    for (const host_id& host : m_lost)
+    {
+        if (std::find(lost.begin(), lost.end(), host) == lost.end())
+        {
+            m_subscriber.connection_made(now, host);
+        }
+    }
+    for (const host_id& host : lost)
+    {
+        m_subscriber.connection_lost(now, host);
+    }
+    m_lost = lost;
+}
+
 void node_controller::log_publisher()
 {
     const host_id serving =
--- a/packages/daemon/src/node_controller.hpp
+++ b/packages/daemon/src/node_controller.hpp
@@ -40,6 +40,7 @@
     void send(const std::vector<membership_send>& sends);
     void take(const subscriber_output& out, blackboard& board);
     void change_records(time_point now, const blackboard& board);
+    void follow_connections(time_point now);
     // Logs whose stream this node takes, when that changes.
     void log_publisher();
     void follow_hosts(time_point now, const blackboard& board);
@@ -56,6 +57,8 @@
     place_id m_where;
     // The control hosts that control named last.
     std::vector<host_id> m_learned;
+    // The control hosts that there is no connection to.
+    std::vector<host_id> m_lost;
     // Whose stream it takes; empty for nobody's.
     host_id m_serving;
     bool m_is_hosts_due = false;
--- a/packages/daemon/src/relay_controller.cpp
+++ b/packages/daemon/src/relay_controller.cpp
@@ -3,6 +3,7 @@
 #include "crowlink/replication/message_codec.hpp"
 #include "node_controller.hpp"
 
+#include <utility>
 #include <variant>
 
 namespace crowlink::internal
@@ -13,6 +14,8 @@
 
 // More than control hosts are meant to be set aside for a deployment.
 constexpr std::size_t most_introduced = 64;
+// As many nodes as a control host serves.
+constexpr std::size_t most_waiting = 4096;
 
 } // namespace
 
@@ -43,13 +46,27 @@
     {
         return;
     }
+    const bool kept = known(node).empty() && m_waiting.size() < most_waiting;
+    if (kept)
+    {
+        m_waiting.insert(message.sender);
+    }
+    name_control_hosts(message.sender, node, kept);
+}
+
+void relay_controller::name_control_hosts(const host_id& to,
+                                          const node_controller& node,
+                                          bool kept)
+{
     wire::membership_message told;
     auto& refused = *told.mutable_refused();
+    refused.set_kept(kept);
     for (const host_id& host : known(node))
     {
         refused.add_control_hosts(host.value());
     }
-    (void)m_links.send_to_node(message.sender, told.SerializeAsString());
+    // One that is not connected any more asks elsewhere.
+    (void)m_links.send_to_node(to, told.SerializeAsString());
 }
 
 void relay_controller::pass_on(const inbound_message& message,
@@ -70,6 +87,10 @@
         m_log.write(log_line(log_level::info, "control_host_introduced")
                         .field("host", message.sender.value()));
         node.introduce(message.sender);
+        for (const host_id& waiting : std::exchange(m_waiting, {}))
+        {
+            name_control_hosts(waiting, node, false);
+        }
     }
     for (const host_id& host : known(node))
     {
--- a/packages/daemon/src/relay_controller.hpp
+++ b/packages/daemon/src/relay_controller.hpp
@@ -13,7 +13,8 @@
 
 // What a host without a disk does when it is taken for a control host, as the
 // settings of others may name it: it tells nodes where control is, and passes
-// on the hellos of control hosts that look for the log's leader.
+// on the hellos of control hosts that look for the log's leader. Nodes that ask
+// before it knows of any are told as soon as one says hello.
 class relay_controller
 {
 public:
@@ -25,6 +26,8 @@
 private:
     void answer_node(const inbound_message& message,
                      const node_controller& node);
+    void name_control_hosts(const host_id& to, const node_controller& node,
+                            bool kept);
     void pass_on(const inbound_message& message, node_controller& node);
     std::set<host_id> known(const node_controller& node) const;
 
@@ -32,6 +35,8 @@
     log_sink& m_log;
     // Control hosts that said hello here.
     std::set<host_id> m_introduced;
+    // Nodes that asked while no control host was known.
+    std::set<host_id> m_waiting;
 };
 
 } // namespace crowlink::internal
--- a/packages/daemon/test/relay_controller_test.cpp
+++ b/packages/daemon/test/relay_controller_test.cpp
@@ -103,6 +103,34 @@
     EXPECT_EQ(told.refused().control_hosts(0), leader.value());
 }
 
+// After all hosts lost power nodes ask a relay before any control host is back.
+TEST_F(relay, tells_nodes_that_asked_before_as_soon_as_it_knows)
+{
+    dealer_socket node = connect(host_id("n"), *m_links->node_address());
+    wire::membership_message asked;
+    asked.mutable_attach_request();
+    ASSERT_TRUE(
+        node.send(message_channel::membership, asked.SerializeAsString()));
+    wire::membership_message told;
+    int answers = 0;
+    const auto has_answers = [&](int wanted)
+    {
+        const auto answer = node.receive();
+        answers += answer && told.ParseFromString(answer->bytes) ? 1 : 0;
+        return answers >= wanted;
+    };
+    ASSERT_TRUE(serve_until([&] { return has_answers(1); }));
+    EXPECT_TRUE(told.refused().kept());
+    EXPECT_EQ(told.refused().control_hosts_size(), 0);
+
+    dealer_socket as_leader = connect(leader, *m_links->peer_address());
+    say_hello(as_leader);
+    ASSERT_TRUE(serve_until([&] { return has_answers(2); }));
+    EXPECT_FALSE(told.refused().kept());
+    ASSERT_EQ(told.refused().control_hosts_size(), 1);
+    EXPECT_EQ(told.refused().control_hosts(0), leader.value());
+}
+
 TEST_F(relay, takes_a_hello_from_its_own_sender_alone)
 {
     dealer_socket other = connect(host_id("x"), *m_links->peer_address());
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -35,6 +35,9 @@
     // The connection to a control host broke or was refused. If it is the one
     // that is asked, another one is asked soon, without waiting for silence.
     void connection_lost(time_point now, const host_id& publisher);
+    // There is a connection again to one that was lost. A node that nobody
+    // serves asks there at once.
+    void connection_made(time_point now, const host_id& publisher);
 
     // The newest version of the document that is in force here as a whole.
     config_version applied_version() const { return m_applied; }
@@ -78,6 +81,9 @@
     void attach(time_point now, subscriber_output& out);
     void repair(time_point now);
     void next_publisher(time_point now);
+    bool choose_publisher();
+    bool is_reachable(std::size_t at) const;
+    bool is_named(std::size_t at) const;
     void refused(time_point now, bool kept);
     void wait(time_point now);
     void order_publishers();
@@ -95,6 +101,10 @@
     // given out.
     std::optional<std::vector<host_id>> m_control_hosts;
     std::size_t m_source = 0;
+    // Those that there is no connection to.
+    std::set<host_id> m_lost;
+    // Those that a control host, or one that knows some, named last.
+    std::set<host_id> m_named;
     phase m_phase = phase::waiting;
     std::uint32_t m_stream = 0;
     std::uint32_t m_sequence = 0;
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -145,6 +145,7 @@
     {
         m_control_hosts->emplace_back(name);
     }
+    m_named = {m_control_hosts->begin(), m_control_hosts->end()};
 }
 
 void subscriber::apply(time_point now, const wire::stream_part& in)
@@ -299,7 +300,7 @@
     {
         next_publisher(now);
     }
-    if (m_phase == phase::waiting && now >= m_next)
+    if (m_phase == phase::waiting && now >= m_next && choose_publisher())
     {
         attach(now, out);
     }
--- a/packages/membership/src/subscriber_publishers.cpp
+++ b/packages/membership/src/subscriber_publishers.cpp
@@ -2,6 +2,7 @@
 
 #include "observer_order.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Which control host a node asks, and when it goes to the next one.
@@ -21,6 +22,10 @@
         m_behind_since.reset();
         repair(now);
     }
+    if (m_phase == phase::waiting)
+    {
+        m_next = now;
+    }
 }
 
 void subscriber::order_publishers()
@@ -36,17 +41,61 @@
 
 void subscriber::connection_lost(time_point now, const host_id& publisher)
 {
-    if (m_order.empty() || publisher != source())
+    m_lost.insert(publisher);
+    if (m_order.empty() || publisher != source() || m_phase == phase::waiting)
     {
         return;
     }
+    const bool was_served = m_phase == phase::attached;
+    next_publisher(now);
+    if (!was_served)
+    {
+        // Nobody was burdened by a request that went nowhere.
+        m_next = now;
+    }
+}
+
+void subscriber::connection_made(time_point now, const host_id& publisher)
+{
+    m_lost.erase(publisher);
     if (m_phase == phase::waiting)
     {
-        // Nothing was asked yet; the time to ask stays.
-        m_source = (m_source + 1) % m_order.size();
-        return;
+        m_next = std::min(m_next, now);
     }
-    next_publisher(now);
+}
+
+bool subscriber::is_reachable(std::size_t at) const
+{
+    return m_lost.count(m_order[at]) == 0;
+}
+
+bool subscriber::is_named(std::size_t at) const
+{
+    return m_named.count(m_order[at]) != 0;
+}
+
+// The next one that there is a connection to, or that was not tried yet; those
+// that were named as control hosts go before those that only the settings name.
+// False if all are lost.
+bool subscriber::choose_publisher()
+{
+    std::optional<std::size_t> found;
+    for (std::size_t step = 0; step < m_order.size(); ++step)
+    {
+        const std::size_t at = (m_source + step) % m_order.size();
+        if (!is_reachable(at))
+        {
+            continue;
+        }
+        if (is_named(at))
+        {
+            m_source = at;
+            return true;
+        }
+        found = found.value_or(at);
+    }
+    m_source = found.value_or(m_source);
+    return found.has_value();
 }
 
 // One that keeps the request serves it as soon as it may. It could be cut off
@@ -58,7 +107,13 @@
         m_next = now + m_settings.kept_patience;
         return;
     }
+    const bool knows_better = !m_named.empty() && !is_named(m_source);
     next_publisher(now);
+    if (knows_better)
+    {
+        // One of those that were named is asked at once.
+        m_next = now;
+    }
 }
 
 void subscriber::next_publisher(time_point now)
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -134,6 +134,41 @@
     EXPECT_EQ(*out.control_hosts, std::vector{host_id("b")});
 }
 
+TEST(subscriber, asks_a_named_control_host_at_once_and_before_all_others)
+{
+    subscriber_settings settings;
+    settings.wants.all_services = true;
+    for (const char* name : {"a", "b", "c", "d"})
+    {
+        settings.publishers.push_back(
+            {host_id(name), place_id("p"), region_id("r")});
+    }
+    time_point now{};
+    subscriber core(settings, 1, now);
+    const host_id relay = next_asked(core, now, std::chrono::seconds(2));
+    const host_id control(relay == host_id("d") ? "c" : "d");
+    wire::membership_message refused;
+    refused.mutable_refused()->add_control_hosts(control.value());
+    core.handle(now, relay, refused);
+    EXPECT_EQ(next_asked(core, now, std::chrono::milliseconds(60)), control);
+}
+
+TEST(subscriber, asks_one_whose_connection_is_back_at_once)
+{
+    subscriber_settings settings;
+    settings.wants.all_services = true;
+    settings.publishers = {{host_id("a"), place_id("p"), region_id("r")},
+                           {host_id("b"), place_id("p"), region_id("r")}};
+    time_point now{};
+    subscriber core(settings, 1, now);
+    core.connection_lost(now, host_id("a"));
+    core.connection_lost(now, host_id("b"));
+    EXPECT_EQ(next_asked(core, now, std::chrono::seconds(5)), host_id());
+    core.connection_made(now, host_id("b"));
+    EXPECT_EQ(next_asked(core, now, std::chrono::milliseconds(60)),
+              host_id("b"));
+}
+
 TEST(subscriber, leaves_a_publisher_whose_connection_broke_at_once)
 {
     subscriber_settings settings;
--- a/packages/transport/include/crowlink/transport/dealer_socket.hpp
+++ b/packages/transport/include/crowlink/transport/dealer_socket.hpp
@@ -3,9 +3,11 @@
 #include "crowlink/base/endpoint.hpp"
 #include "crowlink/base/error.hpp"
 #include "crowlink/base/ids.hpp"
+#include "crowlink/base/time.hpp"
 #include "crowlink/transport/curve_key_pair.hpp"
 #include "crowlink/transport/message_channel.hpp"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +16,18 @@
 namespace crowlink
 {
 
+// How a connection is made again and again until it stands.
+struct connect_times
+{
+    // A host without power answers nothing, and the kernel repeats its opening
+    // packet after 1, 3, 7 s: a new attempt finds a host that is back sooner.
+    // It must exceed the longest round trip.
+    duration attempt = std::chrono::milliseconds(500);
+    // The wait between attempts, doubled up to the longest.
+    duration first_wait = std::chrono::milliseconds(50);
+    duration longest_wait = std::chrono::milliseconds(250);
+};
+
 // A ZeroMQ DEALER connected to one ROUTER; it reconnects by itself. Owned by
 // one thread.
 class dealer_socket
@@ -31,7 +45,7 @@
     static result<dealer_socket>
     connect(zmq::context_t& context, const host_id& self, const endpoint& peer,
             const std::optional<curve_key_pair>& pair,
-            std::string_view peer_key);
+            std::string_view peer_key, const connect_times& times = {});
 
     zmq::socket_ref socket() { return m_socket; }
 
--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -21,14 +21,9 @@
 // been found dead and made anew before that.
 constexpr int heartbeat_milliseconds = 700;
 constexpr int heartbeat_timeout_milliseconds = 2000;
-// A host without power answers nothing, and the kernel repeats its opening
-// packet after 1, 3, 7 s: a new attempt finds a host that is back sooner.
-constexpr int connect_timeout_milliseconds = 500;
 constexpr int handshake_milliseconds = 2000;
 // Bytes that nobody acknowledges for so long end the connection.
 constexpr int unacknowledged_milliseconds = 2000;
-constexpr int first_reconnect_milliseconds = 50;
-constexpr int longest_reconnect_milliseconds = 250;
 
 // The frames of a message as each end sees them.
 constexpr std::size_t router_connection = 0;
@@ -40,6 +35,12 @@
 constexpr std::size_t dealer_bytes = 1;
 constexpr std::size_t dealer_frames = 2;
 
+int whole_milliseconds(duration value)
+{
+    return static_cast<int>(
+        std::chrono::ceil<std::chrono::milliseconds>(value).count());
+}
+
 bool is_channel(const zmq::message_t& frame)
 {
     if (frame.size() != 1)
@@ -195,9 +196,11 @@
     }
 }
 
-result<dealer_socket> dealer_socket::connect(
-    zmq::context_t& context, const host_id& self, const endpoint& peer,
-    const std::optional<curve_key_pair>& pair, std::string_view peer_key)
+result<dealer_socket>
+dealer_socket::connect(zmq::context_t& context, const host_id& self,
+                       const endpoint& peer,
+                       const std::optional<curve_key_pair>& pair,
+                       std::string_view peer_key, const connect_times& times)
 {
     try
     {
@@ -207,11 +210,11 @@
         watch(made.m_socket, made.m_events);
         set_common(made.m_socket, peer);
         made.m_socket.set(zmq::sockopt::connect_timeout,
-                          connect_timeout_milliseconds);
+                          whole_milliseconds(times.attempt));
         made.m_socket.set(zmq::sockopt::reconnect_ivl,
-                          first_reconnect_milliseconds);
+                          whole_milliseconds(times.first_wait));
         made.m_socket.set(zmq::sockopt::reconnect_ivl_max,
-                          longest_reconnect_milliseconds);
+                          whole_milliseconds(times.longest_wait));
         if (pair)
         {
             made.m_socket.set(zmq::sockopt::curve_serverkey,
