--- a/packages/agent/src/upstream_life.cpp
+++ b/packages/agent/src/upstream_life.cpp
@@ -18,7 +18,7 @@
 result<void> upstream_life::announce(time_point now,
                                      const upstream_announcement& announced)
 {
-    if (const auto checked = check_start(announced); !checked)
+    if (auto checked = check_start(announced); !checked)
     {
         return checked;
     }
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -71,6 +71,8 @@
         attached,
     };
 
+    void leave_stream(const host_id& from, const wire::membership_message& in,
+                      subscriber_output& out);
     void take_part(time_point now, const wire::stream_part& in);
     void apply(time_point now, const wire::stream_part& in);
     template <class Names>
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -94,7 +94,7 @@
 membership_host::handle(time_point now, const host_id& from,
                         const wire::membership_message& in)
 {
-    if (in.has_attach_request() || in.has_alive())
+    if (in.has_attach_request() || in.has_alive() || in.has_ended())
     {
         return m_publisher.handle(now, from, in);
     }
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -155,11 +155,20 @@
         attached(now, from, in.attach_request(), out);
         return out;
     }
+    const auto found = m_sessions.find(from);
+    if (in.has_ended())
+    {
+        if (found != m_sessions.end() &&
+            found->second.stream == in.ended().stream())
+        {
+            m_sessions.erase(found);
+        }
+        return out;
+    }
     if (!in.has_alive())
     {
         return out;
     }
-    const auto found = m_sessions.find(from);
     if (found != m_sessions.end() &&
         found->second.stream == in.alive().stream())
     {
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -78,6 +78,7 @@
     subscriber_output out;
     if (m_order.empty() || from != source())
     {
+        leave_stream(from, in, out);
         return out;
     }
     m_bytes += wire_size(in);
@@ -103,6 +104,22 @@
     return out;
 }
 
+// A publisher may begin to serve a request that the node gave up meanwhile.
+// After an outage of all control hosts that was every node's at one of three.
+void subscriber::leave_stream(const host_id& from,
+                              const wire::membership_message& in,
+                              subscriber_output& out)
+{
+    if (m_phase != phase::attached || !in.has_part())
+    {
+        return;
+    }
+    wire::membership_message ended;
+    ended.mutable_ended()->set_stream(in.part().stream());
+    m_bytes += wire_size(ended);
+    out.sends.push_back(membership_send{from, std::move(ended)});
+}
+
 void subscriber::take_part(time_point now, const wire::stream_part& in)
 {
     if (m_phase == phase::waiting)
--- a/packages/membership/test/waiting_test.cpp
+++ b/packages/membership/test/waiting_test.cpp
@@ -78,6 +78,21 @@
     EXPECT_EQ(m_core.waiting(), 0U);
 }
 
+TEST_F(waiting_nodes, one_that_takes_another_stream_is_served_no_more)
+{
+    m_core.set_document_age(duration::zero());
+    m_core.handle(m_now, host_id("node"), attach_request());
+    const auto sends = m_core.tick(m_now);
+    ASSERT_FALSE(sends.empty());
+    wire::membership_message ended;
+    ended.mutable_ended()->set_stream(sends[0].message.part().stream() + 2);
+    m_core.handle(m_now, host_id("node"), ended);
+    EXPECT_EQ(m_core.nodes(), 1U);
+    ended.mutable_ended()->set_stream(sends[0].message.part().stream());
+    EXPECT_TRUE(m_core.handle(m_now, host_id("node"), ended).empty());
+    EXPECT_EQ(m_core.nodes(), 0U);
+}
+
 TEST_F(waiting_nodes, are_no_more_than_a_control_host_may_serve)
 {
     publisher_settings settings;
@@ -154,6 +169,24 @@
     EXPECT_EQ(m_core.applied_version(), config_version(9));
 }
 
+TEST_F(kept_node, tells_one_that_serves_it_too_late)
+{
+    const host_id first = next_asked(std::chrono::seconds(2));
+    keep(first);
+    const host_id second = next_asked(std::chrono::seconds(4));
+    wire::membership_message message;
+    message.mutable_part()->set_stream(5);
+    message.mutable_part()->set_sequence(1);
+    m_core.handle(m_now, second, message);
+    ASSERT_TRUE(m_core.attached());
+    message.mutable_part()->set_stream(7);
+    const auto sends = m_core.handle(m_now, first, message).sends;
+    ASSERT_EQ(sends.size(), 1U);
+    EXPECT_EQ(sends[0].to, first);
+    EXPECT_EQ(sends[0].message.ended().stream(), 7U);
+    EXPECT_EQ(m_core.source(), second);
+}
+
 TEST_F(kept_node, leaves_one_that_never_may_serve)
 {
     const host_id first = next_asked(std::chrono::seconds(2));
