--- a/packages/daemon/src/document_controller.cpp
+++ b/packages/daemon/src/document_controller.cpp
@@ -70,12 +70,17 @@
     }
 }
 
-// The members that the log names are reached before the first message to them:
-// what is sent to a host that is not reached is lost.
+// The members that the log names are reached before the first message to them,
+// also before the seeds are known: what is sent to a host that is not reached
+// is lost. A former leader's first request for votes was, and it asked again
+// only after an election timeout (335 ms on the platform).
 void document_controller::start(time_point now, blackboard& board)
 {
     carry_out(m_core.start(), board);
-    follow_members(m_core.status(now), board);
+    for (const replication::member_status& one : m_core.status(now).members)
+    {
+        m_links.reach_peer(one.who.host);
+    }
 }
 
 void document_controller::handle(time_point now, const inbound_message& message,
