--- a/cmake/crowlink_package.cmake
+++ b/cmake/crowlink_package.cmake
@@ -16,11 +16,12 @@
 endif()
 
 # crowlink_package(NAME [DEPENDS target...]) makes the static library
-# crowlink_NAME from src/*.cpp (an interface library where there are none) and
-# the test crowlink_NAME_test from test/*.cpp.
+# crowlink_NAME from src/*.cpp and src/*/*.cpp (an interface library where there
+# are none) and the test crowlink_NAME_test from test/*.cpp.
 function(crowlink_package NAME)
   cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp
+    ${CMAKE_CURRENT_SOURCE_DIR}/src/*/*.cpp)
   set(target crowlink_${NAME})
   if(sources)
     add_library(${target} STATIC ${sources})
--- a/packages/daemon/src/agent_exchange.hpp
+++ b/packages/daemon/src/agent/agent_exchange.hpp
@@ -3,7 +3,7 @@
 #include "crowlink/agent/upstream_life.hpp"
 #include "crowlink/model/service_view.hpp"
 #include "crowlink/transport/wake_event.hpp"
-#include "snapshot_slot.hpp"
+#include "shared/snapshot_slot.hpp"
 
 #include <atomic>
 #include <map>
--- a/packages/daemon/src/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -1,10 +1,10 @@
-#include "agent_loop.hpp"
+#include "agent/agent_loop.hpp"
 
-#include "agent_loop_effects.hpp"
+#include "agent/agent_loop_effects.hpp"
 
-#include "agent_report.hpp"
-#include "peer_codec.hpp"
-#include "process_identity.hpp"
+#include "agent/agent_report.hpp"
+#include "agent/peer_codec.hpp"
+#include "process/process_identity.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/packages/daemon/src/agent_loop.hpp
+++ b/packages/daemon/src/agent/agent_loop.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "agent_thread.hpp"
+#include "agent/agent_thread.hpp"
+#include "agent/datagram_delivery.hpp"
+#include "agent/flow_delivery.hpp"
+#include "agent/ip_delivery.hpp"
+#include "agent/request_stage.hpp"
 #include "crowlink/agent/agent.hpp"
 #include "crowlink/transport/datagram_batch.hpp"
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/wire/datagram_codec.hpp"
-#include "datagram_delivery.hpp"
-#include "decision_limit.hpp"
-#include "flow_delivery.hpp"
-#include "ip_delivery.hpp"
-#include "request_stage.hpp"
+#include "shared/decision_limit.hpp"
 
 #include <deque>
 #include <map>
--- a/packages/daemon/src/agent_loop_effects.hpp
+++ b/packages/daemon/src/agent/agent_loop_effects.hpp
@@ -3,11 +3,11 @@
 // What an agent's core wants done, carried out by its loop. Included by
 // agent_loop.cpp alone, which instantiates it.
 
-#include "agent_loop.hpp"
-#include "agent_report.hpp"
-#include "caller_notice.hpp"
+#include "agent/agent_loop.hpp"
+#include "agent/agent_report.hpp"
+#include "agent/caller_notice.hpp"
+#include "agent/peer_codec.hpp"
 #include "crowlink/packet/tcp_reset.hpp"
-#include "peer_codec.hpp"
 
 #include <memory>
 
--- a/packages/daemon/src/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent/agent_loop_upstream.cpp
@@ -1,6 +1,6 @@
-#include "agent_loop.hpp"
-#include "agent_report.hpp"
-#include "process_identity.hpp"
+#include "agent/agent_loop.hpp"
+#include "agent/agent_report.hpp"
+#include "process/process_identity.hpp"
 
 #include <algorithm>
 
--- a/packages/daemon/src/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -1,4 +1,4 @@
-#include "agent_report.hpp"
+#include "agent/agent_report.hpp"
 
 #include "crowlink/requests/answer_reason.hpp"
 
--- a/packages/daemon/src/agent_report.hpp
+++ b/packages/daemon/src/agent/agent_report.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "agent/passing_request.hpp"
 #include "crowlink/agent/agent_counts.hpp"
 #include "crowlink/agent/flow_decision.hpp"
 #include "crowlink/base/log_line.hpp"
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/model/upstream_record.hpp"
 #include "crowlink/requests/admission_effects.hpp"
-#include "passing_request.hpp"
 
 #include <cstdint>
 
--- a/packages/daemon/src/agent_role.cpp
+++ b/packages/daemon/src/agent/agent_role.cpp
@@ -1,7 +1,7 @@
-#include "agent_role.hpp"
+#include "agent/agent_role.hpp"
 
 #include "crowlink/model/system_document.hpp"
-#include "process_identity.hpp"
+#include "process/process_identity.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/agent_role.hpp
+++ b/packages/daemon/src/agent/agent_role.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "agent_thread.hpp"
-#include "blackboard.hpp"
+#include "agent/agent_thread.hpp"
+#include "control/blackboard.hpp"
 #include "crowlink/agent/upstream_announcement.hpp"
 #include "crowlink/agent/upstream_life.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/transport/wake_event.hpp"
-#include "traffic_report.hpp"
+#include "shared/traffic_report.hpp"
 
 #include <map>
 #include <memory>
--- a/packages/daemon/src/agent_thread.cpp
+++ b/packages/daemon/src/agent/agent_thread.cpp
@@ -1,7 +1,7 @@
-#include "agent_thread.hpp"
+#include "agent/agent_thread.hpp"
 
-#include "agent_loop.hpp"
-#include "lease_scale.hpp"
+#include "agent/agent_loop.hpp"
+#include "control/lease_scale.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/agent_thread.hpp
+++ b/packages/daemon/src/agent/agent_thread.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "agent_exchange.hpp"
+#include "agent/agent_exchange.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/transport/udp_socket.hpp"
 #include "crowlink/wire/key_ring.hpp"
-#include "traffic_report.hpp"
+#include "shared/traffic_report.hpp"
 
 #include <atomic>
 #include <cstddef>
--- a/packages/daemon/src/caller_notice.cpp
+++ b/packages/daemon/src/agent/caller_notice.cpp
@@ -1,4 +1,4 @@
-#include "caller_notice.hpp"
+#include "agent/caller_notice.hpp"
 
 namespace crowlink::internal
 {
--- a/packages/daemon/src/datagram_delivery.cpp
+++ b/packages/daemon/src/agent/datagram_delivery.cpp
@@ -1,4 +1,4 @@
-#include "datagram_delivery.hpp"
+#include "agent/datagram_delivery.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/flow_delivery.cpp
+++ b/packages/daemon/src/agent/flow_delivery.cpp
@@ -1,4 +1,4 @@
-#include "flow_delivery.hpp"
+#include "agent/flow_delivery.hpp"
 
 #include "crowlink/platform/http_text.hpp"
 #include "crowlink/platform/wire_packet.hpp"
--- a/packages/daemon/src/flow_delivery.hpp
+++ b/packages/daemon/src/agent/flow_delivery.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "agent/passing_request.hpp"
+#include "agent/port_probe.hpp"
 #include "crowlink/agent/agent_events.hpp"
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/latency_histogram.hpp"
@@ -8,8 +10,6 @@
 #include "crowlink/transport/datagram_batch.hpp"
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/transport/udp_socket.hpp"
-#include "passing_request.hpp"
-#include "port_probe.hpp"
 
 #include <array>
 #include <cstdint>
--- a/packages/daemon/src/ip_delivery.cpp
+++ b/packages/daemon/src/agent/ip_delivery.cpp
@@ -1,4 +1,4 @@
-#include "ip_delivery.hpp"
+#include "agent/ip_delivery.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/port_probe.cpp
+++ b/packages/daemon/src/agent/port_probe.cpp
@@ -1,4 +1,4 @@
-#include "port_probe.hpp"
+#include "agent/port_probe.hpp"
 
 #include <array>
 #include <cerrno>
--- a/packages/daemon/src/request_stage.cpp
+++ b/packages/daemon/src/agent/request_stage.cpp
@@ -1,4 +1,4 @@
-#include "request_stage.hpp"
+#include "agent/request_stage.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/balancer_role.cpp
+++ b/packages/daemon/src/balancer/balancer_role.cpp
@@ -1,4 +1,4 @@
-#include "balancer_role.hpp"
+#include "balancer/balancer_role.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/balancer_role.hpp
+++ b/packages/daemon/src/balancer/balancer_role.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "balancer_thread.hpp"
-#include "blackboard.hpp"
+#include "balancer/balancer_thread.hpp"
+#include "control/blackboard.hpp"
 #include "crowlink/balancer/balancer.hpp"
 #include "crowlink/packet/datagram_port.hpp"
 #include "crowlink/packet/ip_in_udp_port.hpp"
--- a/packages/daemon/src/balancer_thread.cpp
+++ b/packages/daemon/src/balancer/balancer_thread.cpp
@@ -1,4 +1,4 @@
-#include "balancer_thread.hpp"
+#include "balancer/balancer_thread.hpp"
 
 #include "crowlink/packet/datagram_port.hpp"
 #include "crowlink/packet/ip_in_udp_port.hpp"
--- a/packages/daemon/src/balancer_thread.hpp
+++ b/packages/daemon/src/balancer/balancer_thread.hpp
@@ -8,9 +8,9 @@
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/transport/udp_socket.hpp"
 #include "crowlink/transport/wake_event.hpp"
-#include "decision_limit.hpp"
-#include "snapshot_slot.hpp"
-#include "traffic_report.hpp"
+#include "shared/decision_limit.hpp"
+#include "shared/snapshot_slot.hpp"
+#include "shared/traffic_report.hpp"
 
 #include <atomic>
 #include <memory>
--- a/packages/daemon/src/blackboard.hpp
+++ b/packages/daemon/src/control/blackboard.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "board_value.hpp"
+#include "control/board_value.hpp"
 #include "crowlink/base/ids.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/forwarding/forwarding_set.hpp"
--- a/packages/daemon/src/control_backend.cpp
+++ b/packages/daemon/src/control/control_backend.cpp
@@ -1,8 +1,8 @@
-#include "control_backend.hpp"
+#include "control/control_backend.hpp"
 
+#include "control/status_view.hpp"
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/document/document_writer.hpp"
-#include "status_view.hpp"
 
 #include <algorithm>
 #include <future>
--- a/packages/daemon/src/control_backend.hpp
+++ b/packages/daemon/src/control/control_backend.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control_thread.hpp"
+#include "control/control_thread.hpp"
 #include "crowlink/console/operator_backend.hpp"
 
 #include <functional>
--- a/packages/daemon/src/control_links.cpp
+++ b/packages/daemon/src/control/control_links.cpp
@@ -1,6 +1,6 @@
-#include "control_links.hpp"
+#include "control/control_links.hpp"
 
-#include "lease_scale.hpp"
+#include "control/lease_scale.hpp"
 
 #include <algorithm>
 
--- a/packages/daemon/src/control_links.hpp
+++ b/packages/daemon/src/control/control_links.hpp
@@ -7,7 +7,7 @@
 #include "crowlink/transport/router_socket.hpp"
 #include "crowlink/transport/wake_event.hpp"
 #include "crowlink/transport/zap_authenticator.hpp"
-#include "identity.hpp"
+#include "process/identity.hpp"
 
 #include <map>
 #include <memory>
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -1,7 +1,7 @@
-#include "control_thread.hpp"
+#include "control/control_thread.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
-#include "process_identity.hpp"
+#include "process/process_identity.hpp"
 
 namespace crowlink::internal
 {
--- a/packages/daemon/src/control_thread.hpp
+++ b/packages/daemon/src/control/control_thread.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "agent_role.hpp"
-#include "balancer_role.hpp"
-#include "blackboard.hpp"
-#include "control_links.hpp"
+#include "agent/agent_role.hpp"
+#include "balancer/balancer_role.hpp"
+#include "control/blackboard.hpp"
+#include "control/control_links.hpp"
+#include "control/document_controller.hpp"
+#include "control/membership_controller.hpp"
+#include "control/node_controller.hpp"
+#include "control/relay_controller.hpp"
 #include "crowlink/base/log_sink.hpp"
-#include "document_controller.hpp"
-#include "mailbox.hpp"
-#include "membership_controller.hpp"
-#include "node_controller.hpp"
-#include "relay_controller.hpp"
+#include "shared/mailbox.hpp"
 
 #include <atomic>
 #include <functional>
--- a/packages/daemon/src/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -1,4 +1,4 @@
-#include "document_controller.hpp"
+#include "control/document_controller.hpp"
 
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/replication/message_codec.hpp"
--- a/packages/daemon/src/document_controller.hpp
+++ b/packages/daemon/src/control/document_controller.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "blackboard.hpp"
-#include "control_links.hpp"
+#include "control/blackboard.hpp"
+#include "control/control_links.hpp"
+#include "control/storage_thread.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/replication/replicated_document.hpp"
 #include "crowlink/replication/voter_policy.hpp"
-#include "storage_thread.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/packages/daemon/src/membership_controller.cpp
+++ b/packages/daemon/src/control/membership_controller.cpp
@@ -1,6 +1,6 @@
-#include "membership_controller.hpp"
+#include "control/membership_controller.hpp"
 
-#include "lease_scale.hpp"
+#include "control/lease_scale.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
 
--- a/packages/daemon/src/membership_controller.hpp
+++ b/packages/daemon/src/control/membership_controller.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "blackboard.hpp"
-#include "control_links.hpp"
+#include "control/blackboard.hpp"
+#include "control/control_links.hpp"
+#include "control/node_board.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/membership/announcement_gate.hpp"
 #include "crowlink/membership/membership_host.hpp"
-#include "node_board.hpp"
 
 #include <map>
 #include <memory>
--- a/packages/daemon/src/node_board.cpp
+++ b/packages/daemon/src/control/node_board.cpp
@@ -1,4 +1,4 @@
-#include "node_board.hpp"
+#include "control/node_board.hpp"
 
 #include <algorithm>
 
--- a/packages/daemon/src/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -1,9 +1,9 @@
-#include "node_controller.hpp"
+#include "control/node_controller.hpp"
 
-#include "lease_scale.hpp"
+#include "control/lease_scale.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
-#include "process_identity.hpp"
+#include "process/process_identity.hpp"
 
 #include <algorithm>
 #include <set>
--- a/packages/daemon/src/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "blackboard.hpp"
-#include "control_links.hpp"
+#include "control/blackboard.hpp"
+#include "control/control_links.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/membership/announcer.hpp"
 #include "crowlink/membership/subscriber.hpp"
--- a/packages/daemon/src/relay_controller.cpp
+++ b/packages/daemon/src/control/relay_controller.cpp
@@ -1,7 +1,7 @@
-#include "relay_controller.hpp"
+#include "control/relay_controller.hpp"
 
+#include "control/node_controller.hpp"
 #include "crowlink/replication/message_codec.hpp"
-#include "node_controller.hpp"
 
 #include <utility>
 #include <variant>
--- a/packages/daemon/src/relay_controller.hpp
+++ b/packages/daemon/src/control/relay_controller.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control_links.hpp"
+#include "control/control_links.hpp"
 #include "crowlink/base/log_sink.hpp"
 
 #include <set>
--- a/packages/daemon/src/status_view.cpp
+++ b/packages/daemon/src/control/status_view.cpp
@@ -1,4 +1,4 @@
-#include "status_view.hpp"
+#include "control/status_view.hpp"
 
 #include "crowlink/balancer/traffic_path.hpp"
 #include "crowlink/membership/balancer_record.hpp"
--- a/packages/daemon/src/status_view.hpp
+++ b/packages/daemon/src/control/status_view.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control_thread.hpp"
+#include "control/control_thread.hpp"
 #include "crowlink/console/explain_answer.hpp"
 #include "crowlink/console/status_report.hpp"
 
--- a/packages/daemon/src/storage_thread.cpp
+++ b/packages/daemon/src/control/storage_thread.cpp
@@ -1,4 +1,4 @@
-#include "storage_thread.hpp"
+#include "control/storage_thread.hpp"
 
 #include <utility>
 
--- a/packages/daemon/src/storage_thread.hpp
+++ b/packages/daemon/src/control/storage_thread.hpp
@@ -4,7 +4,7 @@
 #include "crowlink/replication/log_storage.hpp"
 #include "crowlink/replication/posix_file_system.hpp"
 #include "crowlink/transport/wake_event.hpp"
-#include "mailbox.hpp"
+#include "shared/mailbox.hpp"
 
 #include <condition_variable>
 #include <cstdint>
--- a/packages/daemon/src/command_line.cpp
+++ b/packages/daemon/src/process/command_line.cpp
@@ -1,4 +1,4 @@
-#include "command_line.hpp"
+#include "process/command_line.hpp"
 
 #include <cstdio>
 #include <fmt/format.h>
--- a/packages/daemon/src/health_server.cpp
+++ b/packages/daemon/src/process/health_server.cpp
@@ -1,4 +1,4 @@
-#include "health_server.hpp"
+#include "process/health_server.hpp"
 
 #include <httplib.h>
 
--- a/packages/daemon/src/identity.cpp
+++ b/packages/daemon/src/process/identity.cpp
@@ -1,4 +1,4 @@
-#include "identity.hpp"
+#include "process/identity.hpp"
 
 #include "crowlink/transport/key_file.hpp"
 
--- a/packages/daemon/src/platform_calls.cpp
+++ b/packages/daemon/src/process/platform_calls.cpp
@@ -1,7 +1,7 @@
-#include "platform_calls.hpp"
+#include "process/platform_calls.hpp"
 
-#include "agent_role.hpp"
-#include "control_thread.hpp"
+#include "agent/agent_role.hpp"
+#include "control/control_thread.hpp"
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/document/document_writer.hpp"
 
--- a/packages/daemon/src/process_identity.cpp
+++ b/packages/daemon/src/process/process_identity.cpp
@@ -1,4 +1,4 @@
-#include "process_identity.hpp"
+#include "process/process_identity.hpp"
 
 #include "crowlink/membership/announcer.hpp"
 
--- a/packages/daemon/src/run_daemon.cpp
+++ b/packages/daemon/src/process/run_daemon.cpp
@@ -1,10 +1,10 @@
 #include "crowlink/daemon/run_daemon.hpp"
 
-#include "command_line.hpp"
 #include "crowlink/settings/load.hpp"
-#include "running_daemon.hpp"
-#include "settings_watch.hpp"
-#include "signals.hpp"
+#include "process/command_line.hpp"
+#include "process/running_daemon.hpp"
+#include "process/settings_watch.hpp"
+#include "process/signals.hpp"
 
 #include <csignal>
 #include <cstdio>
--- a/packages/daemon/src/running_daemon.cpp
+++ b/packages/daemon/src/process/running_daemon.cpp
@@ -1,7 +1,7 @@
-#include "running_daemon.hpp"
+#include "process/running_daemon.hpp"
 
 #include "crowlink/platform/find_upstream.hpp"
-#include "platform_calls.hpp"
+#include "process/platform_calls.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/packages/daemon/src/running_daemon.hpp
+++ b/packages/daemon/src/process/running_daemon.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "agent_role.hpp"
-#include "balancer_role.hpp"
-#include "control_backend.hpp"
-#include "control_thread.hpp"
+#include "agent/agent_role.hpp"
+#include "balancer/balancer_role.hpp"
+#include "control/control_backend.hpp"
+#include "control/control_thread.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/console/console.hpp"
 #include "crowlink/platform/http_port.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/transport/zap_authenticator.hpp"
-#include "health_server.hpp"
-#include "identity.hpp"
+#include "process/health_server.hpp"
+#include "process/identity.hpp"
 
 #include <atomic>
 #include <memory>
--- a/packages/daemon/src/settings_watch.cpp
+++ b/packages/daemon/src/process/settings_watch.cpp
@@ -1,4 +1,4 @@
-#include "settings_watch.hpp"
+#include "process/settings_watch.hpp"
 
 #include <sys/stat.h>
 #include <utility>
--- a/packages/daemon/src/signals.cpp
+++ b/packages/daemon/src/process/signals.cpp
@@ -1,4 +1,4 @@
-#include "signals.hpp"
+#include "process/signals.hpp"
 
 #include <cerrno>
 #include <csignal>
--- a/packages/daemon/src/traffic_report.hpp
+++ b/packages/daemon/src/shared/traffic_report.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "crowlink/base/metrics.hpp"
-#include "snapshot_slot.hpp"
+#include "shared/snapshot_slot.hpp"
 
 #include <chrono>
 
--- a/packages/daemon/test/document_controller_test.cpp
+++ b/packages/daemon/test/document_controller_test.cpp
@@ -1,4 +1,4 @@
-#include "document_controller.hpp"
+#include "control/document_controller.hpp"
 
 #include <filesystem>
 #include <gtest/gtest.h>
--- a/packages/daemon/test/flow_delivery_test.cpp
+++ b/packages/daemon/test/flow_delivery_test.cpp
@@ -1,4 +1,4 @@
-#include "flow_delivery.hpp"
+#include "agent/flow_delivery.hpp"
 
 #include <gtest/gtest.h>
 
--- a/packages/daemon/test/node_name_test.cpp
+++ b/packages/daemon/test/node_name_test.cpp
@@ -1,4 +1,4 @@
-#include "identity.hpp"
+#include "process/identity.hpp"
 
 #include <gtest/gtest.h>
 
--- a/packages/daemon/test/peer_codec_test.cpp
+++ b/packages/daemon/test/peer_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "peer_codec.hpp"
+#include "agent/peer_codec.hpp"
 
 #include <gtest/gtest.h>
 #include <random>
--- a/packages/daemon/test/running_daemon_test.cpp
+++ b/packages/daemon/test/running_daemon_test.cpp
@@ -1,4 +1,4 @@
-#include "running_daemon.hpp"
+#include "process/running_daemon.hpp"
 
 #include "crowlink/requests/message_codec.hpp"
 #include "crowlink/requests/udp_request_client.hpp"
