--- a/packages/client/src/commands.hpp
+++ b/packages/client/src/commands.hpp
@@ -22,6 +22,7 @@
 exit_code run_members(const arguments_type& arguments, command_output& output);
 exit_code run_plan(const arguments_type& arguments, command_output& output);
 exit_code run_status(const arguments_type& arguments, command_output& output);
+exit_code run_timeline(const arguments_type& arguments, command_output& output);
 exit_code run_token(const arguments_type& arguments, command_output& output);
 
 } // namespace crowlink::internal
--- a/packages/client/src/run.cpp
+++ b/packages/client/src/run.cpp
@@ -29,6 +29,7 @@
     command{"members", "list or change the control hosts", run_members},
     command{"plan", "work out the hosts for a deployment", run_plan},
     command{"status", "show who holds which version", run_status},
+    command{"timeline", "show the phases of outages from logs", run_timeline},
     command{"token", "make a new operator's token", run_token},
     command{"undrain", "give an upstream new flows again", run_drain},
 };
--- a/packages/client/test/client_test.cpp
+++ b/packages/client/test/client_test.cpp
@@ -3,6 +3,7 @@
 #include "dropping_relay.hpp"
 
 #include <fmt/format.h>
+#include <fstream>
 #include <sstream>
 
 namespace crowlink
@@ -80,7 +81,7 @@
     EXPECT_NE(m_out.str().find("undrain"), std::string::npos);
     for (const char* name :
          {"apply", "check", "diff", "drain", "explain", "get", "history",
-          "members", "status", "token", "undrain"})
+          "members", "status", "timeline", "token", "undrain"})
     {
         EXPECT_EQ(run_bare({name, "--help"}), exit_code::ok) << name;
         EXPECT_NE(m_out.str().find("Usage"), std::string::npos) << name;
@@ -97,6 +98,39 @@
     EXPECT_EQ(run_bare({"plan", "/nowhere"}), exit_code::failed);
 }
 
+TEST_F(client_commands, timeline_shows_phases_and_writes_a_plot)
+{
+    std::string text = "a line of something else\n";
+    for (const char* time : {"1.0", "2.5"})
+    {
+        for (const char* name : {"a", "b", "c"})
+        {
+            text +=
+                fmt::format("{} {} event=started control=true\n", time, name);
+        }
+    }
+    const std::string log = m_files.write("log", text);
+    const std::string plot = m_files.write("plot.svg", "");
+    EXPECT_EQ(run_bare({"timeline", "--plot", plot, log}), exit_code::ok);
+    EXPECT_NE(m_out.str().find("3 processes away from 1.00 s on"),
+              std::string::npos);
+    EXPECT_NE(m_err.str().find("7 lines, 1 of them unreadable"),
+              std::string::npos);
+    std::ifstream written(plot);
+    std::string first_line;
+    std::getline(written, first_line);
+    EXPECT_EQ(first_line.substr(0, 4), "<svg");
+
+    EXPECT_EQ(run_bare({"timeline", "--least", "4", log}), exit_code::ok);
+    EXPECT_EQ(m_out.str(), "");
+    const std::string other = m_files.write("other", "nothing of it\n");
+    EXPECT_EQ(run_bare({"timeline", other}), exit_code::invalid);
+    EXPECT_EQ(run_bare({"timeline", "/nowhere"}), exit_code::failed);
+    EXPECT_EQ(run_bare({"timeline", "--plot", "/nowhere/plot", log}),
+              exit_code::failed);
+    EXPECT_EQ(run_bare({"timeline"}), exit_code::usage);
+}
+
 TEST_F(client_commands, check_needs_no_server)
 {
     EXPECT_EQ(run_bare({"check", m_document}), exit_code::ok);
