--- a/packages/replication/include/crowlink/replication/message.hpp
+++ b/packages/replication/include/crowlink/replication/message.hpp
@@ -111,10 +111,30 @@
                             const forwarded_answer&) = default;
 };
 
+// Asks a leader that is waited for whether it came back with an empty disk.
+struct disk_question
+{
+    // Drawn by the asker.
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const disk_question&,
+                            const disk_question&) = default;
+};
+
+struct disk_answer
+{
+    // The question's: the answer was given after it was asked.
+    std::uint64_t number = 0;
+    // This process has held nothing yet, and so has led nothing.
+    bool blank = false;
+
+    friend auto operator<=>(const disk_answer&, const disk_answer&) = default;
+};
+
 using message_body =
     std::variant<hello, vote_request, vote_reply, append_request, append_reply,
                  snapshot_chunk, snapshot_reply, forwarded_change,
-                 forwarded_answer>;
+                 forwarded_answer, disk_question, disk_answer>;
 
 // One message between two control hosts.
 struct replica_message
--- a/packages/replication/include/crowlink/replication/replica_rules.hpp
+++ b/packages/replication/include/crowlink/replication/replica_rules.hpp
@@ -20,6 +20,8 @@
     // Take a leader's lease for ended only by a message of the term that it
     // led.
     bool check_ended_term = true;
+    // Take a leader's disk for lost only by an answer to this host's question.
+    bool check_answer_number = true;
 
     friend auto operator<=>(const replica_rules&,
                             const replica_rules&) = default;
--- a/packages/replication/src/message_codec.cpp
+++ b/packages/replication/src/message_codec.cpp
@@ -91,6 +91,17 @@
     *to->mutable_outcome() = to_wire(body.outcome);
 }
 
+void put(const disk_question& body, wire::Envelope& out)
+{
+    out.mutable_disk_question()->set_number(body.number);
+}
+
+void put(const disk_answer& body, wire::Envelope& out)
+{
+    out.mutable_disk_answer()->set_number(body.number);
+    out.mutable_disk_answer()->set_blank(body.blank);
+}
+
 message_body get(const wire::AppendRequest& in)
 {
     append_request body{in.previous_index(),
@@ -149,6 +160,10 @@
         return forwarded_answer{in.forwarded_answer().request(),
                                 operation_id(in.forwarded_answer().operation()),
                                 from_wire(in.forwarded_answer().outcome())};
+    case wire::Envelope::kDiskQuestion:
+        return disk_question{in.disk_question().number()};
+    case wire::Envelope::kDiskAnswer:
+        return disk_answer{in.disk_answer().number(), in.disk_answer().blank()};
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -123,6 +123,7 @@
     }
     say_hello();
     found();
+    ask_former_leader();
     if (m_leader.value().empty() && members().contains(m_settings.self, m_disk))
     {
         introduce_itself();
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -49,6 +49,14 @@
         time_point seen;
     };
 
+    // Whether the leader of a term has lost its disk.
+    struct open_question
+    {
+        std::uint64_t number = 0;
+        term_number term = 0;
+        time_point sent;
+    };
+
     // A snapshot on its way here.
     struct incoming_snapshot
     {
@@ -94,6 +102,10 @@
     bool hears_leader() const;
     void heed_end_of_lease(const replica_message& message, bool pre_vote);
     void forget_leader(std::string reason);
+    bool waits_for_lease() const;
+    void ask_former_leader();
+    void on(const replica_message& message, const disk_question& body);
+    void on(const replica_message& message, const disk_answer& body);
     bool is_up_to_date(const vote_request& request) const;
     void on(const replica_message& message, const vote_request& body);
     void on(const replica_message& message, const vote_reply& body);
@@ -188,6 +200,8 @@
     time_point m_led_since;
     std::size_t m_uncommitted_bytes = 0;
 
+    std::optional<open_question> m_question;
+
     std::map<host_id, stranger> m_strangers;
     std::optional<time_point> m_hello_sent;
     std::vector<replica_effect> m_effects;
--- a/packages/replication/src/replica_election.cpp
+++ b/packages/replication/src/replica_election.cpp
@@ -176,6 +176,60 @@
     }
 }
 
+// For a leader of this host's term that may still hold a lease: after the own
+// start, or since it missed a heartbeat.
+bool replica_core::waits_for_lease() const
+{
+    const bool knows_one =
+        !m_state.leader.value().empty() && m_state.leader != m_settings.self;
+    const bool is_silent =
+        m_leader.value().empty() ||
+        m_now - m_leader_contact > 2 * m_settings.heartbeat_interval;
+    return m_role == replica_role::follower && knows_one && is_silent &&
+           hears_leader();
+}
+
+// A leader that lost its disk knows of no term to campaign in, and would be
+// waited for. A process that holds nothing has led nothing, and runs only once
+// the one that led has ended: its answer ends the wait. The number shows that
+// the answer is not a late one of an earlier loss, after which the same host
+// was admitted and has led.
+void replica_core::ask_former_leader()
+{
+    if (!waits_for_lease())
+    {
+        return;
+    }
+    if (!m_question || m_question->term != m_state.term)
+    {
+        m_question = open_question{m_random(), m_state.term,
+                                   m_now - m_settings.heartbeat_interval};
+    }
+    if (m_now - m_question->sent < m_settings.heartbeat_interval)
+    {
+        return;
+    }
+    m_question->sent = m_now;
+    send(m_state.leader, disk_id(), disk_question{m_question->number});
+}
+
+void replica_core::on(const replica_message& message, const disk_question& body)
+{
+    send(message.from, message.from_disk, disk_answer{body.number, is_blank()});
+}
+
+void replica_core::on(const replica_message& message, const disk_answer& body)
+{
+    const bool is_fresh = (m_question && m_question->term == m_state.term &&
+                           m_question->number == body.number) ||
+                          !m_rules.check_answer_number;
+    const bool led = message.from == m_state.leader;
+    if (is_fresh && led && body.blank && waits_for_lease())
+    {
+        forget_leader("the leader has lost its disk");
+    }
+}
+
 bool replica_core::is_up_to_date(const vote_request& request) const
 {
     if (request.last_term != m_log.last_term())
--- a/packages/replication/test/end_of_lease_test.cpp
+++ b/packages/replication/test/end_of_lease_test.cpp
@@ -78,6 +78,35 @@
         return granted;
     }
 
+    // Lets the host ask the leader that it waits for; the question's number.
+    std::uint64_t asked()
+    {
+        std::uint64_t number = 0;
+        std::vector<replica_effect> effects = m_core.handle(m_now, tick{});
+        finish_writes(effects);
+        for (const replica_effect& effect : effects)
+        {
+            const auto* sent = std::get_if<send_message>(&effect);
+            const auto* question =
+                sent ? std::get_if<disk_question>(&sent->message.body)
+                     : nullptr;
+            if (question != nullptr)
+            {
+                EXPECT_EQ(sent->message.to, leader);
+                number = question->number;
+            }
+        }
+        return number;
+    }
+
+    void answer(const host_id& from, std::uint64_t number, bool blank)
+    {
+        const disk_id disk = blank ? disk_id(77) : leader_disk;
+        m_core.handle(m_now, message_received{replica_message{
+                                 from, disk, self, own_disk, 0, 0,
+                                 disk_answer{number, blank}}});
+    }
+
     // Votes are sent once they are written down.
     void finish_writes(std::vector<replica_effect>& effects)
     {
@@ -103,6 +132,62 @@
     lease_without_term() : lease(replica_rules{.check_ended_term = false}) {}
 };
 
+class lease_without_number : public lease
+{
+protected:
+    lease_without_number() : lease(replica_rules{.check_answer_number = false})
+    {
+    }
+};
+
+TEST_F(lease, is_over_once_the_leader_says_that_its_disk_is_empty)
+{
+    const std::uint64_t number = asked();
+    ASSERT_NE(number, 0U);
+    EXPECT_FALSE(would_vote_for(other, other_disk, led_term));
+    answer(leader, number, true);
+    EXPECT_TRUE(would_vote_for(other, other_disk, led_term));
+}
+
+// It lost a disk before, was admitted with another one and leads with that.
+TEST_F(lease, is_not_over_by_a_late_answer_of_an_earlier_loss)
+{
+    const std::uint64_t number = asked();
+    answer(leader, number + 1, true);
+    EXPECT_FALSE(would_vote_for(other, other_disk, led_term));
+}
+
+TEST_F(lease_without_number, is_wrongly_over_by_a_late_answer)
+{
+    const std::uint64_t number = asked();
+    answer(leader, number + 1, true);
+    EXPECT_TRUE(would_vote_for(other, other_disk, led_term));
+}
+
+TEST_F(lease, is_not_over_by_a_leader_that_has_its_disk)
+{
+    answer(leader, asked(), false);
+    EXPECT_FALSE(would_vote_for(other, other_disk, led_term));
+}
+
+TEST_F(lease, is_not_over_by_the_empty_disk_of_another_host)
+{
+    answer(other, asked(), true);
+    EXPECT_FALSE(would_vote_for(other, other_disk, led_term));
+}
+
+TEST_F(lease, is_asked_for_at_the_rate_of_heartbeats)
+{
+    const std::uint64_t number = asked();
+    m_now += settings().heartbeat_interval - std::chrono::milliseconds(1);
+    EXPECT_EQ(asked(), 0U);
+    m_now += std::chrono::milliseconds(1);
+    EXPECT_EQ(asked(), number);
+    // Once the wait is over nobody is asked.
+    m_now += settings().election_timeout;
+    EXPECT_EQ(asked(), 0U);
+}
+
 TEST_F(lease, of_a_leader_that_stays_away_is_waited_for)
 {
     EXPECT_FALSE(would_vote_for(other, other_disk, led_term));
@@ -177,6 +262,42 @@
     }
 }
 
+// The same where the former leader lost its disk: it can't campaign, but says
+// so. Without its word nobody votes within the election timeout of 100 steps.
+// With it 45 of the 50 seeds have a leader sooner, half of them within 64; in
+// the others two hosts campaign at once and have to do it again.
+TEST(end_of_lease, a_leader_that_lost_its_disk_is_not_waited_for)
+{
+    constexpr std::size_t timeout_steps = 100;
+    constexpr std::uint64_t seeds = 50;
+    constexpr std::uint64_t least_sooner = 40;
+    std::uint64_t sooner = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed)
+    {
+        fake_cluster cluster(5, 0, seed);
+        make_versions(cluster, 2, "a");
+        cluster.run(timeout_steps);
+        const std::size_t led = settle(cluster);
+        for (std::size_t host = 0; host < cluster.size(); ++host)
+        {
+            cluster.crash(host);
+        }
+        cluster.lose_disk(led);
+        for (std::size_t host = 0; host < cluster.size(); ++host)
+        {
+            cluster.restart(host);
+        }
+        const auto has_leader = [&]
+        {
+            return !!cluster.leader();
+        };
+        sooner += cluster.run_until(has_leader, timeout_steps) ? 1 : 0;
+        EXPECT_TRUE(cluster.run_until(has_leader)) << "seed " << seed;
+        EXPECT_EQ(cluster.violation(), "") << "seed " << seed;
+    }
+    EXPECT_GE(sooner, least_sooner);
+}
+
 } // namespace
 
 } // namespace crowlink::replication
