--- a/packages/replication/src/replica_follow.cpp
+++ b/packages/replication/src/replica_follow.cpp
@@ -29,6 +29,9 @@
 {
     if (m_rules.check_disk && message.to_disk != m_disk)
     {
+        // The leader takes this host for one that it lost. The settings need
+        // not name the leader, and nobody else passes a hello on.
+        send(message.from, message.from_disk, hello{is_blank()});
         return false;
     }
     if (message.term < m_state.term)
--- a/packages/replication/test/replica_test.cpp
+++ b/packages/replication/test/replica_test.cpp
@@ -169,6 +169,23 @@
     EXPECT_EQ(leader.status().commit, 1U);
 }
 
+// Its settings need not name the leader, so that its hello would not reach it.
+TEST(replica, one_that_lost_its_disk_says_hello_to_whoever_leads)
+{
+    durable_state empty;
+    empty.disk = disk_id(77);
+    driven_replica wiped(empty);
+    const replica_message for_the_lost_disk{
+        second, disk_of(second), self, disk_of(self), 9, 3, append_request{}};
+    const auto sent = wiped.give(message_received{for_the_lost_disk});
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].to, second);
+    EXPECT_EQ(sent[0].from_disk, disk_id(77));
+    ASSERT_TRUE(std::holds_alternative<hello>(sent[0].body));
+    EXPECT_TRUE(std::get<hello>(sent[0].body).blank);
+    EXPECT_EQ(wiped.status().term, 0U);
+}
+
 TEST(replica, a_leader_whose_storage_hangs_steps_down)
 {
     driven_replica leader(founded());
