--- a/packages/client/src/command_line.cpp
+++ b/packages/client/src/command_line.cpp
@@ -40,9 +40,10 @@
 std::optional<exit_code>
 command_line::parse(const std::vector<std::string>& arguments)
 {
-    // TCLAP takes the first one for the program's name.
+    // TCLAP takes the first one for the program's name, and out of the list.
+    const std::string program = "crowlink " + arguments.front();
     auto named = arguments;
-    named.front() = "crowlink " + named.front();
+    named.front() = program;
     try
     {
         m_line.parse(named);
@@ -54,7 +55,7 @@
     }
     catch (const TCLAP::ArgException& fault)
     {
-        fmt::print(m_output.err, "{}: {} ({}); see --help\n", named.front(),
+        fmt::print(m_output.err, "{}: {} ({}); see --help\n", program,
                    fault.error(), fault.argId());
         return exit_code::usage;
     }
--- a/packages/client/test/client_test.cpp
+++ b/packages/client/test/client_test.cpp
@@ -129,6 +129,7 @@
     EXPECT_EQ(run_bare({"timeline", "--plot", "/nowhere/plot", log}),
               exit_code::failed);
     EXPECT_EQ(run_bare({"timeline"}), exit_code::usage);
+    EXPECT_EQ(m_err.str().substr(0, 18), "crowlink timeline:");
 }
 
 TEST_F(client_commands, check_needs_no_server)
