--- a/packages/timeline/include/crowlink/timeline/log_record.hpp
+++ b/packages/timeline/include/crowlink/timeline/log_record.hpp
@@ -16,7 +16,7 @@
 // output of processes puts both in front of the line:
 //
 //   37.4821 edge-1/control level=info event=publishing sure=true
-//   2026-12-03T03:00:01.25Z edge-1 {"level":"info","event":"started"}
+//   1970-01-02T03:00:01.25Z edge-1 {"level":"info","event":"started"}
 struct log_record
 {
     // Since the origin of the log's own times: the start of a run, or 1970.
--- a/packages/timeline/src/log_record.cpp
+++ b/packages/timeline/src/log_record.cpp
@@ -47,7 +47,7 @@
         std::chrono::duration<double>(*seconds));
 }
 
-// As RFC 3339 has it, in UTC: 2026-12-03T03:00:01.25Z
+// As RFC 3339 has it, in UTC: a date, T, a time with parts of a second, Z
 std::optional<duration> read_date(std::string_view text)
 {
     constexpr std::size_t seconds_at = 17;
