--- a/packages/replication/include/crowlink/replication/store_limits.hpp
+++ b/packages/replication/include/crowlink/replication/store_limits.hpp
@@ -11,7 +11,8 @@
 {
     // Past versions that can be read; the current one is always there.
     std::size_t history_versions = 32;
-    std::size_t history_bytes = 16 * 1024 * 1024;
+    // A snapshot holds them once more, and several copies while it is taken.
+    std::size_t history_bytes = 2 * 1024 * 1024;
     // Operations whose first answer is remembered. A resend after so many later
     // ones gets a conflict; it cannot take effect twice in any case, because
     // versions only rise.
--- a/packages/replication/src/document_store.cpp
+++ b/packages/replication/src/document_store.cpp
@@ -185,6 +185,8 @@
         loaded.m_history_bytes += size_of(loaded.m_history.back());
         loaded.m_current = loaded.m_history.back().version;
     }
+    // A snapshot may come from a host with other limits.
+    loaded.trim_history();
     for (const auto& stored : in.answers())
     {
         const operation_id operation(stored.operation());
--- a/packages/replication/test/document_store_test.cpp
+++ b/packages/replication/test/document_store_test.cpp
@@ -54,6 +54,22 @@
     EXPECT_EQ(store.current()->document, "seven");
 }
 
+TEST(document_store, a_snapshot_of_more_history_is_cut_to_the_own_limit)
+{
+    document_store generous;
+    for (std::uint64_t version = 1; version <= 4; ++version)
+    {
+        generous.apply(given(version, std::string(1000, 'x')));
+    }
+    store_limits tight;
+    tight.history_bytes = 2500;
+    document_store store(tight);
+    ASSERT_TRUE(store.load(generous.save()));
+    EXPECT_EQ(store.find(config_version(2)), nullptr);
+    EXPECT_NE(store.find(config_version(3)), nullptr);
+    EXPECT_EQ(store.current_version(), config_version(4));
+}
+
 TEST(document_store, given_versions_survive_a_snapshot)
 {
     document_store store;
