--- a/cmake/crowlink_libraries.cmake
+++ b/cmake/crowlink_libraries.cmake
@@ -2,13 +2,16 @@
 find_package(Threads REQUIRED)
 find_package(fmt REQUIRED)
 find_package(TBB REQUIRED)
-find_package(Protobuf REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(PkgConfig REQUIRED)
 find_package(OpenSSL REQUIRED)
 pkg_check_modules(zmq REQUIRED IMPORTED_TARGET libzmq)
 pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
+# By pkg-config, since FindProtobuf also looks for the compiler and runs it: the
+# generated code is committed.
+pkg_check_modules(protobuf REQUIRED IMPORTED_TARGET protobuf)
 if(CROWLINK_TESTS)
   find_package(GTest REQUIRED)
   find_package(rapidcheck REQUIRED)
