--- a/packages/replication/include/crowlink/replication/document_store.hpp
+++ b/packages/replication/include/crowlink/replication/document_store.hpp
@@ -36,10 +36,11 @@
     // Null before the first version.
     const document_version* current() const;
 
-    // Null where the version was never there or is no longer remembered.
+    // Null where the version was never there or its document is no longer kept.
     const document_version* find(config_version version) const;
 
-    // Oldest first; the last is the one in force.
+    // Oldest first; the last is the one in force. Of old versions the document
+    // may be gone, but who made them stays, so that resends are recognised.
     const std::deque<document_version>& history() const { return m_history; }
 
     // The answer that this change's operation got, if it is remembered.
--- a/packages/replication/include/crowlink/replication/document_version.hpp
+++ b/packages/replication/include/crowlink/replication/document_version.hpp
@@ -14,6 +14,7 @@
     config_version version;
     operation_id operation;
     std::string operator_name;
+    // Empty where it is no longer kept.
     std::string document;
 
     friend auto operator<=>(const document_version&,
--- a/packages/replication/include/crowlink/replication/store_limits.hpp
+++ b/packages/replication/include/crowlink/replication/store_limits.hpp
@@ -9,9 +9,10 @@
 // The bounds of a document store's memory; they must be equal on all hosts.
 struct store_limits
 {
-    // Past versions that can be read; the current one is always there.
+    // Versions of which it is known who made them.
     std::size_t history_versions = 32;
-    // A snapshot holds them once more, and several copies while it is taken.
+    // Beyond this the oldest documents go; the current one is always there. A
+    // snapshot holds them once more, and several copies while it is taken.
     std::size_t history_bytes = 2 * 1024 * 1024;
     // Operations whose first answer is remembered. A resend after so many later
     // ones gets a conflict; it cannot take effect twice in any case, because
--- a/packages/replication/src/document_store.cpp
+++ b/packages/replication/src/document_store.cpp
@@ -120,13 +120,22 @@
 
 void document_store::trim_history()
 {
-    while (m_history.size() > 1 &&
-           (m_history.size() > m_limits.history_versions ||
-            m_history_bytes > m_limits.history_bytes))
+    while (m_history.size() > 1 && m_history.size() > m_limits.history_versions)
     {
         m_history_bytes -= size_of(m_history.front());
         m_history.pop_front();
     }
+    for (document_version& one : m_history)
+    {
+        const bool is_current = &one == &m_history.back();
+        if (is_current || m_history_bytes <= m_limits.history_bytes)
+        {
+            return;
+        }
+        m_history_bytes -= one.document.size();
+        one.document.clear();
+        one.document.shrink_to_fit();
+    }
 }
 
 const document_version* document_store::current() const
@@ -140,7 +149,8 @@
     {
         if (one.version == version)
         {
-            return &one;
+            const bool is_kept = !one.document.empty() || &one == current();
+            return is_kept ? &one : nullptr;
         }
     }
     return nullptr;
--- a/packages/replication/test/document_store_test.cpp
+++ b/packages/replication/test/document_store_test.cpp
@@ -54,6 +54,24 @@
     EXPECT_EQ(store.current()->document, "seven");
 }
 
+TEST(document_store, knows_who_made_a_version_whose_document_is_gone)
+{
+    store_limits tight;
+    tight.history_bytes = 2500;
+    document_store store(tight);
+    for (std::uint64_t base = 0; base < 4; ++base)
+    {
+        store.apply(
+            change(base, "op" + std::to_string(base), std::string(1000, 'x')));
+    }
+    EXPECT_EQ(store.find(config_version(2)), nullptr);
+    EXPECT_NE(store.find(config_version(3)), nullptr);
+    ASSERT_EQ(store.history().size(), 4U);
+    EXPECT_EQ(store.history().front().operation, operation_id("op0"));
+    EXPECT_EQ(store.history().front().operator_name, "maria");
+    EXPECT_EQ(store.current()->document.size(), 1000U);
+}
+
 TEST(document_store, a_snapshot_of_more_history_is_cut_to_the_own_limit)
 {
     document_store generous;
@@ -67,6 +85,7 @@
     ASSERT_TRUE(store.load(generous.save()));
     EXPECT_EQ(store.find(config_version(2)), nullptr);
     EXPECT_NE(store.find(config_version(3)), nullptr);
+    EXPECT_EQ(store.history().size(), 4U);
     EXPECT_EQ(store.current_version(), config_version(4));
 }
 
