--- a/.ci/deploy_build/__main__.py
+++ b/.ci/deploy_build/__main__.py
@@ -5,7 +5,7 @@
 something belongs to no package that a clean machine with the file's packages
 would hold. The packages must be installed; others may be.
 
-    python3 .ci/deploy_build [--uses] [REPOSITORY]
+    python3 .ci/deploy_build [--uses] [--limit SECONDS] [REPOSITORY]
 """
 
 import argparse
@@ -63,7 +63,7 @@
         print(f"{package}: {files} files")
 
 
-def check(repository: Path, show_uses: bool) -> list[str]:
+def check(repository: Path, show_uses: bool, limit_s: float) -> list[str]:
     """Builds and traces; answers with a line for each fault."""
     deploy = read_deploy_file(repository / DEPLOY_FILE)
     closure = closure_of(deploy.packages)
@@ -78,7 +78,7 @@
         if user is not None:
             for path in (scratch, *scratch.rglob("*")):
                 shutil.chown(path, user)
-        trace = run_traced(deploy.build, own[0], scratch, user, BUILD_LIMIT_S)
+        trace = run_traced(deploy.build, own[0], scratch, user, limit_s)
         strays = stray_outputs(before, files_below(own[0]))
         index = PackageIndex(closure)
         foreign = foreign_files(trace.files, own, index.owns)
@@ -91,15 +91,20 @@
     """Returns 0 if the build needs nothing else, 1 if it does, 2 on errors."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
     parser.add_argument("--uses", action="store_true", help="print packages used")
+    parser.add_argument(
+        "--limit", type=float, default=BUILD_LIMIT_S, help="seconds for the build"
+    )
     parser.add_argument("repository", nargs="?", type=Path, default=Path.cwd())
     arguments = parser.parse_args()
     try:
-        faults = check(arguments.repository.resolve(), arguments.uses)
+        faults = check(
+            arguments.repository.resolve(), arguments.uses, arguments.limit
+        )
     except (DeployFileError, PackageError) as error:
         print(error, file=sys.stderr)
         return 2
     except subprocess.TimeoutExpired:
-        faults = [f"the build took longer than {BUILD_LIMIT_S:.0f} s"]
+        faults = [f"the build took longer than {arguments.limit:g} s"]
     for fault in faults[:MOST_FAULTS_SHOWN]:
         print(fault)
     if len(faults) > MOST_FAULTS_SHOWN:
--- a/.ci/deploy_build/build_trace.py
+++ b/.ci/deploy_build/build_trace.py
@@ -2,6 +2,7 @@
 
 import os
 import re
+import signal
 import subprocess
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -59,17 +60,23 @@
         "TMPDIR": str(scratch / "tmp"),
         "LC_ALL": "C",
     }
-    ended = subprocess.run(
+    traced = subprocess.Popen(
         [*strace, "sh", "-c", command],
         cwd=folder,
         env=environment,
         user=user,
         extra_groups=None if user is None else [],
         stdin=subprocess.DEVNULL,
-        timeout=limit_s,
-        check=False,
+        start_new_session=True,
     )
-    return parse_traces(ended.returncode, sorted(traces.iterdir()))
+    try:
+        exit_code = traced.wait(limit_s)
+    except subprocess.TimeoutExpired:
+        # Without its tracer a build would go on.
+        os.killpg(traced.pid, signal.SIGKILL)
+        traced.wait()
+        raise
+    return parse_traces(exit_code, sorted(traces.iterdir()))
 
 
 def parse_traces(exit_code: int, traces: Iterable[Path]) -> BuildTrace:
@@ -77,24 +84,31 @@
     files: set[FileUse] = set()
     internet: set[str] = set()
     for trace in traces:
-        program = "a forked process"
         with trace.open(encoding="utf-8", errors="surrogateescape") as lines:
-            for line in lines:
-                call = _CALL.match(line.rstrip("\n"))
-                if call is None:
-                    continue
-                name, arguments, opened = call.groups()
-                if name == "socket":
-                    if arguments.startswith(INTERNET_FAMILIES):
-                        internet.add(program)
-                    continue
-                paths = _paths_of(arguments, opened)
-                if name == "execve" and paths:
-                    program = os.path.basename(paths[0])
-                files.update(FileUse(path, program) for path in paths)
+            _add_process(lines, files, internet)
     return BuildTrace(exit_code, frozenset(files), frozenset(internet))
 
 
+def _add_process(
+    lines: Iterable[str], files: set[FileUse], internet: set[str]
+) -> None:
+    """Adds what one process used, under the program that it ran just then."""
+    program = "a forked process"
+    for line in lines:
+        call = _CALL.match(line.rstrip("\n"))
+        if call is None:
+            continue
+        name, arguments, opened = call.groups()
+        if name == "socket":
+            if arguments.startswith(INTERNET_FAMILIES):
+                internet.add(program)
+            continue
+        paths = _paths_of(arguments, opened)
+        if name == "execve" and paths:
+            program = os.path.basename(paths[0])
+        files.update(FileUse(path, program) for path in paths)
+
+
 def _paths_of(arguments: str, opened: str | None) -> list[str]:
     """The file as it was named, if absolute, and as the kernel opened it."""
     paths = [opened] if opened is not None and os.path.isabs(opened) else []
--- a/.ci/deploy_build/test/test_deploy_build.py
+++ b/.ci/deploy_build/test/test_deploy_build.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import unittest
+from collections.abc import Sequence
 from pathlib import Path
 
 CHECK = Path(__file__).resolve().parents[1]
@@ -42,7 +43,10 @@
         (self.project / name).write_text(text)
 
     def check(
-        self, build: str = CALM_BUILD, packages: list[str] = CALM_PACKAGES
+        self,
+        build: str = CALM_BUILD,
+        packages: list[str] = CALM_PACKAGES,
+        options: Sequence[str] = (),
     ) -> tuple[int, str]:
         """Exit code and output for the project with this deploy file."""
         self.write(
@@ -51,7 +55,7 @@
         for command in (["git", "init", "-q"], ["git", "add", "-A"]):
             subprocess.run(command, cwd=self.project, check=True)
         ended = subprocess.run(
-            [sys.executable, CHECK, self.project],
+            [sys.executable, CHECK, *options, self.project],
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
@@ -122,6 +126,11 @@
         result = self.check(f"{CALM_BUILD} && echo 1 > /usr/include/made.hpp")
         self.expect_fault(result, "the build command ended with")
 
+    def test_a_build_that_does_not_end_is_ended(self) -> None:
+        build = "mkfifo target.fifo; cat target.fifo"
+        result = self.check(build, options=["--limit", "1"])
+        self.expect_fault(result, "the build took longer than 1 s")
+
     def test_a_deploy_file_without_a_list_is_refused(self) -> None:
         self.write("deploy/system.toml", 'build = "true"\npackages = "cmake"\n')
         ended = subprocess.run(
