--- a/packages/daemon/test/running_daemon_test.cpp
+++ b/packages/daemon/test/running_daemon_test.cpp
@@ -6,6 +6,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <gtest/gtest.h>
+#include <map>
+#include <optional>
+#include <string>
 
 namespace crowlink::internal
 {
@@ -145,30 +148,69 @@
         }
     }
 
-    // The answer to a datagram, empty if there is none after so many tries.
-    std::string call(const udp_socket& caller, std::string_view text,
+    void send(const udp_socket& caller, const std::string& text)
+    {
+        ++m_unanswered[text];
+        (void)caller.send(bytes_of(text), service_address());
+    }
+
+    // The answer to a datagram, empty if there is none after so many tries. A
+    // datagram that was sent again is answered again: such answers to earlier
+    // calls are passed over, each send's once.
+    std::string call(const udp_socket& caller, const std::string& text,
                      int tries = most_tries)
     {
         poller answered;
         answered.add(caller.handle(), 0);
         for (; tries > 0; --tries)
         {
-            (void)caller.send(bytes_of(text), service_address());
+            send(caller, text);
             serve_upstream();
-            if (!answered.wait(patience).empty() && caller.receive(m_batch) > 0)
+            while (!answered.wait(patience).empty())
             {
-                return text_of(m_batch.bytes(0));
+                const auto answer = next_answer(caller, text);
+                if (answer)
+                {
+                    return *answer;
+                }
             }
         }
         return {};
     }
 
+    // Empty where all that came answers earlier calls.
+    std::optional<std::string> next_answer(const udp_socket& caller,
+                                           const std::string& text)
+    {
+        const std::size_t count = caller.receive(m_batch);
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            const std::string answer = text_of(m_batch.bytes(at));
+            const std::string answered = answer.substr(answer.find(' ') + 1);
+            const auto earlier = m_unanswered.find(answered);
+            const bool is_late = answered != text &&
+                                 earlier != m_unanswered.end() &&
+                                 earlier->second > 0;
+            if (earlier != m_unanswered.end())
+            {
+                --earlier->second;
+            }
+            if (!is_late)
+            {
+                return answer;
+            }
+        }
+        return std::nullopt;
+    }
+
     std::string m_folder;
     log_sink m_log{stderr, log_format::key_value, log_level::error};
     udp_socket m_upstream = *udp_socket::bind(any_port);
     poller m_poller;
     datagram_batch m_batch;
     int m_runs = 0;
+    // How often each text was sent more than it was answered.
+    std::map<std::string, int> m_unanswered;
     daemon_settings m_settings = settings();
     result<std::unique_ptr<running_daemon>> m_daemon =
         fail(error_kind::unavailable, "", "not started");
@@ -232,6 +274,17 @@
     EXPECT_EQ(call(known, "four"), "to four");
 }
 
+TEST_F(one_daemon, answers_a_datagram_as_often_as_it_was_sent)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    ASSERT_TRUE(declare_service());
+    const udp_socket known = *udp_socket::bind(any_port);
+    ASSERT_EQ(call(known, "one"), "to one");
+    // As a call does whose answer is late.
+    send(known, "one");
+    EXPECT_EQ(call(known, "two"), "to two");
+}
+
 TEST_F(one_daemon, refuses_a_port_that_is_taken)
 {
     ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
