--- a/packages/console/src/form_view.hpp
+++ b/packages/console/src/form_view.hpp
@@ -11,7 +11,7 @@
 namespace crowlink::internal
 {
 
-// A page's title for a form, such as "Limits and sharing of hiraman".
+// A page's title for a form, such as "Limits and sharing of loans".
 std::string form_title(form_kind kind, const form_values& values);
 
 // The fields of a form with their values, without the <form> around them.
--- a/packages/settings/include/crowlink/settings/key_grants.hpp
+++ b/packages/settings/include/crowlink/settings/key_grants.hpp
@@ -15,7 +15,7 @@
 //
 //   { "keys": [ { "public_key": "...", "holder": "entry-1",
 //                 "roles": ["balancer"] },
-//               { "public_key": "...", "holder": "hiraman-1",
+//               { "public_key": "...", "holder": "loans-1",
 //                 "roles": ["agent"], "services": [1], "revoked": true } ] }
 class key_grants
 {
