--- a/packages/client/src/commands.hpp
+++ b/packages/client/src/commands.hpp
@@ -15,6 +15,7 @@
 exit_code run_check(const arguments_type& arguments, command_output& output);
 exit_code run_diff(const arguments_type& arguments, command_output& output);
 exit_code run_drain(const arguments_type& arguments, command_output& output);
+exit_code run_evacuate(const arguments_type& arguments, command_output& output);
 exit_code run_explain(const arguments_type& arguments, command_output& output);
 exit_code run_get(const arguments_type& arguments, command_output& output);
 exit_code run_history(const arguments_type& arguments, command_output& output);
--- a/packages/client/src/run.cpp
+++ b/packages/client/src/run.cpp
@@ -21,6 +21,8 @@
     command{"check", "check a document without a server", run_check},
     command{"diff", "show what applying a document would change", run_diff},
     command{"drain", "give an upstream no new flow", run_drain},
+    command{"evacuate", "give a data centre's upstreams no new flow",
+            run_evacuate},
     command{"explain", "show where a flow would go", run_explain},
     command{"get", "print the current document or an older one", run_get},
     command{"history", "list the latest changes", run_history},
--- a/packages/client/test/client_test.cpp
+++ b/packages/client/test/client_test.cpp
@@ -80,7 +80,7 @@
     EXPECT_EQ(run_bare({"--help"}), exit_code::ok);
     EXPECT_NE(m_out.str().find("undrain"), std::string::npos);
     for (const char* name :
-         {"apply", "check", "diff", "drain", "explain", "get", "history",
+         {"apply", "check", "diff", "drain", "evacuate", "explain", "get", "history",
           "members", "status", "timeline", "token", "undrain"})
     {
         EXPECT_EQ(run_bare({name, "--help"}), exit_code::ok) << name;
@@ -262,6 +262,20 @@
     EXPECT_EQ(run({"explain", "x"}), exit_code::invalid);
 }
 
+TEST_F(client_commands, evacuate)
+{
+    EXPECT_EQ(run({"evacuate"}), exit_code::ok);
+    EXPECT_NE(m_out.str().find("no data centre"), std::string::npos);
+    EXPECT_EQ(run({"evacuate", "start", "pasig"}), exit_code::ok);
+    EXPECT_EQ(run({"evacuate", "list"}), exit_code::ok);
+    EXPECT_NE(m_out.str().find("pasig"), std::string::npos) << m_out.str();
+    EXPECT_NE(m_out.str().find("1970-01-01 00:16:40"), std::string::npos);
+    EXPECT_EQ(run({"evacuate", "start", "atlantis"}), exit_code::not_found);
+    EXPECT_EQ(run({"evacuate", "stop"}), exit_code::usage);
+    EXPECT_EQ(run({"evacuate", "stop", "pasig"}), exit_code::ok);
+    EXPECT_NE(m_out.str().find("no data centre"), std::string::npos);
+}
+
 TEST_F(client_commands, members)
 {
     EXPECT_EQ(run({"members"}), exit_code::ok);
--- a/packages/console/include/crowlink/console/backend_port.hpp
+++ b/packages/console/include/crowlink/console/backend_port.hpp
@@ -27,6 +27,7 @@
     virtual result<std::vector<member_entry>> members() = 0;
     virtual result<std::vector<member_entry>>
     change_members(const member_change& change) = 0;
+    virtual result<void> evacuate(const evacuation_request& order) = 0;
     virtual result<explain_answer> explain(const flow_key& flow) = 0;
     virtual readiness ready() = 0;
     virtual std::string render_metrics() = 0;
@@ -65,6 +66,10 @@
     {
         return m_backend.change_members(change);
     }
+    result<void> evacuate(const evacuation_request& order) override
+    {
+        return m_backend.evacuate(order);
+    }
     result<explain_answer> explain(const flow_key& flow) override
     {
         return m_backend.explain(flow);
--- a/packages/console/include/crowlink/console/operator_backend.hpp
+++ b/packages/console/include/crowlink/console/operator_backend.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/console/change_outcome.hpp"
 #include "crowlink/console/change_request.hpp"
+#include "crowlink/console/evacuation_request.hpp"
 #include "crowlink/console/explain_answer.hpp"
 #include "crowlink/console/history_entry.hpp"
 #include "crowlink/console/member_change.hpp"
@@ -39,6 +40,10 @@
 //   change_members(m)  yields the hosts after the change; `conflict` while
 //                    another such change is under way; remembers its operation
 //                    id as change() does
+//   evacuate(r)      puts an order about a data centre in force; done once it is
+//                    durable, or was so already. `not_found` names the data
+//                    centres that are known; after `unavailable` it may have
+//                    been taken
 //   explain(flow)    not_found where no service has the address
 //   ready()          whether this host can serve
 //   render_metrics() Prometheus text
@@ -46,6 +51,7 @@
 concept operator_backend = requires(Backend& backend,
                                     const change_request& request,
                                     const member_change& members,
+                                    const evacuation_request& order,
                                     const flow_key& flow,
                                     config_version version, std::size_t most)
 {
@@ -70,6 +76,9 @@
     {
         backend.change_members(members)
         } -> std::same_as<result<std::vector<member_entry>>>;
+    {
+        backend.evacuate(order)
+        } -> std::same_as<result<void>>;
     {
         backend.explain(flow)
         } -> std::same_as<result<explain_answer>>;
--- a/packages/console/include/crowlink/console/status_report.hpp
+++ b/packages/console/include/crowlink/console/status_report.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/base/ids.hpp"
 #include "crowlink/base/time.hpp"
+#include "crowlink/console/evacuation_entry.hpp"
 #include "crowlink/console/node_status.hpp"
 #include "crowlink/console/upstream_status.hpp"
 
@@ -27,6 +28,8 @@
     bool quorum = false;
     std::vector<node_status> nodes;
     std::vector<upstream_status> upstreams;
+    // Sorted by data centre.
+    std::vector<evacuation_entry> evacuations{};
 
     friend auto operator<=>(const status_report&,
                             const status_report&) = default;
--- a/packages/console/src/api_handlers.cpp
+++ b/packages/console/src/api_handlers.cpp
@@ -251,6 +251,48 @@
     answer(response, m_backend.change_members(*change));
 }
 
+void api_handlers::get_evacuations(response_type& response)
+{
+    const auto report = m_backend.status();
+    if (!report)
+    {
+        return answer_error(response, report.error());
+    }
+    set_json(response, http_ok,
+             {{"evacuations", to_json(report->evacuations)}});
+}
+
+void api_handlers::post_evacuations(const request_type& request,
+                                    response_type& response,
+                                    const std::string& author)
+{
+    const auto body = parse_body(request.body, {"action", "data_centre"});
+    if (!body)
+    {
+        return answer_error(response, body.error());
+    }
+    const auto where = text_field(*body, "data_centre");
+    const auto action = text_field(*body, "action");
+    if (!where || !action)
+    {
+        return answer_error(response,
+                            where ? action.error() : where.error());
+    }
+    if (*action != "start" && *action != "stop")
+    {
+        return answer_error(response, {error_kind::invalid, "action",
+                                       "must be \"start\" or \"stop\""});
+    }
+    const auto outcome = m_backend.evacuate(
+        evacuation_request{place_id(*where), *action == "start", author});
+    if (!outcome)
+    {
+        return answer_error(response, outcome.error());
+    }
+    m_counts.count(count_accepted);
+    get_evacuations(response);
+}
+
 void api_handlers::post_preview(const request_type& request,
                                 response_type& response)
 {
--- a/packages/console/src/api_handlers.hpp
+++ b/packages/console/src/api_handlers.hpp
@@ -41,6 +41,9 @@
                     const std::string& author, drain_action action);
     void post_members(const request_type& request, response_type& response,
                       const std::string& author);
+    void get_evacuations(response_type& response);
+    void post_evacuations(const request_type& request, response_type& response,
+                          const std::string& author);
     void post_preview(const request_type& request, response_type& response);
 
 private:
--- a/packages/console/src/api_json.cpp
+++ b/packages/console/src/api_json.cpp
@@ -93,6 +93,18 @@
     return {{"members", list}};
 }
 
+ordered_json to_json(const std::vector<evacuation_entry>& evacuations)
+{
+    auto list = ordered_json::array();
+    for (const auto& each : evacuations)
+    {
+        list.push_back({{"data_centre", each.where.value()},
+                        {"author", each.author},
+                        {"ordered_at_s", each.ordered_at_s}});
+    }
+    return list;
+}
+
 ordered_json to_json(const status_report& report)
 {
     auto nodes = ordered_json::array();
@@ -109,7 +121,8 @@
         {"host", report.host.value()},     {"leader", report.leader.value()},
         {"quorum", report.quorum},         {"version", report.version.value()},
         {"age_s", to_seconds(report.age)}, {"nodes", nodes},
-        {"upstreams", upstreams}};
+        {"upstreams", upstreams},
+        {"evacuations", to_json(report.evacuations)}};
 }
 
 ordered_json to_json(const explain_answer& answer)
--- a/packages/console/src/api_json.hpp
+++ b/packages/console/src/api_json.hpp
@@ -21,6 +21,7 @@
 ordered_json to_json(const versioned_document& value);
 ordered_json to_json(const std::vector<history_entry>& entries);
 ordered_json to_json(const std::vector<member_entry>& members);
+ordered_json to_json(const std::vector<evacuation_entry>& evacuations);
 ordered_json to_json(const status_report& report);
 ordered_json to_json(const explain_answer& answer);
 ordered_json to_json(const document_difference& difference);
--- a/packages/console/src/console_server.cpp
+++ b/packages/console/src/console_server.cpp
@@ -273,6 +273,11 @@
     post("/v1/members",
          [this](const request& in, response& out, const name& author)
          { m_api.post_members(in, out, author); });
+    get("/v1/evacuations", [this](const request&, response& out, const name&)
+        { m_api.get_evacuations(out); });
+    post("/v1/evacuations",
+         [this](const request& in, response& out, const name& author)
+         { m_api.post_evacuations(in, out, author); });
     post("/v1/drain",
          [this](const request& in, response& out, const name& author)
          { m_api.post_drain(in, out, author, drain_action::drain); });
--- a/packages/console/src/status_pages.cpp
+++ b/packages/console/src/status_pages.cpp
@@ -85,6 +85,24 @@
     return html + table_end(max_rows, report.upstreams.size()) + "</section>";
 }
 
+std::string evacuations_html(const status_report& report)
+{
+    if (report.evacuations.empty())
+    {
+        return "";
+    }
+    std::string html = "<section><h2>Evacuated data centres</h2>" +
+                       table_start({"Data centre", "Ordered by", "At"});
+    for (const auto& item : report.evacuations)
+    {
+        const auto at = static_cast<std::time_t>(item.ordered_at_s);
+        html += row({item.where.value(), item.author,
+                     fmt::format("{:%Y-%m-%d %H:%M:%S} UTC", fmt::gmtime(at))});
+    }
+    const std::size_t count = report.evacuations.size();
+    return html + table_end(count, count) + "</section>";
+}
+
 std::string nodes_html(const status_report& report)
 {
     std::string html = "<section><h2>Nodes</h2>" +
@@ -143,7 +161,9 @@
         return show_error(response, session, report.error());
     }
     response.set_content(page(session, "Status",
-                              summary_html(*report) + upstreams_html(*report) +
+                              summary_html(*report) +
+                                  evacuations_html(*report) +
+                                  upstreams_html(*report) +
                                   nodes_html(*report)),
                          html_type);
 }
--- a/packages/console/test/api_test.cpp
+++ b/packages/console/test/api_test.cpp
@@ -17,20 +17,22 @@
 TEST_F(api, only_a_bearer_of_a_token_is_let_in)
 {
     for (const char* path : {"/v1/document", "/v1/history", "/v1/status",
-                             "/v1/members", "/v1/explain"})
+                             "/v1/members", "/v1/explain",
+                             "/v1/evacuations"})
     {
         EXPECT_EQ(m_client->Get(path)->status, 401) << path;
         EXPECT_EQ(m_client->Get(path, {{"Authorization", "Bearer x"}})->status,
                   401);
     }
     for (const char* path : {"/v1/document", "/v1/drain", "/v1/undrain",
-                             "/v1/members", "/v1/preview"})
+                             "/v1/members", "/v1/preview",
+                             "/v1/evacuations"})
     {
         EXPECT_EQ(m_client->Post(path, "{}", "application/json")->status, 401);
     }
     EXPECT_EQ(m_backend.effects(), 0U);
     EXPECT_NE(
-        metrics_text().find("crowlink_console_refused_unauthorized_total 15\n"),
+        metrics_text().find("crowlink_console_refused_unauthorized_total 18\n"),
         std::string::npos)
         << metrics_text();
 }
@@ -263,6 +265,26 @@
     EXPECT_EQ(body_of(get("/v1/members"))["members"].size(), 1U);
 }
 
+TEST_F(api, evacuates_a_data_centre_and_takes_it_back)
+{
+    const json start = {{"action", "start"}, {"data_centre", "pasig"}};
+    EXPECT_EQ(post("/v1/evacuations", start)->status, 200);
+    const json listed = body_of(get("/v1/evacuations"))["evacuations"];
+    ASSERT_EQ(listed.size(), 1U);
+    EXPECT_EQ(listed[0]["data_centre"], "pasig");
+    EXPECT_EQ(listed[0]["author"], "maria");
+    json other = start;
+    other["data_centre"] = "atlantis";
+    EXPECT_EQ(post("/v1/evacuations", other)->status, 404);
+    json pause = start;
+    pause["action"] = "pause";
+    EXPECT_EQ(post("/v1/evacuations", pause)->status, 400);
+    json stop = start;
+    stop["action"] = "stop";
+    EXPECT_EQ(post("/v1/evacuations", stop)->status, 200);
+    EXPECT_TRUE(body_of(get("/v1/evacuations"))["evacuations"].empty());
+}
+
 TEST_F(api, explains_a_flow)
 {
     const auto answer =
--- a/packages/console/test/fake_backend.hpp
+++ b/packages/console/test/fake_backend.hpp
@@ -142,9 +142,32 @@
              upstream_state::ready, std::chrono::seconds(1)},
             {upstream_id("u2"), service_id(1), place_id("pasig"),
              upstream_state::draining, std::chrono::seconds(2)}};
+        for (const auto& [where, author] : m_evacuated)
+        {
+            report.evacuations.push_back(evacuation_entry{where, author, 1000});
+        }
         return report;
     }
 
+    result<void> evacuate(const evacuation_request& order)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (order.where != place_id("pasig"))
+        {
+            return fail(error_kind::not_found, order.where.value(),
+                        "is no data centre; known: pasig");
+        }
+        if (order.evacuates)
+        {
+            m_evacuated.emplace(order.where, order.author);
+        }
+        else
+        {
+            m_evacuated.erase(order.where);
+        }
+        return {};
+    }
+
     result<std::vector<member_entry>> members()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -216,6 +239,7 @@
     std::vector<history_entry> m_history;
     std::vector<member_entry> m_members;
     std::map<std::string, first_answer> m_answers;
+    std::map<place_id, std::string> m_evacuated;
     bool m_lost = false;
     int m_lost_answers = 0;
     int m_races = 0;
--- a/packages/daemon/src/control/blackboard.hpp
+++ b/packages/daemon/src/control/blackboard.hpp
@@ -8,8 +8,10 @@
 #include "crowlink/model/system_document.hpp"
 
 #include <compare>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace crowlink::internal
@@ -25,6 +27,17 @@
                             const applied_document&) = default;
 };
 
+// The data centres whose upstreams get nothing new, as this control host has
+// applied it.
+struct applied_evacuations
+{
+    std::uint64_t revision = 0;
+    std::set<place_id> places;
+
+    friend auto operator<=>(const applied_evacuations&,
+                            const applied_evacuations&) = default;
+};
+
 // How far the daemon is on its way to its end.
 enum class stop_phase : std::uint8_t
 {
@@ -48,12 +61,16 @@
 {
     // Written by the document controller.
     board_value<applied_document> document;
+    board_value<applied_evacuations> evacuations;
     board_value<duration> document_age;
     // All members of the replicated log, sorted.
     board_value<std::vector<host_id>> members;
     // Written by the control thread itself, from the settings: hosts to ask
     // for control, beside those that are learned.
     board_value<std::vector<host_id>> seeds;
+    // Written by the reach controller: data centres that this host itself does
+    // not reach.
+    board_value<std::set<place_id>> unreachable;
     // Written by the node controller.
     board_value<service_views> views;
     board_value<config_version> node_version;
--- a/packages/daemon/src/control/control_backend.cpp
+++ b/packages/daemon/src/control/control_backend.cpp
@@ -1,5 +1,6 @@
 #include "control/control_backend.hpp"
 
+#include "control/evacuation_order.hpp"
 #include "control/status_view.hpp"
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/document/document_writer.hpp"
@@ -261,6 +262,13 @@
                                 });
 }
 
+result<void> control_backend::evacuate(const evacuation_request& order)
+{
+    return carry_out_order(m_control, m_settings,
+                           evacuation_order{order.where, order.evacuates,
+                                            order.author, [] { return true; }});
+}
+
 result<explain_answer> control_backend::explain(const flow_key& flow)
 {
     using answer = result<explain_answer>;
--- a/packages/daemon/src/control/control_backend.hpp
+++ b/packages/daemon/src/control/control_backend.hpp
@@ -26,6 +26,7 @@
     result<std::vector<member_entry>> members();
     result<std::vector<member_entry>>
     change_members(const member_change& change);
+    result<void> evacuate(const evacuation_request& order);
     result<explain_answer> explain(const flow_key& flow);
     readiness ready();
     std::string render_metrics() { return m_render(); }
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -1,5 +1,6 @@
 #include "control/document_controller.hpp"
 
+#include "control/place_names.hpp"
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/replication/message_codec.hpp"
 
@@ -205,6 +206,17 @@
               board);
 }
 
+void document_controller::order_evacuation(
+    time_point now, const replication::evacuation_change& change,
+    change_reply reply, blackboard& board)
+{
+    const std::uint64_t request = m_next_request++;
+    m_changes.emplace(request, std::move(reply));
+    carry_out(
+        m_core.handle(now, replication::propose_evacuation{request, change}),
+        board);
+}
+
 void document_controller::change_members(
     time_point now, const replication::member_change& change,
     member_reply reply, blackboard& board)
@@ -275,6 +287,25 @@
     reply(effect.outcome);
 }
 
+void document_controller::carry_out_one(
+    const replication::evacuations_applied& effect, blackboard& board)
+{
+    applied_evacuations next;
+    next.revision = effect.revision;
+    for (const auto& [where, order] : m_core.evacuated().in_force())
+    {
+        next.places.insert(where);
+    }
+    if (next == board.evacuations.get())
+    {
+        return;
+    }
+    m_log.write(log_line(log_level::info, "evacuations_applied")
+                    .field("revision", next.revision)
+                    .field("places", names_of(next.places)));
+    board.evacuations.set(std::move(next));
+}
+
 void document_controller::carry_out_one(
     const replication::version_applied& effect, blackboard& board)
 {
--- a/packages/daemon/src/control/document_controller.hpp
+++ b/packages/daemon/src/control/document_controller.hpp
@@ -40,6 +40,9 @@
     // The reply comes later, from the control thread, exactly once.
     void change(time_point now, const replication::document_change& change,
                 change_reply reply, blackboard& board);
+    void order_evacuation(time_point now,
+                          const replication::evacuation_change& change,
+                          change_reply reply, blackboard& board);
     void change_members(time_point now,
                         const replication::member_change& change,
                         member_reply reply, blackboard& board);
@@ -66,6 +69,8 @@
                        blackboard& board);
     void carry_out_one(const replication::version_applied& effect,
                        blackboard& board);
+    void carry_out_one(const replication::evacuations_applied& effect,
+                       blackboard& board);
 
     storage_thread& m_storage;
     control_links& m_links;
--- a/packages/daemon/src/control/membership_controller.cpp
+++ b/packages/daemon/src/control/membership_controller.cpp
@@ -126,6 +126,11 @@
         const applied_document& applied = board.document.get();
         m_core.document_changed(applied.version, applied.document);
     }
+    if (m_evacuations.changed(board.evacuations))
+    {
+        const applied_evacuations& applied = board.evacuations.get();
+        m_core.evacuations_changed(applied.revision, applied.places);
+    }
     if (m_members.changed(board.members) && !board.members.get().empty())
     {
         std::vector<observer_info> hosts;
--- a/packages/daemon/src/control/membership_controller.hpp
+++ b/packages/daemon/src/control/membership_controller.hpp
@@ -58,6 +58,7 @@
     bool m_is_sure = false;
     announcement_gate<granted_announcements> m_gate;
     board_reader<applied_document> m_document;
+    board_reader<applied_evacuations> m_evacuations;
     board_reader<std::vector<host_id>> m_members;
     observer_info m_own;
     // Those that the settings describe.
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -1,6 +1,7 @@
 #include "control/node_controller.hpp"
 
 #include "control/lease_scale.hpp"
+#include "control/place_names.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
 #include "process/process_identity.hpp"
@@ -152,8 +153,13 @@
         send(each.tick(now));
     }
     follow_connections(now);
+    if (m_unreachable.changed(board.unreachable))
+    {
+        take(m_subscriber.set_unreachable(board.unreachable.get()), board);
+    }
     take(m_subscriber.tick(now), board);
     log_publisher();
+    log_evacuations();
     const config_version in_force = m_subscriber.applied_version();
     if (in_force > board.node_version.get())
     {
@@ -197,6 +203,20 @@
     m_serving = serving;
 }
 
+void node_controller::log_evacuations()
+{
+    const subscribed_state& known = m_subscriber.state();
+    if (known.evacuated() == m_evacuated)
+    {
+        return;
+    }
+    m_evacuated = known.evacuated();
+    m_log.write(log_line(log_level::info, "evacuations_in_force")
+                    .field("revision", known.evacuations_revision())
+                    .field("places", names_of(m_evacuated))
+                    .field("at_ms", wall_clock_ms()));
+}
+
 bool node_controller::settled() const
 {
     return std::all_of(m_announcers.begin(), m_announcers.end(),
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace crowlink::internal
@@ -43,6 +44,7 @@
     void follow_connections(time_point now);
     // Logs whose stream this node takes, when that changes.
     void log_publisher();
+    void log_evacuations();
     void follow_hosts(time_point now, const blackboard& board);
     std::vector<observer_info>
     infos_of(const std::vector<host_id>& hosts) const;
@@ -61,10 +63,13 @@
     std::vector<host_id> m_lost;
     // Whose stream it takes; empty for nobody's.
     host_id m_serving;
+    // Those that the log told of last.
+    std::set<place_id> m_evacuated;
     bool m_is_hosts_due = false;
     board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
     board_reader<wanted_records> m_wanted;
+    board_reader<std::set<place_id>> m_unreachable;
     board_reader<stop_phase> m_phase;
 };
 
--- a/packages/daemon/src/control/status_view.cpp
+++ b/packages/daemon/src/control/status_view.cpp
@@ -13,14 +13,32 @@
 
 using published = crowlink::internal::published_record;
 
-// The state with the document's drain applied.
-upstream_state effective_state(const published& held)
+// The state with the document's drain and the evacuations applied.
+upstream_state effective_state(const control_thread::context& with,
+                               const published& held)
 {
-    const bool drains =
-        held.drained && held.record.state == upstream_state::ready;
+    const auto& evacuated = with.board.evacuations.get().places;
+    const bool may_not =
+        held.drained || evacuated.count(held.record.where) != 0;
+    const bool drains = may_not && held.record.state == upstream_state::ready;
     return drains ? upstream_state::draining : held.record.state;
 }
 
+std::vector<evacuation_entry>
+list_evacuations(const control_thread::context& with)
+{
+    constexpr std::int64_t milliseconds_a_second = 1000;
+    std::vector<evacuation_entry> entries;
+    for (const auto& [where, order] :
+         with.documents->core().evacuated().in_force())
+    {
+        entries.push_back(
+            evacuation_entry{where, order.operator_name,
+                             order.ordered_at_ms / milliseconds_a_second});
+    }
+    return entries;
+}
+
 std::vector<node_status> list_nodes(const control_thread::context& with)
 {
     std::vector<node_status> nodes;
@@ -45,7 +63,8 @@
         }
         upstreams.push_back(upstream_status{key.id, key.service,
                                             held.record.where,
-                                            effective_state(held), duration()});
+                                            effective_state(with, held),
+                                            duration()});
     }
     return upstreams;
 }
@@ -79,7 +98,7 @@
             continue;
         }
         view.members.push_back(held.record);
-        view.members.back().state = effective_state(held);
+        view.members.back().state = effective_state(with, held);
     }
     return view;
 }
@@ -117,6 +136,7 @@
     report.quorum = !core.leader.value().empty();
     report.nodes = list_nodes(with);
     report.upstreams = list_upstreams(with);
+    report.evacuations = list_evacuations(with);
     return report;
 }
 
--- a/packages/daemon/src/process/platform_calls.cpp
+++ b/packages/daemon/src/process/platform_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent_role.hpp"
 #include "control/control_thread.hpp"
+#include "control/evacuation_order.hpp"
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/document/document_writer.hpp"
 
@@ -152,6 +153,15 @@
     {
         return replace(control, version, document);
     };
+    calls.evacuate = [&control, &settings](const place_id& where,
+                                           bool evacuates,
+                                           const platform::caller_watch& caller)
+    {
+        return carry_out_order(control, settings,
+                               evacuation_order{where, evacuates, "platform",
+                                                [&caller]
+                                                { return caller.waits(); }});
+    };
     calls.read = [&control]
     {
         return read(control);
--- a/packages/membership/include/crowlink/membership/membership_host.hpp
+++ b/packages/membership/include/crowlink/membership/membership_host.hpp
@@ -29,6 +29,11 @@
         m_publisher.document_changed(version, next);
     }
     void set_document_age(duration age) { m_publisher.set_document_age(age); }
+    void evacuations_changed(std::uint64_t revision,
+                             std::set<place_id> evacuated)
+    {
+        m_publisher.evacuations_changed(revision, std::move(evacuated));
+    }
 
     // All control hosts, this one included.
     void set_control_hosts(time_point now,
--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -30,6 +30,10 @@
     void document_changed(config_version version, const system_document& next);
     void record_changed(time_point now, const upstream_record& record);
     void place_changed(const place_change& change);
+    // The data centres whose upstreams get nothing new. Ignores a revision that
+    // is not higher than the one it has.
+    void evacuations_changed(std::uint64_t revision,
+                             std::set<place_id> evacuated);
 
     // All control hosts, this one included; nodes are told.
     void set_control_hosts(std::vector<host_id> hosts);
@@ -87,6 +91,8 @@
                    internal::publisher_session& session,
                    std::vector<membership_send>& out);
     bool has_news(const internal::publisher_session& session) const;
+    bool add_places(internal::publisher_session& session,
+                    wire::stream_part& part) const;
     void send_digest(time_point now, const host_id& node,
                      internal::publisher_session& session,
                      std::vector<membership_send>& out) const;
@@ -96,6 +102,8 @@
     session_map m_sessions;
     std::map<host_id, waiting_node> m_waiting;
     std::set<place_id> m_lost_places;
+    std::uint64_t m_evacuations_revision = 0;
+    std::set<place_id> m_evacuated;
     std::vector<host_id> m_control_hosts;
     std::vector<region_age> m_cut_regions;
     duration m_document_age{};
--- a/packages/membership/include/crowlink/membership/publisher_session.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_session.hpp
@@ -48,6 +48,7 @@
     // The version that the node was told to be complete.
     std::uint64_t complete_version = 0;
     bool places_due = true;
+    bool evacuations_due = true;
     bool hosts_due = true;
     time_point heard{};
     time_point next_digest{};
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -55,6 +55,10 @@
     bool take_service(const service& declared, bool removed,
                       std::uint64_t version, std::uint32_t generation);
     bool set_lost_places(std::set<place_id> lost);
+    // The data centres that this host itself does not reach.
+    bool set_unreachable(std::set<place_id> unreachable);
+    // Ignores a revision that is lower than the one it has.
+    bool set_evacuated(std::uint64_t revision, std::set<place_id> evacuated);
 
     // The version of the document that is in force as a whole: nothing that an
     // older document says is taken in from now on.
@@ -83,7 +87,14 @@
     const digest_book& book() const { return m_book; }
     std::size_t living() const { return m_living; }
 
+    std::uint64_t evacuations_revision() const
+    {
+        return m_evacuations_revision;
+    }
+    const std::set<place_id>& evacuated() const { return m_evacuated; }
+
 private:
+    bool replace_places(std::set<place_id>& held, std::set<place_id> next);
     void replace_hash(const record_key& key, subscribed_record& held);
     void touch(service_id service);
     std::size_t
@@ -93,6 +104,9 @@
     std::map<record_key, subscribed_record> m_records;
     std::map<service_id, subscribed_service> m_services;
     std::set<place_id> m_lost_places;
+    std::set<place_id> m_unreachable;
+    std::uint64_t m_evacuations_revision = 0;
+    std::set<place_id> m_evacuated;
     std::set<service_id> m_touched;
     digest_book m_book;
     std::size_t m_living = 0;
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -134,6 +134,21 @@
     }
 }
 
+void publisher::evacuations_changed(std::uint64_t revision,
+                                    std::set<place_id> evacuated)
+{
+    if (revision <= m_evacuations_revision)
+    {
+        return;
+    }
+    m_evacuations_revision = revision;
+    m_evacuated = std::move(evacuated);
+    for (auto& each : m_sessions)
+    {
+        each.second.evacuations_due = true;
+    }
+}
+
 void publisher::set_cut_regions(std::vector<region_age> ages)
 {
     m_cut_regions = std::move(ages);
@@ -335,12 +350,40 @@
 
 bool publisher::has_news(const publisher_session& session) const
 {
-    return session.places_due || session.hosts_due || session.snapshot.active ||
+    return session.places_due || session.evacuations_due ||
+           session.hosts_due || session.snapshot.active ||
            session.complete_version < m_state.version().value() ||
            session.urgent < m_state.urgent().end() ||
            session.ordinary < m_state.ordinary().end();
 }
 
+// Whole data centres go first: one line says much of many upstreams. Yields
+// whether anything was added.
+bool publisher::add_places(publisher_session& session,
+                           wire::stream_part& part) const
+{
+    const bool added = session.places_due || session.evacuations_due;
+    if (session.places_due)
+    {
+        part.set_lost_places_set(true);
+        for (const place_id& place : m_lost_places)
+        {
+            part.add_lost_places(place.value());
+        }
+    }
+    if (session.evacuations_due)
+    {
+        part.set_evacuations_revision(m_evacuations_revision);
+        for (const place_id& place : m_evacuated)
+        {
+            part.add_evacuated_places(place.value());
+        }
+    }
+    session.places_due = false;
+    session.evacuations_due = false;
+    return added;
+}
+
 // Yields whether there was anything to send.
 bool publisher::send_part(time_point now, const host_id& node,
                           publisher_session& session,
@@ -352,16 +395,7 @@
         framing_bytes;
     wire::membership_message message;
     wire::stream_part& part = *message.mutable_part();
-    bool added = session.places_due;
-    if (session.places_due)
-    {
-        session.places_due = false;
-        part.set_lost_places_set(true);
-        for (const place_id& place : m_lost_places)
-        {
-            part.add_lost_places(place.value());
-        }
-    }
+    bool added = add_places(session, part);
     if (session.hosts_due && !m_control_hosts.empty())
     {
         added = true;
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -117,15 +117,38 @@
 
 bool subscribed_state::set_lost_places(std::set<place_id> lost)
 {
-    if (lost == m_lost_places)
+    return replace_places(m_lost_places, std::move(lost));
+}
+
+bool subscribed_state::set_unreachable(std::set<place_id> unreachable)
+{
+    return replace_places(m_unreachable, std::move(unreachable));
+}
+
+bool subscribed_state::set_evacuated(std::uint64_t revision,
+                                     std::set<place_id> evacuated)
+{
+    if (revision < m_evacuations_revision)
+    {
+        return false;
+    }
+    m_evacuations_revision = revision;
+    return replace_places(m_evacuated, std::move(evacuated));
+}
+
+// Touches the services that have members in a place that joined or left.
+bool subscribed_state::replace_places(std::set<place_id>& held,
+                                      std::set<place_id> next)
+{
+    if (next == held)
     {
         return false;
     }
     std::set<place_id> changed;
-    std::set_symmetric_difference(lost.begin(), lost.end(),
-                                  m_lost_places.begin(), m_lost_places.end(),
+    std::set_symmetric_difference(next.begin(), next.end(), held.begin(),
+                                  held.end(),
                                   std::inserter(changed, changed.begin()));
-    m_lost_places = std::move(lost);
+    held = std::move(next);
     for (const auto& each : m_records)
     {
         if (changed.count(each.second.record.where) != 0)
@@ -257,13 +280,14 @@
         {
             continue;
         }
-        const bool is_silent =
-            held.silent || m_lost_places.count(record.where) != 0;
+        const bool is_silent = held.silent ||
+                               m_lost_places.count(record.where) != 0 ||
+                               m_unreachable.count(record.where) != 0;
         if (is_silent)
         {
             record.state = upstream_state::silent;
         }
-        else if (held.drained)
+        else if (held.drained || m_evacuated.count(record.where) != 0)
         {
             record.state = upstream_state::draining;
         }
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -178,6 +178,15 @@
         }
         m_state.set_lost_places(std::move(lost));
     }
+    if (in.evacuations_revision() > 0)
+    {
+        std::set<place_id> evacuated;
+        for (const std::string& name : in.evacuated_places())
+        {
+            evacuated.emplace(name);
+        }
+        m_state.set_evacuated(in.evacuations_revision(), std::move(evacuated));
+    }
     for (const wire::service_declaration& each : in.declared())
     {
         const auto declared = internal::read_service(each);
@@ -268,6 +277,14 @@
     return sum;
 }
 
+subscriber_output subscriber::set_unreachable(std::set<place_id> unreachable)
+{
+    subscriber_output out;
+    m_state.set_unreachable(std::move(unreachable));
+    emit(out);
+    return out;
+}
+
 // Yields the views that changed, but for the one whose members are still on
 // their way.
 void subscriber::emit(subscriber_output& out)
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -97,9 +97,58 @@
 
     time_point m_now{std::chrono::hours(1)};
     std::uint32_t m_stream = 0;
+    std::uint32_t m_sequence = 1;
     subscriber m_core;
 };
 
+// Members of an evacuated place get nothing new, and nothing that an older
+// order says changes that.
+TEST_F(subscriber_parts, applies_evacuations_in_the_order_of_their_revisions)
+{
+    const auto order = [this](std::uint64_t revision, bool evacuates)
+    {
+        wire::stream_part next = part(++m_sequence, 5);
+        next.set_evacuations_revision(revision);
+        if (evacuates)
+        {
+            next.add_evacuated_places("p");
+        }
+        take(next);
+        return m_core.view(service_id(1))->members.at(0).state;
+    };
+    EXPECT_EQ(order(3, true), upstream_state::draining);
+    EXPECT_EQ(order(2, false), upstream_state::draining);
+    EXPECT_EQ(order(4, false), upstream_state::ready);
+    EXPECT_EQ(order(3, true), upstream_state::ready);
+}
+
+// A node that attaches is told in the first part, before any member.
+TEST(publisher, tells_each_node_of_evacuations_and_of_their_end)
+{
+    time_point now{std::chrono::hours(1)};
+    publisher from(publisher_settings(), 1);
+    from.set_ready(true);
+    from.document_changed(config_version(1), system_document());
+    from.evacuations_changed(4, {place_id("north")});
+    from.evacuations_changed(3, {});
+    wire::membership_message attach;
+    attach.mutable_attach_request()->set_all_services(true);
+    from.handle(now, host_id("node"), attach);
+    const auto first = from.tick(now);
+    ASSERT_FALSE(first.empty());
+    const wire::stream_part& told = first.front().message.part();
+    EXPECT_EQ(told.evacuations_revision(), 4U);
+    ASSERT_EQ(told.evacuated_places_size(), 1);
+    EXPECT_EQ(told.evacuated_places(0), "north");
+
+    now += std::chrono::seconds(1);
+    from.evacuations_changed(5, {});
+    const auto second = from.tick(now);
+    ASSERT_FALSE(second.empty());
+    EXPECT_EQ(second.front().message.part().evacuations_revision(), 5U);
+    EXPECT_EQ(second.front().message.part().evacuated_places_size(), 0);
+}
+
 // Ticks until the node asks for a stream; yields whom it asks.
 host_id next_asked(subscriber& core, time_point& now, duration longest)
 {
--- a/packages/replication/include/crowlink/replication.hpp
+++ b/packages/replication/include/crowlink/replication.hpp
@@ -16,11 +16,15 @@
 //   message.hpp              what replicas say to each other
 //   message_codec.hpp        its bytes
 //   document_store.hpp       versions of the document, conflicts, resends
+//   evacuations.hpp          data centres whose upstreams get nothing new
+//   evacuation_change.hpp    an order about one
 //   log_storage.hpp          the data folder
 //   file_system.hpp          what the data folder needs of a disk
 //   posix_file_system.hpp    a folder of the machine
 
 #include "crowlink/replication/document_store.hpp"
+#include "crowlink/replication/evacuation_change.hpp"
+#include "crowlink/replication/evacuations.hpp"
 #include "crowlink/replication/file_system.hpp"
 #include "crowlink/replication/log_storage.hpp"
 #include "crowlink/replication/member_change.hpp"
--- a/packages/replication/include/crowlink/replication/document_store.hpp
+++ b/packages/replication/include/crowlink/replication/document_store.hpp
@@ -72,8 +72,7 @@
     std::deque<operation_id> m_order;
 };
 
-// The payload of a log entry that holds a change, and back.
+// The payload of a log entry that holds a change.
 std::string encode_change(const document_change& change);
-result<document_change> decode_change(std::string_view bytes);
 
 } // namespace crowlink::replication
--- a/packages/replication/include/crowlink/replication/replicated_document.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/replication/document_store.hpp"
+#include "crowlink/replication/evacuations.hpp"
 #include "crowlink/replication/replica.hpp"
 #include "crowlink/replication/replicated_document_event.hpp"
 
@@ -52,8 +53,9 @@
     // What this host has applied; it may be older than what the leader has. Its
     // age is in the status.
     const document_store& store() const { return m_store; }
+    const evacuations& evacuated() const { return m_evacuations; }
 
-    // Whether store() is the newest there is.
+    // Whether store() and evacuated() are the newest there are.
     bool can_read(time_point now) const { return m_replica.can_read(now); }
 
     replica_status status(time_point now) const
@@ -70,6 +72,8 @@
         // Empty for a caller on this host.
         host_id asker;
         document_change change;
+        // Set where an order about a data centre waits, and no change.
+        std::optional<evacuation_change> evacuation{};
         time_point deadline;
         // When it is passed on again, if it is on its way to the leader.
         time_point retry;
@@ -82,6 +86,7 @@
     using waiting_map = std::map<std::uint64_t, waiting_change>;
 
     void take(const propose_change& event);
+    void take(const propose_evacuation& event);
     void take(const propose_membership& event);
     void take(const message_received& event);
     void take(const tick& event);
@@ -105,6 +110,7 @@
     void absorb(const persist& effect);
     void absorb(const role_changed& effect);
     void absorb(const apply_entry& effect);
+    change_outcome apply(const log_entry& entry);
     void absorb(const install_snapshot& effect);
     void absorb(const take_snapshot& effect);
     void absorb(const proposal_appended& effect);
@@ -113,6 +119,7 @@
     host_id m_self;
     replica m_replica;
     document_store m_store;
+    evacuations m_evacuations;
     store_limits m_limits;
     waiting_map m_waiting;
     std::uint64_t m_next_ticket = 1;
--- a/packages/replication/include/crowlink/replication/replicated_document_event.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document_event.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/replication/change_outcome.hpp"
 #include "crowlink/replication/document_change.hpp"
+#include "crowlink/replication/evacuation_change.hpp"
 #include "crowlink/replication/replica_effect.hpp"
 #include "crowlink/replication/replica_event.hpp"
 
@@ -19,12 +20,21 @@
     document_change change;
 };
 
+// An operator's order about a data centre. Only the leader takes it; answered as
+// propose_change is.
+struct propose_evacuation
+{
+    std::uint64_t request = 0;
+    evacuation_change change;
+};
+
 // What can happen to a replicated document.
 using document_event =
-    std::variant<message_received, tick, propose_change, propose_membership,
-                 storage_done, storage_failed>;
+    std::variant<message_received, tick, propose_change, propose_evacuation,
+                 propose_membership, storage_done, storage_failed>;
 
-// The answer to propose_change; exactly one comes for each.
+// The answer to propose_change or propose_evacuation; exactly one comes for
+// each.
 struct change_answered
 {
     std::uint64_t request = 0;
@@ -45,9 +55,15 @@
     config_version version;
 };
 
+// This host now holds these evacuations, committed and synced.
+struct evacuations_applied
+{
+    std::uint64_t revision = 0;
+};
+
 // What a replicated document wants done, in this order.
 using document_effect =
     std::variant<send_message, persist, role_changed, change_answered,
-                 membership_answered, version_applied>;
+                 membership_answered, version_applied, evacuations_applied>;
 
 } // namespace crowlink::replication
--- a/packages/replication/include/crowlink/replication/store_limits.hpp
+++ b/packages/replication/include/crowlink/replication/store_limits.hpp
@@ -28,6 +28,8 @@
 {
     // A resent operation gets its first answer again.
     bool deduplicate = true;
+    // An order about a data centre that was overtaken changes nothing.
+    bool check_revision = true;
 
     friend auto operator<=>(const store_rules&, const store_rules&) = default;
 };
--- a/packages/replication/src/document_store.cpp
+++ b/packages/replication/src/document_store.cpp
@@ -213,14 +213,4 @@
     return internal::to_wire(change).SerializeAsString();
 }
 
-result<document_change> decode_change(std::string_view bytes)
-{
-    internal::wire::DocumentChange in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-    {
-        return fail(error_kind::invalid, "document change", "does not parse");
-    }
-    return internal::from_wire(in);
-}
-
 } // namespace crowlink::replication
--- a/packages/replication/src/replicated_document.cpp
+++ b/packages/replication/src/replicated_document.cpp
@@ -1,5 +1,7 @@
 #include "crowlink/replication/replicated_document.hpp"
 
+#include "log_payload.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,6 +33,7 @@
     : m_self(settings.self)
     , m_replica(settings, std::move(restored), now, random, rules)
     , m_store(limits, store)
+    , m_evacuations(store)
     , m_limits(limits)
     , m_now(now)
 {
@@ -82,6 +85,26 @@
     route(ticket);
 }
 
+// An order is never passed on: on its way it could be overtaken by a later one.
+void replicated_document::take(const propose_evacuation& event)
+{
+    const std::uint64_t ticket = m_next_ticket++;
+    waiting_change waiting;
+    waiting.request = event.request;
+    waiting.evacuation = event.change;
+    waiting.deadline = m_now + answer_timeout;
+    waiting.retry = waiting.deadline;
+    const bool full = m_waiting.size() >= max_waiting;
+    m_waiting.emplace(ticket, std::move(waiting));
+    if (full || !can_read(m_now))
+    {
+        finish(ticket, unavailable(full ? "too many changes wait"
+                                        : "this host does not lead"));
+        return;
+    }
+    run(propose{ticket, internal::encode_evacuation(event.change)});
+}
+
 void replicated_document::take(const propose_membership& event)
 {
     m_membership_ticket = m_next_ticket++;
@@ -280,8 +303,10 @@
     }
     for (const std::uint64_t ticket : covered)
     {
+        const waiting_change& waiting = m_waiting.at(ticket);
+        // What became of an order is not remembered.
         const std::optional<change_outcome> first =
-            m_store.recall(m_waiting.at(ticket).change);
+            waiting.evacuation ? std::nullopt : m_store.recall(waiting.change);
         finish(ticket,
                first.value_or(unknown("the leader was lost; send it again")));
     }
@@ -320,26 +345,43 @@
 void replicated_document::absorb(const apply_entry& effect)
 {
     const log_entry& entry = effect.entry;
+    finish_at(entry.index, entry.term, apply(entry));
+}
+
+change_outcome replicated_document::apply(const log_entry& entry)
+{
     change_outcome outcome = unknown("the leader was lost; send it again");
-    if (entry.kind == entry_kind::payload)
+    if (entry.kind != entry_kind::payload)
     {
-        const config_version before = m_store.current_version();
-        const result<document_change> change = decode_change(entry.payload);
-        if (change)
-        {
-            outcome = m_store.apply(*change);
-        }
-        if (m_store.current_version() != before)
-        {
-            m_effects.emplace_back(version_applied{m_store.current_version()});
-        }
+        return outcome;
+    }
+    const auto payload = internal::decode_payload(entry.payload);
+    if (!payload)
+    {
+        return outcome;
+    }
+    if (const auto* order = std::get_if<evacuation_change>(&*payload))
+    {
+        outcome = m_evacuations.apply(*order);
+        m_effects.emplace_back(evacuations_applied{m_evacuations.revision()});
+        return outcome;
     }
-    finish_at(entry.index, entry.term, outcome);
+    const config_version before = m_store.current_version();
+    outcome = m_store.apply(std::get<document_change>(*payload));
+    if (m_store.current_version() != before)
+    {
+        m_effects.emplace_back(version_applied{m_store.current_version()});
+    }
+    return outcome;
 }
 
 void replicated_document::absorb(const install_snapshot& effect)
 {
-    const result<void> loaded = m_store.load(*effect.taken.data);
+    result<void> loaded = m_store.load(*effect.taken.data);
+    if (loaded)
+    {
+        loaded = m_evacuations.load(*effect.taken.data);
+    }
     if (!loaded)
     {
         run(storage_failed{loaded.error()});
@@ -347,11 +389,12 @@
     }
     finish_covered(effect.taken.index);
     m_effects.emplace_back(version_applied{m_store.current_version()});
+    m_effects.emplace_back(evacuations_applied{m_evacuations.revision()});
 }
 
 void replicated_document::absorb(const take_snapshot& effect)
 {
-    run(snapshot_taken{effect.index, m_store.save()});
+    run(snapshot_taken{effect.index, m_store.save() + m_evacuations.save()});
 }
 
 void replicated_document::absorb(const proposal_appended& effect)
--- /dev/null
+++ b/packages/replication/test/evacuations_test.cpp
@@ -0,0 +1,141 @@
+#include "crowlink/replication/evacuations.hpp"
+
+#include "crowlink/replication/document_store.hpp"
+#include "scenario.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::replication
+{
+
+namespace
+{
+
+evacuation_change order(const char* where, bool evacuates, std::uint64_t base)
+{
+    return evacuation_change{place_id(where), evacuates, base, "anna", 1000};
+}
+
+change_result result_of(const change_outcome* answer)
+{
+    return answer == nullptr ? change_result::unavailable : answer->result;
+}
+
+TEST(evacuations, an_order_is_in_force_until_it_is_withdrawn)
+{
+    evacuations state;
+    EXPECT_EQ(state.apply(order("north", true, 0)).result,
+              change_result::applied);
+    ASSERT_EQ(state.in_force().count(place_id("north")), 1U);
+    EXPECT_EQ(state.in_force().at(place_id("north")), (evacuation{"anna", 1000}));
+    EXPECT_EQ(state.apply(order("north", false, 1)).result,
+              change_result::applied);
+    EXPECT_TRUE(state.in_force().empty());
+}
+
+TEST(evacuations, a_resend_is_acknowledged_and_changes_nothing)
+{
+    evacuations state;
+    state.apply(order("north", true, 0));
+    const evacuation_change again{place_id("north"), true, 0, "bert", 2000};
+    EXPECT_EQ(state.apply(again).result, change_result::superseded);
+    EXPECT_EQ(state.in_force().at(place_id("north")).operator_name, "anna");
+}
+
+TEST(evacuations, an_order_that_was_overtaken_changes_nothing)
+{
+    evacuations state;
+    state.apply(order("north", true, 0));
+    state.apply(order("north", false, 1));
+    EXPECT_EQ(state.apply(order("north", true, 0)).result,
+              change_result::conflict);
+    EXPECT_TRUE(state.in_force().empty());
+}
+
+TEST(evacuations, what_a_resend_confirmed_is_not_undone_by_an_older_order)
+{
+    evacuations state;
+    state.apply(order("north", true, 0));
+    // Taken now, and sent after the other order was acknowledged once more.
+    const evacuation_change late = order("north", false, state.revision());
+    state.apply(order("north", true, state.revision()));
+    EXPECT_EQ(state.apply(late).result, change_result::conflict);
+    EXPECT_EQ(state.in_force().size(), 1U);
+}
+
+TEST(evacuations, a_snapshot_holds_them_beside_the_document)
+{
+    document_store documents;
+    document_change change;
+    change.operation = operation_id("first");
+    change.document = "a document";
+    documents.apply(change);
+    evacuations state;
+    state.apply(order("north", true, 0));
+    state.apply(order("south", true, 1));
+    const std::string bytes = documents.save() + state.save();
+
+    document_store documents_after;
+    evacuations state_after;
+    ASSERT_TRUE(documents_after.load(bytes));
+    ASSERT_TRUE(state_after.load(bytes));
+    EXPECT_EQ(documents_after.current()->document, "a document");
+    EXPECT_EQ(state_after.in_force(), state.in_force());
+    EXPECT_EQ(state_after.revision(), 2U);
+}
+
+TEST(evacuations, a_configuration_does_not_touch_them)
+{
+    fake_cluster cluster(3, 0, 1);
+    const std::size_t leader = settle(cluster);
+    const auto given = cluster.give_order(leader, true);
+    cluster.run(100);
+    make_versions(cluster, 20, "a");
+    EXPECT_EQ(result_of(cluster.order_answer(given.value())),
+              change_result::applied);
+    for (std::size_t host = 0; host < cluster.size(); ++host)
+    {
+        EXPECT_TRUE(cluster.evacuated(host));
+    }
+}
+
+TEST(evacuations, survive_a_loss_of_all_power_and_a_lost_disk)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed)
+    {
+        fake_cluster cluster(3, 0, seed);
+        const auto given = cluster.give_order(settle(cluster), true);
+        ASSERT_TRUE(cluster.run_until(
+            [&] { return cluster.order_answer(given.value()) != nullptr; }));
+        for (std::size_t host = 0; host < cluster.size(); ++host)
+        {
+            cluster.crash(host);
+        }
+        cluster.lose_disk(seed % cluster.size());
+        for (std::size_t host = 0; host < cluster.size(); ++host)
+        {
+            cluster.restart(host);
+        }
+        const std::size_t leader = settle(cluster);
+        EXPECT_TRUE(cluster.evacuated(leader)) << "seed " << seed;
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
+TEST(evacuations, no_host_but_the_leader_takes_an_order)
+{
+    fake_cluster cluster(3, 0, 1);
+    const std::size_t leader = settle(cluster);
+    const std::size_t other = (leader + 1) % cluster.size();
+    EXPECT_FALSE(cluster.take_order(other, true));
+    const auto taken = cluster.take_order(leader, true);
+    cluster.send_order(other, taken.value());
+    EXPECT_EQ(result_of(cluster.order_answer(taken.value())),
+              change_result::unavailable);
+    cluster.run(100);
+    EXPECT_FALSE(cluster.evacuated(leader));
+}
+
+} // namespace
+
+} // namespace crowlink::replication
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -182,6 +182,13 @@
         }
         else if (const auto* reply = std::get_if<change_answered>(&effect))
         {
+            const auto order = m_order_requests.find(reply->request);
+            if (order != m_order_requests.end())
+            {
+                m_order_answers[order->second] = reply->outcome;
+                m_checker.order_answered(order->second, reply->outcome);
+                continue;
+            }
             const operation_id& operation = m_requests.at(reply->request);
             m_answers[operation.value()] = reply->outcome;
             m_checker.answered(operation, reply->outcome);
@@ -221,6 +228,11 @@
                           host.document->can_read(at));
             m_checker.see_age(status.self, host.document->store(),
                               status.document_age);
+            if (host.document->can_read(at))
+            {
+                m_checker.see_evacuated(
+                    status.self, !host.document->evacuated().in_force().empty());
+            }
         }
     }
 }
@@ -258,6 +270,52 @@
     return found == m_answers.end() ? nullptr : &found->second;
 }
 
+std::optional<std::size_t> fake_cluster::take_order(std::size_t host,
+                                                    bool evacuates)
+{
+    if (!up(host) || !may_read(host))
+    {
+        return std::nullopt;
+    }
+    evacuation_change order;
+    order.where = place_id("north");
+    order.evacuates = evacuates;
+    order.base = m_hosts[host].document->evacuated().revision();
+    order.operator_name = "operator";
+    m_orders.push_back(order);
+    m_checker.order_taken(m_orders.size() - 1, evacuates);
+    return m_orders.size() - 1;
+}
+
+void fake_cluster::send_order(std::size_t host, std::size_t order)
+{
+    const std::uint64_t request = m_next_request++;
+    m_order_requests.emplace(request, order);
+    event(host, propose_evacuation{request, m_orders[order]});
+}
+
+std::optional<std::size_t> fake_cluster::give_order(std::size_t host,
+                                                    bool evacuates)
+{
+    const auto order = take_order(host, evacuates);
+    if (order)
+    {
+        send_order(host, *order);
+    }
+    return order;
+}
+
+const change_outcome* fake_cluster::order_answer(std::size_t order) const
+{
+    const auto found = m_order_answers.find(order);
+    return found == m_order_answers.end() ? nullptr : &found->second;
+}
+
+bool fake_cluster::evacuated(std::size_t host) const
+{
+    return !m_hosts[host].document->evacuated().in_force().empty();
+}
+
 void fake_cluster::change_members(std::size_t host, member_change change)
 {
     event(host, propose_membership{m_next_request++, std::move(change)});
--- a/packages/replication/test/fake_cluster.hpp
+++ b/packages/replication/test/fake_cluster.hpp
@@ -58,6 +58,17 @@
     void resend(std::size_t host, const std::string& operation);
     // The newest answer, if there is one.
     const change_outcome* answer(const std::string& operation) const;
+    // The host reads the revision that an order about the data centre is to be
+    // proposed with; nothing is sent yet. Yields the order's number, or nothing
+    // where the host may not answer reads.
+    std::optional<std::size_t> take_order(std::size_t host, bool evacuates);
+    // Proposes the order, perhaps long after it was taken, or once more.
+    void send_order(std::size_t host, std::size_t order);
+    // Takes an order and sends it at once; empty where the host doesn't lead.
+    std::optional<std::size_t> give_order(std::size_t host, bool evacuates);
+    const change_outcome* order_answer(std::size_t order) const;
+    bool evacuated(std::size_t host) const;
+    std::size_t orders() const { return m_orders.size(); }
     void change_members(std::size_t host, member_change change);
     const result<void>& members_answer() const { return m_members_answer; }
 
@@ -130,6 +141,9 @@
     std::map<std::uint64_t, operation_id> m_requests;
     std::map<std::string, document_change> m_changes;
     std::map<std::string, change_outcome> m_answers;
+    std::vector<evacuation_change> m_orders;
+    std::map<std::size_t, change_outcome> m_order_answers;
+    std::map<std::uint64_t, std::size_t> m_order_requests;
     result<void> m_members_answer;
     history_checker m_checker;
 };
--- a/packages/replication/test/history_checker.cpp
+++ b/packages/replication/test/history_checker.cpp
@@ -104,6 +104,43 @@
     }
 }
 
+void history_checker::order_taken(std::size_t order, bool evacuates)
+{
+    m_orders.resize(order + 1);
+    m_orders[order] = evacuates;
+}
+
+void history_checker::order_answered(std::size_t order,
+                                     const change_outcome& outcome)
+{
+    const bool acknowledged = outcome.result == change_result::applied ||
+                              outcome.result == change_result::superseded;
+    if (!acknowledged)
+    {
+        return;
+    }
+    ++m_acknowledged_orders;
+    m_last_order = std::max(m_last_order.value_or(order), order);
+}
+
+// Only an order that was taken later may undo one that was acknowledged.
+void history_checker::see_evacuated(const host_id& host, bool evacuated)
+{
+    if (!m_last_order || m_orders[*m_last_order] == evacuated)
+    {
+        return;
+    }
+    const auto later =
+        m_orders.begin() + static_cast<std::ptrdiff_t>(*m_last_order) + 1;
+    if (std::find(later, m_orders.end(), evacuated) == m_orders.end())
+    {
+        report(fmt::format("{} is {}evacuated, against order {}, which was "
+                           "acknowledged",
+                           host.value(), evacuated ? "" : "not ",
+                           *m_last_order));
+    }
+}
+
 void history_checker::proposed(const document_change& change)
 {
     m_proposed.emplace(change.operation, change);
--- a/packages/replication/test/history_checker.hpp
+++ b/packages/replication/test/history_checker.hpp
@@ -7,7 +7,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace crowlink::replication
 {
@@ -31,11 +33,19 @@
     void proposed(const document_change& change);
     void answered(const operation_id& operation, const change_outcome& outcome);
 
+    // An order about the data centre was taken, and later answered. Orders are
+    // numbered in the sequence in which they are taken.
+    void order_taken(std::size_t order, bool evacuates);
+    void order_answered(std::size_t order, const change_outcome& outcome);
+    // A host that may be read says whether the data centre is evacuated.
+    void see_evacuated(const host_id& host, bool evacuated);
+
     void report(const std::string& what);
 
     const std::string& violation() const { return m_violation; }
     std::uint64_t acknowledged() const { return m_acknowledged; }
     std::size_t applied_answers() const { return m_applied_answers; }
+    std::size_t acknowledged_orders() const { return m_acknowledged_orders; }
 
 private:
     void see_version(const host_id& host, const document_version& version);
@@ -51,6 +61,11 @@
     std::map<time_point, std::uint64_t> m_acknowledged_at;
     time_point m_now;
     std::size_t m_applied_answers = 0;
+    // Whether each order evacuates.
+    std::vector<bool> m_orders;
+    // Of those that were acknowledged, the one that was taken last.
+    std::optional<std::size_t> m_last_order;
+    std::size_t m_acknowledged_orders = 0;
     std::string m_violation;
 };
 
--- a/packages/replication/test/mutant_test.cpp
+++ b/packages/replication/test/mutant_test.cpp
@@ -127,6 +127,31 @@
     return cluster.violation();
 }
 
+// The leader stands still after it has taken an order, for as long as a resend
+// of it and the contrary order take.
+std::string an_order_is_overtaken(const cluster_rules& rules,
+                                  std::uint64_t seed)
+{
+    fake_cluster cluster(3, 0, seed, rules);
+    const std::size_t leader = settle(cluster);
+    const auto late = cluster.take_order(leader, true);
+    (void)cluster.give_order(leader, true);
+    cluster.run(100);
+    (void)cluster.give_order(leader, false);
+    cluster.run(100);
+    cluster.send_order(leader, late.value());
+    cluster.run(100);
+    return cluster.violation();
+}
+
+TEST(mutant, without_a_revision_for_orders_is_caught)
+{
+    cluster_rules mutant;
+    mutant.store.check_revision = false;
+    EXPECT_EQ(violations(an_order_is_overtaken, cluster_rules{}), 0U);
+    EXPECT_EQ(violations(an_order_is_overtaken, mutant), tries);
+}
+
 TEST(mutant, without_fsync_is_caught)
 {
     cluster_rules mutant;
--- a/packages/replication/test/property_test.cpp
+++ b/packages/replication/test/property_test.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::size_t actions_of_a_case = 120;
 constexpr std::size_t least_acknowledged = 100;
+constexpr std::size_t least_orders = 100;
 
 // Read by RapidCheck when it checks its first property.
 const bool fixed_seed =
@@ -35,6 +36,9 @@
                                                              {12, propose},
                                                              {3, race},
                                                              {5, resend},
+                                                             {4, take_order},
+                                                             {4, send_order},
+                                                             {6, give_order},
                                                              {3, crash},
                                                              {3, halt},
                                                              {8, restart},
@@ -55,6 +59,7 @@
 void expect_whole(std::size_t voters, std::size_t spares)
 {
     std::size_t acknowledged = 0;
+    std::size_t orders = 0;
     const bool held =
         rc::check("a cluster keeps its promises whatever happens",
                   [&](std::uint64_t seed)
@@ -72,10 +77,12 @@
                       RC_ASSERT(happenings.converge());
                       RC_ASSERT(cluster.violation() == "");
                       acknowledged += cluster.checker().applied_answers();
+                      orders += cluster.checker().acknowledged_orders();
                   });
     EXPECT_TRUE(held);
     // The cases must not pass by doing nothing.
     EXPECT_GT(acknowledged, least_acknowledged);
+    EXPECT_GT(orders, least_orders);
 }
 
 TEST(property, one_voter_keeps_its_promises)
--- a/packages/replication/test/schedule.cpp
+++ b/packages/replication/test/schedule.cpp
@@ -84,6 +84,11 @@
                                               one.amount % m_proposed.size()]);
         }
         break;
+    case action_kind::take_order:
+    case action_kind::send_order:
+    case action_kind::give_order:
+        order(one);
+        break;
     case action_kind::crash:
         if (up)
         {
@@ -138,6 +143,29 @@
     }
 }
 
+// At the leader, where there is one: no other host takes orders.
+void schedule::order(const action& one)
+{
+    const std::size_t host =
+        m_cluster.leader().value_or(one.host % m_cluster.size());
+    const bool evacuates = one.amount % 2 == 0;
+    const std::size_t known = m_cluster.orders();
+    if (one.kind == action_kind::take_order)
+    {
+        (void)m_cluster.take_order(host, evacuates);
+    }
+    else if (one.kind == action_kind::give_order)
+    {
+        (void)m_cluster.give_order(host, evacuates);
+    }
+    else if (known > 0 && m_cluster.up(host))
+    {
+        constexpr std::size_t kept = 6;
+        m_cluster.send_order(
+            host, known - 1 - one.amount % std::min(kept, known));
+    }
+}
+
 bool schedule::converge()
 {
     m_cluster.heal();
--- a/packages/replication/test/schedule.hpp
+++ b/packages/replication/test/schedule.hpp
@@ -17,6 +17,12 @@
     propose,
     race,
     resend,
+    // An order about the data centre is taken, and kept to be sent later.
+    take_order,
+    // One that was kept is sent, perhaps not for the first time.
+    send_order,
+    // An order is taken and sent at once.
+    give_order,
     crash,
     // Power goes in the middle of a write.
     halt,
@@ -55,6 +61,7 @@
     bool all_whole() const;
     bool agreed() const;
     void propose(std::size_t host, unsigned behind);
+    void order(const action& one);
 
     fake_cluster& m_cluster;
     std::vector<std::string> m_proposed;
--- a/packages/settings/include/crowlink/settings/daemon_settings.hpp
+++ b/packages/settings/include/crowlink/settings/daemon_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/endpoint.hpp"
+#include "crowlink/model/place.hpp"
 #include "crowlink/settings/agent_role_settings.hpp"
 #include "crowlink/settings/balancer_role_settings.hpp"
 #include "crowlink/settings/control_endpoint.hpp"
@@ -24,6 +25,8 @@
     host_settings host;
     log_settings log;
     std::optional<key_settings> keys;
+    // The data centres that orders may name, beside those of the document.
+    std::vector<place> data_centres{};
     // Where a node finds control; empty for a daemon with the control role,
     // whose other roles use the control in their own process.
     std::vector<control_endpoint> control_endpoints;
@@ -42,6 +45,10 @@
     std::optional<endpoint> health;
     // Where the users' platform asks whether this host is ready.
     std::optional<endpoint> platform_ready{};
+    // Where this node answers others that ask whether its data centre is
+    // reached, and the port that it asks at; equal on all hosts. It asks from
+    // the port below. None if absent: then leases alone tell.
+    std::optional<endpoint> reach_listen{};
     // Whether addresses other than loopback may be used without keys: nobody
     // else can reach this network.
     bool is_network_trusted = false;
--- a/packages/settings/src/daemon_section.cpp
+++ b/packages/settings/src/daemon_section.cpp
@@ -94,6 +94,47 @@
     }
 }
 
+place read_data_centre(object_reader& reader)
+{
+    place made;
+    made.id = place_id(reader.text("name"));
+    made.region = region_id(reader.text("region"));
+    return made;
+}
+
+void check_data_centres(object_reader& reader, const daemon_settings& daemon)
+{
+    std::set<place_id> names;
+    for (const place& each : daemon.data_centres)
+    {
+        if (!names.insert(each.id).second)
+        {
+            reader.refuse("data_centres",
+                          fmt::format("found \"{}\" twice; allowed: each data "
+                                      "centre once",
+                                      each.id.value()));
+        }
+    }
+}
+
+// Probes carry no key.
+void check_reach(object_reader& reader, const daemon_settings& daemon)
+{
+    constexpr std::uint16_t least_port = 2;
+    if (daemon.keys)
+    {
+        reader.refuse("reach_listen", "found with \"keys\"; allowed: one of "
+                                      "them, as probes carry no keys");
+    }
+    if (daemon.reach_listen->port < least_port)
+    {
+        reader.refuse("reach_listen",
+                      fmt::format("found port {}; allowed: 2 to 65535, as the "
+                                  "port below is used too",
+                                  daemon.reach_listen->port));
+    }
+}
+
 void check_roles(object_reader& reader, const daemon_settings& daemon)
 {
     if (!daemon.control && !daemon.is_node())
@@ -300,6 +341,8 @@
     {
         daemon.operator_relay = reader.address("operator_relay");
     }
+    daemon.data_centres = reader.objects("data_centres", read_data_centre);
+    check_data_centres(reader, daemon);
     read_seeds(reader, daemon);
     daemon.is_network_trusted =
         reader.flag("trusted_network", daemon.is_network_trusted);
@@ -312,6 +355,11 @@
     {
         daemon.health = reader.address("health");
     }
+    if (reader.has("reach_listen"))
+    {
+        daemon.reach_listen = reader.address("reach_listen");
+        check_reach(reader, daemon);
+    }
     check_roles(reader, daemon);
     check_agents(reader, daemon);
     if (daemon.control)
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -211,6 +211,22 @@
     EXPECT_TRUE(names(found, "f: /control/peer_listen", "loopback"));
 }
 
+TEST(settings, data_centres_that_orders_may_name_are_listed_once)
+{
+    const std::string named = replaced(
+        seeded_control, "\"trusted_network\": true",
+        R"("trusted_network": true, "data_centres": [
+            {"name": "quezon", "region": "ncr"},
+            {"name": "pasig", "region": "ncr"}])");
+    const settings_result found = parse_settings(named, "f");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    ASSERT_EQ(found->data_centres.size(), 2U);
+    EXPECT_EQ(found->data_centres[1],
+              (place{place_id("pasig"), region_id("ncr")}));
+    EXPECT_TRUE(names(parse_settings(replaced(named, "pasig", "quezon"), "f"),
+                      "f: /data_centres", "each data centre once"));
+}
+
 TEST(settings, seeds_name_no_keys)
 {
     const settings_result found =
