--- a/packages/daemon/src/control/control_links.cpp
+++ b/packages/daemon/src/control/control_links.cpp
@@ -248,10 +248,20 @@
         add(dealer.socket());
         add(dealer.events());
     }
+    if (m_also)
+    {
+        m_items.push_back(zmq::pollitem_t{nullptr, *m_also, ZMQ_POLLIN, 0});
+    }
     // The last one is the wake event of `wait`.
     m_items.push_back(zmq::pollitem_t{nullptr, 0, ZMQ_POLLIN, 0});
 }
 
+void control_links::wait_also_for(int descriptor)
+{
+    m_also = descriptor;
+    list_sockets();
+}
+
 void control_links::wait(duration longest, const wake_event& wake)
 {
     m_items.back().fd = wake.handle();
--- a/packages/daemon/src/control/control_links.hpp
+++ b/packages/daemon/src/control/control_links.hpp
@@ -55,6 +55,8 @@
 
     // Waits until a message or the event is there, or the time has passed.
     void wait(duration longest, const wake_event& wake);
+    // `wait` ends also when this descriptor is readable.
+    void wait_also_for(int descriptor);
 
     // The next message; empty if there is none.
     std::optional<inbound_message> next();
@@ -119,6 +121,7 @@
     // The connection over which each node spoke last.
     std::map<host_id, std::string> m_node_connections;
     std::vector<zmq::pollitem_t> m_items;
+    std::optional<int> m_also;
     metrics m_metrics;
 };
 
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -61,6 +61,15 @@
             return tl::unexpected(opened.error());
         }
     }
+    if (settings.reach_listen)
+    {
+        auto reach = reach_controller::open(settings, log);
+        if (!reach)
+        {
+            return tl::unexpected(reach.error());
+        }
+        made->m_reach = std::move(*reach);
+    }
     if (settings.is_node())
     {
         made->open_node(settings);
@@ -109,6 +118,10 @@
     }
     m_node.emplace(settings, *m_links, m_log, std::move(records), random_bits(),
                    m_clock.now());
+    if (m_reach)
+    {
+        m_links->wait_also_for(m_reach->handle());
+    }
     if (settings.operator_relay)
     {
         m_relay.emplace(*m_links, m_log);
@@ -221,6 +234,10 @@
     {
         agent->read_wanted(m_board);
     }
+    if (m_reach)
+    {
+        m_reach->advance(now, m_board);
+    }
     if (m_node)
     {
         m_node->advance(now, m_board);
--- a/packages/daemon/src/control/control_thread.hpp
+++ b/packages/daemon/src/control/control_thread.hpp
@@ -7,6 +7,7 @@
 #include "control/document_controller.hpp"
 #include "control/membership_controller.hpp"
 #include "control/node_controller.hpp"
+#include "control/reach_controller.hpp"
 #include "control/relay_controller.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "shared/mailbox.hpp"
@@ -103,6 +104,8 @@
     std::unique_ptr<storage_thread> m_storage;
     std::optional<document_controller> m_documents;
     std::optional<membership_controller> m_membership;
+    // Empty where leases alone tell which data centres are reached.
+    std::unique_ptr<reach_controller> m_reach;
     std::optional<node_controller> m_node;
     std::optional<relay_controller> m_relay;
     steady_clock_source m_clock;
--- /dev/null
+++ b/packages/membership/src/place_watch.cpp
@@ -0,0 +1,104 @@
+#include "crowlink/membership/place_watch.hpp"
+
+#include <algorithm>
+
+namespace crowlink
+{
+
+void place_watch::set_hosts(const hosts_type& hosts)
+{
+    std::erase_if(m_places, [&hosts](const auto& each)
+                  { return hosts.count(each.first) == 0; });
+    std::erase_if(m_unreachable, [&hosts](const place_id& each)
+                  { return hosts.count(each) == 0; });
+    for (const auto& [where, list] : hosts)
+    {
+        m_places[where].hosts = list;
+    }
+}
+
+std::vector<place_probe> place_watch::tick(time_point now)
+{
+    std::vector<place_probe> probes;
+    for (auto& [where, place] : m_places)
+    {
+        note_missed(now, where, place);
+        if (place.hosts.empty())
+        {
+            continue;
+        }
+        const bool doubts = place.missed > 0 && !place.is_confirming &&
+                            m_unreachable.count(where) == 0;
+        if (doubts)
+        {
+            place.is_confirming = true;
+            for (std::uint32_t i = 0; i < m_settings.confirmations; ++i)
+            {
+                ask(now, place, probes);
+            }
+        }
+        else if (now >= place.next_probe)
+        {
+            place.next_probe = now + interval();
+            ask(now, place, probes);
+        }
+    }
+    return probes;
+}
+
+void place_watch::note_missed(time_point now, const place_id& where,
+                              watched_place& place)
+{
+    while (!place.unanswered.empty() &&
+           now - place.unanswered.front().at >= m_settings.answer_within)
+    {
+        place.unanswered.pop_front();
+        ++place.missed;
+    }
+    if (place.missed > m_settings.confirmations)
+    {
+        m_unreachable.insert(where);
+        place.is_confirming = false;
+    }
+}
+
+void place_watch::ask(time_point now, watched_place& place,
+                      std::vector<place_probe>& probes)
+{
+    place.next_host = (place.next_host + 1) % place.hosts.size();
+    const std::uint32_t number = m_next_number++;
+    place.unanswered.push_back(sent_probe{number, now});
+    probes.push_back(place_probe{place.hosts[place.next_host], number});
+}
+
+void place_watch::answered(std::uint32_t number)
+{
+    for (auto& [where, place] : m_places)
+    {
+        const bool is_known =
+            std::any_of(place.unanswered.begin(), place.unanswered.end(),
+                        [number](const sent_probe& each)
+                        { return each.number == number; });
+        if (!is_known)
+        {
+            continue;
+        }
+        // What was asked before this answer says no more.
+        std::erase_if(place.unanswered, [number](const sent_probe& each)
+                      { return each.number <= number; });
+        place.missed = 0;
+        place.is_confirming = false;
+        m_unreachable.erase(where);
+        return;
+    }
+}
+
+duration place_watch::interval() const
+{
+    constexpr duration second = std::chrono::seconds(1);
+    const duration turns =
+        second * m_places.size() / m_settings.probes_per_second;
+    return std::max(m_settings.probe_every, turns);
+}
+
+} // namespace crowlink
--- /dev/null
+++ b/packages/membership/test/place_watch_test.cpp
@@ -0,0 +1,158 @@
+#include "crowlink/membership/place_watch.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+endpoint host(std::uint8_t place, std::uint8_t number)
+{
+    const std::array<std::uint8_t, 4> bytes{10, place, 0, number};
+    return endpoint{ip_address::from_v4(bytes), 7735};
+}
+
+// Two other data centres of ten hosts each; answers take 20 ms.
+class reached_places : public ::testing::Test
+{
+protected:
+    static constexpr duration turn = 50ms;
+
+    reached_places()
+    {
+        place_watch::hosts_type hosts;
+        for (std::uint8_t i = 0; i < 10; ++i)
+        {
+            hosts[place_id("north")].push_back(host(1, i));
+            hosts[place_id("south")].push_back(host(2, i));
+        }
+        m_watch.set_hosts(hosts);
+    }
+
+    static std::uint8_t place_of(const endpoint& to)
+    {
+        return to.address.bytes()[13];
+    }
+
+    // Runs turns; a probe is answered unless its place or host is down.
+    void run(duration time)
+    {
+        for (duration done{}; done < time; done += turn)
+        {
+            for (const std::uint32_t number : m_on_the_way)
+            {
+                m_watch.answered(number);
+            }
+            m_on_the_way.clear();
+            for (const place_probe& each : m_watch.tick(m_now))
+            {
+                ++m_sent;
+                const bool is_lost =
+                    m_down_places.count(place_of(each.to)) != 0 ||
+                    m_down_hosts.count(each.to) != 0 ||
+                    (m_lose_each != 0 && m_sent % m_lose_each == 0);
+                if (!is_lost)
+                {
+                    m_on_the_way.push_back(each.number);
+                }
+            }
+            m_now += turn;
+        }
+    }
+
+    bool reaches(const char* where) const
+    {
+        return m_watch.unreachable().count(place_id(where)) == 0;
+    }
+
+    time_point m_now{1h};
+    place_watch m_watch;
+    std::set<std::uint8_t> m_down_places;
+    std::set<endpoint> m_down_hosts;
+    std::size_t m_lose_each = 0;
+    std::size_t m_sent = 0;
+    std::vector<std::uint32_t> m_on_the_way;
+};
+
+TEST_F(reached_places, a_lost_place_is_known_within_0_4_s_and_no_other_is)
+{
+    run(1s);
+    m_down_places = {1};
+    run(400ms);
+    EXPECT_FALSE(reaches("north"));
+    EXPECT_TRUE(reaches("south"));
+}
+
+TEST_F(reached_places, a_place_that_is_back_is_known_within_0_2_s)
+{
+    m_down_places = {1, 2};
+    run(5s);
+    EXPECT_FALSE(reaches("north"));
+    EXPECT_FALSE(reaches("south"));
+    m_down_places = {2};
+    run(200ms);
+    EXPECT_TRUE(reaches("north"));
+    EXPECT_FALSE(reaches("south"));
+}
+
+// A release or a crash takes some hosts of a place, not the place.
+TEST_F(reached_places, some_hosts_that_are_down_do_not_make_a_place_lost)
+{
+    for (std::uint8_t i = 0; i < 5; ++i)
+    {
+        m_down_hosts.insert(host(1, i));
+    }
+    for (int i = 0; i < 100; ++i)
+    {
+        run(100ms);
+        ASSERT_TRUE(reaches("north")) << "after " << i;
+    }
+}
+
+TEST_F(reached_places, every_fourth_probe_lost_does_not_make_a_place_lost)
+{
+    m_lose_each = 4;
+    for (int i = 0; i < 300; ++i)
+    {
+        run(100ms);
+        ASSERT_TRUE(reaches("north") && reaches("south")) << "after " << i;
+    }
+}
+
+// The answers came meanwhile, and are told before time is looked at.
+TEST_F(reached_places, a_pause_of_this_host_says_nothing_of_others)
+{
+    run(1s);
+    m_now += 5s;
+    run(1s);
+    EXPECT_TRUE(reaches("north"));
+}
+
+TEST_F(reached_places, no_more_probes_are_sent_than_the_bound)
+{
+    place_watch::hosts_type hosts;
+    for (std::uint8_t i = 0; i < 11; ++i)
+    {
+        hosts[place_id("p" + std::to_string(i))].push_back(host(i, 1));
+    }
+    m_watch.set_hosts(hosts);
+    run(10s);
+    EXPECT_LE(m_sent, 220U);
+    EXPECT_GE(m_sent, 150U);
+}
+
+TEST_F(reached_places, a_place_without_hosts_is_not_lost)
+{
+    m_down_places = {1};
+    run(1s);
+    m_watch.set_hosts({{place_id("south"), {host(2, 1)}}});
+    EXPECT_TRUE(reaches("north"));
+}
+
+} // namespace
+
+} // namespace crowlink
