--- a/packages/agent/include/crowlink/agent.hpp
+++ b/packages/agent/include/crowlink/agent.hpp
@@ -15,6 +15,7 @@
 //   shed_notice.hpp      asking and granting leave to take no new flow
 //   flow_refusal.hpp     what a caller is told
 //   flow_decision.hpp    one decision, for the log
+//   hand_on_opening.hpp  the way of an opening packet that came by mistake
 //
 // The parts below are its own business:
 //
@@ -37,6 +38,7 @@
 #include "crowlink/agent/agent_settings.hpp"
 #include "crowlink/agent/flow_decision.hpp"
 #include "crowlink/agent/flow_refusal.hpp"
+#include "crowlink/agent/hand_on_opening.hpp"
 #include "crowlink/agent/load_notice.hpp"
 #include "crowlink/agent/peer_message.hpp"
 #include "crowlink/agent/redirect_notice.hpp"
--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crowlink/agent/cold_gate.hpp"
 #include "crowlink/agent/load_board.hpp"
 #include "crowlink/agent/progress_judge.hpp"
 #include "crowlink/base/time.hpp"
@@ -49,6 +50,12 @@
 
     // Whether what runs and waits would make one more request late.
     bool is_full_of_work() const;
+    // Whether a copy of an opening packet that is turned away now may find room:
+    // work ends within milliseconds, and a cold upstream's bound moves on.
+    bool has_room_soon(time_point now) const;
+
+    // What the agent knows of the upstream's start.
+    cold_gate& cold() { return m_cold; }
 
     // Whether one more flow is within the limits. While shedding, one flow now
     // and then is, as a trial.
@@ -72,6 +79,7 @@
     std::uint32_t m_weight = 100;
     bool m_draining = false;
     std::uint64_t m_work = 0;
+    cold_gate m_cold;
     progress_judge m_judge;
     load_board m_peers;
     time_point m_now{};
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -93,7 +93,12 @@
 
     // Packets.
     route route_of(time_point now, const packet_arrived& event);
+    static bool is_new_again(const internal::flow_entry& entry,
+                             const packet_arrived& event);
     bool is_for_this(const packet_arrived& event);
+    bool names_former_life(const packet_header& header) const;
+    route route_of_former_life(time_point now, const packet_arrived& event);
+    void pass_by(const packet_arrived& event);
     void deliver_known(time_point now, internal::flow_entry& entry,
                        const packet_arrived& event);
     void end_by_caller(time_point now, internal::flow_entry& entry,
@@ -108,10 +113,11 @@
                         const packet_arrived& event);
     void start_walk(time_point now, packet_header header,
                     const packet_arrived& event);
-    void walk(time_point now, packet_header header,
-              const packet_arrived& event);
+    void walk(time_point now, packet_header header, const packet_arrived& event,
+              const candidate& as);
     const candidate* missed_on_walk(const packet_header& header,
-                                    const candidate_chain& before) const;
+                                    const candidate_chain& before,
+                                    const candidate& as) const;
     const candidate* next_on_walk(const packet_header& header,
                                   std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
@@ -127,6 +133,7 @@
     void ask_members(time_point now);
     void take_in(time_point now, const endpoint& from,
                  const owner_question& message);
+    void answer_for_former_life(const owner_question& message);
     void take_in(time_point now, const endpoint& from,
                  const owner_answer& message);
     ownership ownership_of(time_point now, const flow_key& flow);
@@ -152,8 +159,10 @@
                 const packet_arrived& event);
     void place(time_point now, const packet_header& header,
                const packet_arrived& event);
-    void place_elsewhere(packet_header header, const packet_arrived& event);
-    void refuse(const packet_header& header, const packet_arrived& event);
+    void place_elsewhere(time_point now, packet_header header,
+                         const packet_arrived& event);
+    void refuse(time_point now, const packet_header& header,
+                const packet_arrived& event);
     void take(time_point now, const packet_header& header,
               const packet_arrived& event, flow_action how,
               std::string_view reason);
@@ -207,6 +216,7 @@
     void on(time_point now, const upstream_closed& event);
     void on(time_point now, const upstream_failed& event);
     void on(time_point now, const upstream_lived_on& event);
+    void on(time_point now, const upstream_told& event);
     void on(time_point now, const message_arrived& event);
     void on(time_point now, const view_changed& event);
     void on(time_point now, const leave_requested& event);
@@ -268,6 +278,7 @@
 
     bool m_announced = false;
     bool m_leaving = false;
+    bool m_is_life_uncertain = false;
     // Until when flows that may be old, and flows that surely are, may be
     // taken up again after a restart beside a living upstream.
     time_point m_adopt_until{};
--- a/packages/agent/include/crowlink/agent/agent_counts.hpp
+++ b/packages/agent/include/crowlink/agent/agent_counts.hpp
@@ -38,6 +38,8 @@
     // Packets and messages dropped.
     std::uint64_t wrong_service = 0;
     std::uint64_t wrong_tag = 0;
+    // Packets for an upstream that ran here before the present one.
+    std::uint64_t former_life = 0;
     std::uint64_t too_many_hops = 0;
     std::uint64_t unknown_answers = 0;
     // Messages sent and what they held.
--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -82,6 +82,19 @@
     bool is_young = false;
 };
 
+// What the upstream says of its start.
+struct upstream_told
+{
+    // Until when it is cold; a past time where it is warm.
+    time_point cold_until{};
+    // The agent has just started beside it, and what it was sent in the second
+    // before is not known.
+    bool is_second_before_unknown = false;
+    // The agent found the upstream at its own start, and may name its life in
+    // another way than peers do until the upstream has spoken.
+    bool is_life_uncertain = false;
+};
+
 // Another agent sent a message.
 struct message_arrived
 {
--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -39,6 +39,11 @@
 // Makes an agent the only one of the current chain.
 void ask_only(packet_header& header, const candidate& only);
 
+// Puts an agent in the place of every candidate at its address: lives that its
+// upstream had before. Yields whether it is the one addressed then.
+bool replace_former_life(packet_header& header, const candidate& present);
+
+
 // An agent's place in the order of walks for a flow. All agents agree on it,
 // and it differs from flow to flow, so that no agent ends all walks.
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent);
--- a/packages/agent/include/crowlink/agent/upstream_life.hpp
+++ b/packages/agent/include/crowlink/agent/upstream_life.hpp
@@ -31,6 +31,8 @@
     // Its sequence when the agent first heard it; 0 before it has spoken, and
     // after a silence.
     std::uint64_t first_heard = 0;
+    // Until when it is cold after its start, by its newest word.
+    time_point cold_until{};
 
     // Whether it had just started when the agent first heard it. What it may
     // hold from before is little, and was opened a moment ago.
@@ -89,6 +91,8 @@
         std::optional<incarnation> started;
     };
 
+    static time_point cold_until(time_point now,
+                                 const upstream_announcement& announced);
     bool has_ended(const upstream_announcement& announced) const;
     result<void> check_start(const upstream_announcement& announced) const;
     bool is_new_life(const upstream_announcement& announced) const;
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -32,6 +32,7 @@
     {
         m_limits.slots = m_announced_slots;
     }
+    m_cold.set_limit(declared.limits.cold_flows_per_second);
     m_sharing = declared.sharing;
     m_weight = std::max(weight, 1U);
 }
@@ -53,8 +54,9 @@
 
 std::uint32_t admission::load(std::size_t flows) const
 {
-    const std::uint64_t used = std::max(millionths(flows, m_limits.connections),
-                                        millionths(m_work, m_limits.slots));
+    const std::uint64_t used = std::max({millionths(flows, m_limits.connections),
+                                         millionths(m_work, m_limits.slots),
+                                         std::uint64_t{m_cold.used(m_now)}});
     const std::uint64_t capacity =
         static_cast<std::uint64_t>(m_weight) * share(m_now) / default_weight;
     const std::uint64_t load = millionths(used, capacity);
@@ -83,9 +85,18 @@
            m_work >= std::uint64_t{m_work_per_slot} * m_limits.slots;
 }
 
+bool admission::has_room_soon(time_point now) const
+{
+    // Callers repeat themselves after 200 and 400 ms more.
+    constexpr duration next_copy = std::chrono::milliseconds(400);
+    const bool is_full = is_full_of_work() || !m_cold.allows(now);
+    return is_full && m_cold.allows_within(now, next_copy);
+}
+
 bool admission::can_admit(time_point now, std::size_t flows) const
 {
-    if (m_draining || flows >= m_limits.connections || is_full_of_work())
+    if (m_draining || flows >= m_limits.connections || is_full_of_work() ||
+        !m_cold.allows(now))
     {
         return false;
     }
@@ -115,6 +126,7 @@
 
 void admission::admitted(time_point now)
 {
+    m_cold.admitted(now);
     if (is_shedding(now))
     {
         m_next_trial = now + trial_interval;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -1,4 +1,5 @@
 #include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
 
 #include <algorithm>
 #include <type_traits>
@@ -51,17 +52,22 @@
     {
         end_flow(flow, "returned");
     }
-    const packet_arrived again{event.header, event.payload};
-    if (event.header.role == packet_role::opens)
+    packet_header header = event.header;
+    if (names_former_life(header))
     {
-        place_elsewhere(event.header, again);
+        (void)internal::replace_former_life(header, m_self);
     }
-    else if (event.header.role == packet_role::continues)
+    const packet_arrived again{header, event.payload};
+    if (header.role == packet_role::opens)
+    {
+        place_elsewhere(now, header, again);
+    }
+    else if (header.role == packet_role::continues)
     {
         // After a restart of several agents each may have taken it for its
         // own: the others are tried.
         m_returned.add(now, flow);
-        look_elsewhere(now, event.header, again);
+        look_elsewhere(now, header, again);
     }
     send_batch();
 }
@@ -126,6 +132,16 @@
     m_admission.judge().assume_warm();
 }
 
+void agent::on(time_point now, const upstream_told& event)
+{
+    m_is_life_uncertain = event.is_life_uncertain;
+    m_admission.cold().set_cold_until(event.cold_until);
+    if (event.is_second_before_unknown)
+    {
+        m_admission.cold().forget(now);
+    }
+}
+
 void agent::on(time_point now, const message_arrived& event)
 {
     std::visit(
@@ -142,6 +158,12 @@
             }
             if (message.receiver != m_tag)
             {
+                if constexpr (std::is_same_v<std::decay_t<decltype(message)>,
+                                             owner_question>)
+                {
+                    answer_for_former_life(message);
+                    return;
+                }
                 ++m_counts.wrong_tag;
                 return;
             }
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -14,7 +14,7 @@
     const std::size_t first = next_usable(header, 0);
     if (first == header.current.size())
     {
-        refuse(header, event);
+        refuse(now, header, event);
         return;
     }
     header.position = static_cast<std::uint8_t>(first);
@@ -75,7 +75,7 @@
 {
     if (header.best == packet_header::no_position)
     {
-        refuse(header, event);
+        refuse(now, header, event);
         return;
     }
     const candidate chosen = *internal::candidate_at(header, header.best);
@@ -106,7 +106,7 @@
     }
     if (!m_admission.can_admit(now, m_flows.open_count()))
     {
-        refuse(header, event);
+        refuse(now, header, event);
         return;
     }
     take(now, header, event, flow_action::admitted, "least_load");
@@ -114,7 +114,8 @@
 
 // The candidates are gone round once, from the one that returned the packet
 // first; its position is kept as the best.
-void agent::place_elsewhere(packet_header header, const packet_arrived& event)
+void agent::place_elsewhere(time_point now, packet_header header,
+                            const packet_arrived& event)
 {
     const std::size_t count = header.current.size();
     const std::size_t own = internal::position_of(header, m_self);
@@ -122,7 +123,7 @@
                           header.best == packet_header::no_position;
     if (own >= count)
     {
-        refuse(header, event);
+        refuse(now, header, event);
         return;
     }
     if (is_first || header.best == header.position)
@@ -136,7 +137,7 @@
     }
     if (next == header.best || next == own)
     {
-        refuse(header, event);
+        refuse(now, header, event);
         return;
     }
     header.pass = packet_pass::place;
@@ -145,19 +146,20 @@
     forward(header, event, flow_action::handed_off, "returned_by_upstream");
 }
 
-void agent::refuse(const packet_header& header, const packet_arrived& event)
+void agent::refuse(time_point now, const packet_header& header,
+                   const packet_arrived& event)
 {
     const refusal_reason reason = m_admission.is_draining()
                                       ? refusal_reason::leaving
                                       : refusal_reason::full;
     // Work ends within milliseconds, so that a later copy may find room; a
     // refusal now would only bring the caller back as a new flow.
-    if (event.comes_again && m_admission.is_full_of_work())
+    if (event.comes_again && m_admission.has_room_soon(now))
     {
         ++m_counts.deferred;
         m_redirects.erase(header.flow);
         decide(flow_action::deferred, header.flow, header.table, candidate(),
-               "full_of_work");
+               m_admission.is_full_of_work() ? "full_of_work" : "cold");
         return;
     }
     const flow_refusal told{verdict::not_run, reason, m_settings.retry_after};
@@ -178,7 +180,10 @@
     entry.checked = m_check;
     const bool adopted = how == flow_action::adopted;
     ++(adopted ? m_counts.adopted : m_counts.admitted);
-    m_admission.admitted(now);
+    if (event.header.role != packet_role::continues)
+    {
+        m_admission.admitted(now);
+    }
     note_caller_packet(now, entry, event.need);
     m_effects.add(internal::deliver_effect{header.flow, event.payload});
     decide(how, header.flow, header.table, m_self, reason);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -1,5 +1,6 @@
 #include "crowlink/agent/agent.hpp"
 #include "crowlink/agent/chain_walk.hpp"
+#include "crowlink/agent/hand_on_opening.hpp"
 
 namespace crowlink
 {
@@ -38,11 +39,22 @@
 
 agent::route agent::route_of(time_point now, const packet_arrived& event)
 {
+    if (names_former_life(event.header))
+    {
+        return route_of_former_life(now, event);
+    }
     if (!is_for_this(event))
     {
+        pass_by(event);
         return route::elsewhere;
     }
     internal::flow_entry* entry = m_flows.find(event.header.flow);
+    if (entry != nullptr && is_new_again(*entry, event) &&
+        !m_admission.can_admit(now, m_flows.open_count()))
+    {
+        end_flow(event.header.flow, "no_room");
+        entry = nullptr;
+    }
     if (entry == nullptr)
     {
         find_or_place(now, event);
@@ -58,6 +70,65 @@
     return route::deliver;
 }
 
+// Whether the packet is for an upstream that ran beside this agent before the
+// present one. Whoever sent it has not heard of the present one yet.
+bool agent::names_former_life(const packet_header& header) const
+{
+    // A datagram does not tell whether it belongs to a flow of before.
+    const bool is_told = header.role == packet_role::opens ||
+                         header.role == packet_role::continues;
+    const candidate* const addressed =
+        internal::candidate_at(header, header.position);
+    return is_told && addressed != nullptr &&
+           header.service == m_record.service &&
+           addressed->agent == m_self.agent && addressed->tag != m_tag;
+}
+
+// The present upstream serves new flows as well as the former one would, and
+// whether another one has an old flow is found out as for any unknown flow.
+agent::route agent::route_of_former_life(time_point now,
+                                         const packet_arrived& event)
+{
+    packet_header header = event.header;
+    ++m_counts.former_life;
+    const bool is_known = m_flows.find(header.flow) != nullptr;
+    if (header.pass == packet_pass::walk && !is_known &&
+        header.hops < hop_limit)
+    {
+        const candidate as = *internal::candidate_at(header, header.position);
+        walk(now, header, event, as);
+        send_batch();
+        return route::elsewhere;
+    }
+    (void)internal::replace_former_life(header, m_self);
+    return route_of(now, packet_arrived{header, event.payload, event.need,
+                                        event.finishes, event.comes_again,
+                                        event.sequence});
+}
+
+// An opening packet that came here by mistake goes to the next candidate, so
+// that its caller need not wait to send it once more.
+void agent::pass_by(const packet_arrived& event)
+{
+    packet_header header = event.header;
+    if (header.hops >= hop_limit || !hand_on_opening(header, m_self.agent))
+    {
+        return;
+    }
+    ++m_counts.handed_off;
+    const candidate to = header.current[header.position];
+    m_effects.add(internal::forward_effect{to.agent, header, event.payload});
+    decide(flow_action::handed_off, header.flow, header.table, to,
+           "not_the_candidate");
+}
+
+// Whether a caller uses the addresses of a flow that has ended for a new one.
+bool agent::is_new_again(const internal::flow_entry& entry,
+                         const packet_arrived& event)
+{
+    return entry.lingering && event.header.role == packet_role::opens;
+}
+
 bool agent::is_for_this(const packet_arrived& event)
 {
     const packet_header& header = event.header;
@@ -90,8 +161,9 @@
                           const packet_arrived& event)
 {
     ++m_counts.delivered;
-    if (entry.lingering && event.header.role == packet_role::opens)
+    if (is_new_again(entry, event))
     {
+        m_admission.admitted(now);
         reopen(entry);
     }
     const bool unchecked = entry.checked != m_check;
@@ -169,7 +241,7 @@
         look_up(now, event);
         break;
     case packet_pass::walk:
-        walk(now, header, event);
+        walk(now, header, event, m_self);
         break;
     case packet_pass::admit:
         ask_to_admit(now, header, event);
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -58,6 +58,26 @@
     send(message.sender.agent, std::move(told));
 }
 
+// Nobody else can answer for an upstream that ran here before: it took its flows
+// with it. Whoever asks has not heard of its end yet. Where the present life is
+// not known by its name yet, the question may be meant for it.
+void agent::answer_for_former_life(const owner_question& message)
+{
+    if (m_is_life_uncertain)
+    {
+        ++m_counts.wrong_tag;
+        return;
+    }
+    const candidate former{m_self.agent, message.receiver};
+    owner_answer told{m_record.service, message.sender.tag, former, {}};
+    for (const flow_key& each : message.flows)
+    {
+        told.flows.push_back(
+            stated_ownership{stable_hash(each), ownership::none});
+    }
+    send(message.sender.agent, std::move(told));
+}
+
 ownership agent::ownership_of(time_point now, const flow_key& flow)
 {
     if (m_flows.find(flow) != nullptr)
--- a/packages/agent/src/agent_walk.cpp
+++ b/packages/agent/src/agent_walk.cpp
@@ -18,7 +18,7 @@
     const candidate* first = next_on_walk(header, 0);
     if (first == nullptr || *first == m_self)
     {
-        walk(now, header, event);
+        walk(now, header, event, m_self);
         return;
     }
     internal::address_to(header, *first);
@@ -29,13 +29,15 @@
 // Agents are met in one order, and each packet goes where the one before it
 // went as well as along its own chains. So two packets whose chains share an
 // agent end up at the same last one, and that one decides. What an agent on
-// the way knows beyond the packet's chains joins them.
+// the way knows beyond the packet's chains joins them. A former life of the
+// upstream keeps its own place in that order, so that none is met twice.
 void agent::walk(time_point now, packet_header header,
-                 const packet_arrived& event)
+                 const packet_arrived& event, const candidate& as)
 {
-    internal::address_to(header, m_self);
+    internal::address_to(header, as);
     const bool is_likely_owner =
-        header.role == packet_role::continues || header.position == 0;
+        as == m_self &&
+        (header.role == packet_role::continues || header.position == 0);
     if (header.best == packet_header::no_position && is_likely_owner &&
         may_adopt(now, header, false))
     {
@@ -49,9 +51,9 @@
     {
         internal::add_on_walk(header, mark->to);
     }
-    const candidate* missed = missed_on_walk(header, known_before);
+    const candidate* missed = missed_on_walk(header, known_before, as);
     const std::uint64_t here =
-        internal::walk_order(stable_hash(header.flow), m_self);
+        internal::walk_order(stable_hash(header.flow), as);
     const candidate* next =
         missed != nullptr ? missed : next_on_walk(header, here);
     if (next == nullptr)
@@ -72,11 +74,12 @@
 // The first of those that joined the packet's chains here and come before
 // this agent in the order of the walk; the walk goes on from there.
 const candidate* agent::missed_on_walk(const packet_header& header,
-                                       const candidate_chain& before) const
+                                       const candidate_chain& before,
+                                       const candidate& as) const
 {
     const std::uint64_t hash = stable_hash(header.flow);
     const candidate* first = nullptr;
-    std::uint64_t first_order = internal::walk_order(hash, m_self);
+    std::uint64_t first_order = internal::walk_order(hash, as);
     for (const candidate& next : header.previous)
     {
         const bool is_new =
--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/agent/chain_walk.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace crowlink::internal
 {
@@ -134,6 +135,46 @@
     header.best = packet_header::no_position;
 }
 
+bool replace_former_life(packet_header& header, const candidate& present)
+{
+    const candidate* found = candidate_at(header, header.position);
+    if (found == nullptr || found->agent != present.agent)
+    {
+        return false;
+    }
+    const candidate* const best =
+        header.best == packet_header::no_position
+            ? nullptr
+            : candidate_at(header, header.best);
+    const std::optional<candidate> best_kept =
+        best == nullptr ? std::nullopt : std::optional(*best);
+    const auto renewed = [&present](const candidate_chain& chain)
+    {
+        candidate_chain out;
+        for (const candidate& each : chain)
+        {
+            const candidate next =
+                each.agent == present.agent ? present : each;
+            if (std::find(out.begin(), out.end(), next) == out.end())
+            {
+                out.push_back(next);
+            }
+        }
+        return out;
+    };
+    header.current = renewed(header.current);
+    header.previous = renewed(header.previous);
+    header.position =
+        static_cast<std::uint8_t>(position_of(header, present));
+    header.best = packet_header::no_position;
+    if (best_kept && best_kept->agent != present.agent)
+    {
+        header.best =
+            static_cast<std::uint8_t>(position_of(header, *best_kept));
+    }
+    return true;
+}
+
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent)
 {
     return combine_hash(flow_hash, agent.tag);
--- /dev/null
+++ b/packages/agent/src/cold_gate.cpp
@@ -0,0 +1,53 @@
+#include "crowlink/agent/cold_gate.hpp"
+
+#include "crowlink/agent/load_units.hpp"
+
+#include <algorithm>
+
+namespace crowlink::internal
+{
+
+bool cold_gate::allows(time_point now) const
+{
+    if (!is_bounding(now))
+    {
+        return true;
+    }
+    return now >= m_blind_until && recent(now) < m_limit;
+}
+
+void cold_gate::admitted(time_point now)
+{
+    if (m_limit == 0)
+    {
+        return;
+    }
+    m_admitted.push_back(now);
+    while (m_admitted.size() > m_limit)
+    {
+        m_admitted.pop_front();
+    }
+}
+
+std::uint32_t cold_gate::used(time_point now) const
+{
+    if (!is_bounding(now))
+    {
+        return 0;
+    }
+    if (now < m_blind_until)
+    {
+        return full_share;
+    }
+    return static_cast<std::uint32_t>(recent(now) * std::uint64_t{full_share} /
+                                      m_limit);
+}
+
+std::size_t cold_gate::recent(time_point now) const
+{
+    const auto first = std::upper_bound(m_admitted.begin(), m_admitted.end(),
+                                        now - window);
+    return static_cast<std::size_t>(m_admitted.end() - first);
+}
+
+} // namespace crowlink::internal
--- a/packages/agent/src/upstream_life.cpp
+++ b/packages/agent/src/upstream_life.cpp
@@ -26,6 +26,7 @@
     if (is_new_life(announced))
     {
         begin(announced);
+        m_status->cold_until = cold_until(now, announced);
         return {};
     }
     if (!m_status->started)
@@ -47,10 +48,19 @@
     {
         m_sequence = announced.sequence;
         m_status->leaves = announced.leaves;
+        m_status->cold_until = cold_until(now, announced);
     }
     return {};
 }
 
+// Nothing where it is warm, so that its words do not differ from each other.
+time_point upstream_life::cold_until(time_point now,
+                                     const upstream_announcement& announced)
+{
+    const bool is_cold = announced.warm_up_left > duration::zero();
+    return is_cold ? now + announced.warm_up_left : time_point();
+}
+
 result<void>
 upstream_life::check_start(const upstream_announcement& announced) const
 {
@@ -95,7 +105,8 @@
                            announced.sequence > first_sequence,
                            announced.leaves,
                            false,
-                           announced.sequence};
+                           announced.sequence,
+                           time_point()};
 }
 
 void upstream_life::found(time_point now, const upstream_id& id, bool leaves)
@@ -104,7 +115,8 @@
     {
         return;
     }
-    m_status = life_status{id, std::nullopt, 0, 0, true, leaves, false, 0};
+    m_status = life_status{id,     std::nullopt, 0, 0,           true,
+                           leaves, false,        0, time_point()};
     m_sequence = 0;
     m_heard = now;
 }
--- a/packages/agent/test/agent_fixture.hpp
+++ b/packages/agent/test/agent_fixture.hpp
@@ -16,12 +16,14 @@
 public:
     explicit agent_fixture(std::size_t members,
                            const sharing_policy& sharing = warm_sharing(),
-                           std::uint32_t connections = 2000)
+                           std::uint32_t connections = 2000,
+                           std::uint32_t cold_flows_per_second = 0)
     {
         auto view = std::make_shared<service_view>();
         view->declared.id = service_id(5);
         view->declared.sharing = sharing;
         view->declared.limits.connections = connections;
+        view->declared.limits.cold_flows_per_second = cold_flows_per_second;
         for (std::size_t i = 0; i < members; ++i)
         {
             view->members.push_back(member(i));
@@ -106,6 +108,15 @@
         core->handle(now, event, effects);
     }
 
+    // Tells the agent that its own upstream is to get nothing new, or may.
+    void set_drained(bool drained)
+    {
+        const auto view = std::make_shared<service_view>(*m_view);
+        view->members.front().state =
+            drained ? upstream_state::draining : upstream_state::ready;
+        handle(view_changed{view});
+    }
+
     // Lets time pass with a tick every 100 ms.
     void advance(duration time)
     {
--- /dev/null
+++ b/packages/agent/test/cold_gate_test.cpp
@@ -0,0 +1,159 @@
+#include "agent_fixture.hpp"
+
+#include "crowlink/agent/cold_gate.hpp"
+#include "crowlink/base/random.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using internal::cold_gate;
+
+constexpr std::uint32_t limit = 20;
+
+cold_gate cold_for(time_point now, duration time)
+{
+    cold_gate gate;
+    gate.set_limit(limit);
+    gate.set_cold_until(now + time);
+    return gate;
+}
+
+// The most flows that came within any span of a second.
+std::size_t most_in_a_second(const std::vector<time_point>& admitted)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0; first < admitted.size(); ++first)
+    {
+        std::size_t count = 0;
+        while (first + count < admitted.size() &&
+               admitted[first + count] - admitted[first] <= 1s)
+        {
+            ++count;
+        }
+        most = std::max(most, count);
+    }
+    return most;
+}
+
+// All back cold, ten times what one bears: no span of a second has more, and
+// what it bears is used.
+TEST(cold_gate, bounds_each_span_of_a_second_under_any_load)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed)
+    {
+        seeded_random random(seed);
+        time_point now{1h};
+        cold_gate gate = cold_for(now, 5s);
+        const time_point end = now + 5s;
+        std::vector<time_point> admitted;
+        while (now < end)
+        {
+            now += std::chrono::microseconds(random() % 10'000);
+            if (now < end && gate.allows(now))
+            {
+                gate.admitted(now);
+                admitted.push_back(now);
+            }
+        }
+        EXPECT_LE(most_in_a_second(admitted), limit);
+        EXPECT_GE(admitted.size(), 4 * limit);
+    }
+}
+
+TEST(cold_gate, a_warm_upstream_has_no_bound)
+{
+    time_point now{1h};
+    cold_gate gate = cold_for(now, 2s);
+    for (std::uint32_t i = 0; i < limit; ++i)
+    {
+        EXPECT_TRUE(gate.allows(now));
+        gate.admitted(now);
+    }
+    EXPECT_FALSE(gate.allows(now));
+    EXPECT_EQ(gate.used(now), 1'000'000U);
+    EXPECT_TRUE(gate.allows(now + 2s));
+    EXPECT_EQ(gate.used(now + 2s), 0U);
+}
+
+TEST(cold_gate, a_service_that_tells_no_bound_has_none)
+{
+    const time_point now{1h};
+    cold_gate gate;
+    gate.set_cold_until(now + 10s);
+    gate.forget(now);
+    EXPECT_TRUE(gate.allows(now));
+}
+
+TEST(cold_gate, an_agent_that_starts_beside_a_cold_upstream_waits_a_second)
+{
+    const time_point now{1h};
+    cold_gate gate = cold_for(now, 5s);
+    gate.forget(now);
+    EXPECT_FALSE(gate.allows(now + 1s));
+    EXPECT_TRUE(gate.allows(now + 1100ms));
+}
+
+// One agent whose upstream has just started cold.
+class cold_upstream : public ::testing::Test, public agent_fixture
+{
+protected:
+    cold_upstream() : agent_fixture(3, warm_sharing(), 2000, limit)
+    {
+        handle(upstream_told{now + 5s});
+    }
+
+    void open(std::uint16_t number, bool comes_again)
+    {
+        packet_header sent = header(number);
+        sent.role = packet_role::opens;
+        handle(packet_arrived{sent, {}, answer_need::required, false,
+                              comes_again});
+    }
+};
+
+TEST_F(cold_upstream, gets_what_it_bears_and_no_more)
+{
+    for (std::uint16_t i = 0; i < 3 * limit; ++i)
+    {
+        open(i, false);
+    }
+    EXPECT_EQ(effects.delivered.size(), limit);
+    EXPECT_EQ(effects.refusals.size(), 2 * limit);
+    EXPECT_EQ(effects.refusals.back().told.outcome, verdict::not_run);
+}
+
+// Peers see that it has enough, before anything is turned away.
+TEST_F(cold_upstream, shows_its_bound_as_load)
+{
+    for (std::uint16_t i = 0; i < limit; ++i)
+    {
+        open(i, false);
+    }
+    handle(tick{});
+    EXPECT_GE(core->load(), 1'000'000U);
+}
+
+TEST_F(cold_upstream, is_not_given_more_by_callers_that_repeat_themselves)
+{
+    for (std::uint16_t i = 0; i < limit; ++i)
+    {
+        open(i, false);
+    }
+    advance(900ms);
+    open(limit, true);
+    // A copy comes when there is room again.
+    EXPECT_TRUE(effects.refusals.empty());
+    advance(200ms);
+    open(limit, true);
+    EXPECT_EQ(effects.delivered.size(), limit + 1U);
+}
+
+} // namespace
+
+} // namespace crowlink::test
--- /dev/null
+++ b/packages/agent/test/evacuated_test.cpp
@@ -0,0 +1,61 @@
+#include "agent_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+class evacuated : public ::testing::Test, public agent_fixture
+{
+protected:
+    evacuated() : agent_fixture(3) {}
+
+    void arrive(std::uint16_t number, packet_role role, bool finishes = false)
+    {
+        packet_header sent = header(number);
+        sent.role = role;
+        handle(packet_arrived{sent, {}, answer_need::none, finishes});
+    }
+
+    // A connection that both ends have closed.
+    void open_and_close(std::uint16_t number)
+    {
+        arrive(number, packet_role::opens);
+        arrive(number, packet_role::continues, true);
+        const flow_key ended = flow(number);
+        handle(upstream_answered{ended, {}, true});
+    }
+};
+
+TEST_F(evacuated, keeps_its_flows_and_takes_no_new_one)
+{
+    arrive(1, packet_role::opens);
+    set_drained(true);
+    const std::size_t before = effects.delivered.size();
+    arrive(1, packet_role::continues);
+    EXPECT_EQ(effects.delivered.size(), before + 1);
+    arrive(2, packet_role::opens);
+    EXPECT_EQ(effects.delivered.size(), before + 1);
+    EXPECT_TRUE(core->owns(flow(1)));
+}
+
+// The agent remembers a closed connection for a while, and its caller may use
+// the same addresses for another one.
+TEST_F(evacuated, does_not_open_a_closed_connection_again)
+{
+    open_and_close(1);
+    open_and_close(2);
+    const std::size_t before = effects.delivered.size();
+    arrive(1, packet_role::opens);
+    ASSERT_EQ(effects.delivered.size(), before + 1);
+    set_drained(true);
+    arrive(2, packet_role::opens);
+    EXPECT_EQ(effects.delivered.size(), before + 1);
+}
+
+} // namespace
+
+} // namespace crowlink::test
--- /dev/null
+++ b/packages/agent/test/former_life_test.cpp
@@ -0,0 +1,151 @@
+#include "agent_fixture.hpp"
+
+#include "crowlink/agent/chain_walk.hpp"
+#include "crowlink/agent/hand_on_opening.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::test
+{
+
+namespace
+{
+
+// The upstream beside the agent has started anew, and others still name the
+// life that it had before.
+class former_life : public ::testing::Test, public agent_fixture
+{
+protected:
+    former_life() : agent_fixture(3) {}
+
+    static candidate former()
+    {
+        const upstream_record record = member(0);
+        return candidate{record.agent,
+                         tag_of(record.id, incarnation(record.started.value() -
+                                                       1))};
+    }
+
+    packet_header named_by_former(std::uint16_t number, packet_role role) const
+    {
+        packet_header sent = header(number);
+        sent.role = role;
+        sent.current = candidate_chain();
+        sent.current.push_back(former());
+        return sent;
+    }
+};
+
+TEST_F(former_life, a_flow_that_opens_is_served_by_the_present_one)
+{
+    handle(packet_arrived{named_by_former(1, packet_role::opens), {}});
+    EXPECT_EQ(effects.delivered.size(), 1U);
+    EXPECT_TRUE(core->owns(flow(1)));
+    EXPECT_EQ(core->counts().wrong_tag, 0U);
+}
+
+TEST_F(former_life, an_old_flow_is_not_taken_for_one_of_the_present_one)
+{
+    handle(packet_arrived{named_by_former(1, packet_role::continues), {},
+                          answer_need::required});
+    EXPECT_TRUE(effects.delivered.empty());
+    // It is looked for at the others.
+    ASSERT_EQ(effects.forwards.size(), 1U);
+    EXPECT_EQ(effects.forwards.front().header.pass, packet_pass::walk);
+}
+
+// The upstream returns an opening packet: the next candidate gets it.
+TEST_F(former_life, a_returned_packet_goes_on_to_the_next_candidate)
+{
+    packet_header sent = named_by_former(1, packet_role::opens);
+    sent.current.push_back(identity(1));
+    handle(packet_returned{sent, {}});
+    ASSERT_EQ(effects.forwards.size(), 1U);
+    EXPECT_EQ(effects.forwards.front().to, address(1));
+    EXPECT_TRUE(effects.refusals.empty());
+}
+
+TEST_F(former_life, a_packet_of_another_service_goes_on_to_its_next_candidate)
+{
+    packet_header sent = header(1);
+    sent.service = service_id(6);
+    sent.role = packet_role::opens;
+    sent.current.push_back(identity(1));
+    handle(packet_arrived{sent, {}});
+    EXPECT_TRUE(effects.delivered.empty());
+    ASSERT_EQ(effects.forwards.size(), 1U);
+    EXPECT_EQ(effects.forwards.front().to, address(1));
+}
+
+// Others name the former life again and again on the packet's way. It is met
+// once, at its own place in the order, and the packet goes on from there.
+TEST_F(former_life, a_walk_meets_it_once)
+{
+    packet_header sent = named_by_former(1, packet_role::continues);
+    sent.pass = packet_pass::walk;
+    sent.hops = 3;
+    for (std::size_t i = 1; i < 3; ++i)
+    {
+        sent.previous.push_back(identity(i));
+    }
+    const std::uint64_t hash = stable_hash(sent.flow);
+    const std::uint64_t here = internal::walk_order(hash, former());
+    handle(packet_arrived{sent, {}, answer_need::required});
+    for (const auto& each : effects.forwards)
+    {
+        const candidate* to =
+            internal::candidate_at(each.header, each.header.position);
+        EXPECT_GT(internal::walk_order(hash, *to), here);
+        EXPECT_EQ(each.header.current[0], former());
+    }
+}
+
+// Who looks for a flow's owner need not wait for control to say that the former
+// life is over.
+TEST_F(former_life, has_no_flow_any_more_and_says_so)
+{
+    const candidate asker = identity(1);
+    tell(owner_question{service_id(5), former().tag, asker, {flow(1), flow(2)}});
+    ASSERT_EQ(effects.sent.size(), 1U);
+    const auto& told = std::get<owner_answer>(effects.sent.front().second);
+    EXPECT_EQ(told.sender, former());
+    ASSERT_EQ(told.flows.size(), 2U);
+    EXPECT_EQ(told.flows[0].state, ownership::none);
+    EXPECT_EQ(told.flows[1].state, ownership::none);
+}
+
+// The upstream lived on, and this agent, which has just started, does not know
+// its name yet: the flow may be there.
+TEST_F(former_life, is_not_answered_for_before_the_upstream_has_spoken)
+{
+    handle(upstream_told{time_point(), true, true});
+    tell(owner_question{service_id(5), former().tag, identity(1), {flow(1)}});
+    EXPECT_TRUE(effects.sent.empty());
+}
+
+TEST(hand_on_opening, passes_over_other_lives_at_the_same_address)
+{
+    packet_header sent;
+    sent.role = packet_role::opens;
+    const candidate here = agent_fixture::identity(0);
+    sent.current.push_back(here);
+    sent.current.push_back(candidate{here.agent, here.tag + 1});
+    sent.current.push_back(agent_fixture::identity(2));
+    ASSERT_TRUE(hand_on_opening(sent, here.agent));
+    EXPECT_EQ(sent.position, 2);
+    EXPECT_EQ(sent.pass, packet_pass::admit);
+    EXPECT_FALSE(hand_on_opening(sent, agent_fixture::address(2)));
+}
+
+TEST(hand_on_opening, leaves_alone_what_opens_nothing)
+{
+    packet_header sent;
+    sent.role = packet_role::continues;
+    sent.current.push_back(agent_fixture::identity(0));
+    sent.current.push_back(agent_fixture::identity(1));
+    EXPECT_FALSE(hand_on_opening(sent, agent_fixture::address(0)));
+}
+
+} // namespace
+
+} // namespace crowlink::test
--- a/packages/daemon/src/agent/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -4,6 +4,7 @@
 
 #include "agent/agent_report.hpp"
 #include "agent/peer_codec.hpp"
+#include "crowlink/agent/hand_on_opening.hpp"
 #include "process/process_identity.hpp"
 
 #include <algorithm>
@@ -162,6 +163,11 @@
                 ++m_undecodable;
                 return;
             }
+            if (!m_core)
+            {
+                hand_on(*packet);
+                return;
+            }
             m_delivery.handling(&packet->header);
             handle(packet_arrived{packet->header, packet->payload, nature->need,
                                   nature->finishes, nature->comes_again,
@@ -186,6 +192,19 @@
     handle(message_arrived{from, *message});
 }
 
+// Before it knows its upstream, the agent knows nothing of any flow. An opening
+// packet need not wait for that.
+template <class Delivery>
+void agent_loop<Delivery>::hand_on(const forward_datagram& packet)
+{
+    packet_header header = packet.header;
+    if (hand_on_opening(header, m_self.agent))
+    {
+        ++m_handed_on;
+        forward(header.current[header.position].agent, header, packet.payload);
+    }
+}
+
 template <class Delivery>
 void agent_loop<Delivery>::take_from_upstream(poller::token token)
 {
@@ -299,6 +318,7 @@
         totals.counts = m_core->counts();
     }
     totals.undecodable = m_undecodable;
+    totals.handed_on = m_handed_on;
     totals.unsent = m_unsent + m_stage.unsent();
     totals.undelivered = m_undelivered;
     metrics report = to_metrics(m_self, totals);
--- a/packages/daemon/src/agent/agent_loop.hpp
+++ b/packages/daemon/src/agent/agent_loop.hpp
@@ -86,6 +86,7 @@
     void take_from_control();
     void take_from_tunnel();
     void take(const endpoint& from, const datagram& value);
+    void hand_on(const forward_datagram& packet);
     void take_from_upstream(poller::token token);
     void take_plain(poller::token token);
     void take_stage_output();
@@ -120,6 +121,8 @@
     time_point m_next_tick{};
     time_point m_next_report{};
     std::uint64_t m_undecodable = 0;
+    // Opening packets that came before the upstream was known.
+    std::uint64_t m_handed_on = 0;
     std::uint64_t m_unsent = 0;
     std::uint64_t m_undelivered = 0;
 };
--- a/packages/daemon/src/agent/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent/agent_loop_upstream.cpp
@@ -61,7 +61,8 @@
                     .field("first_heard", next.first_heard)
                     .field("young", next.is_young())
                     .field("leaves", next.leaves)
-                    .field("gone", next.is_gone));
+                    .field("gone", next.is_gone)
+                    .field("cold", next.cold_until > m_now));
     if (is_another_life(m_upstream.get(), next))
     {
         // Whatever was open at the life before is lost with it.
@@ -78,6 +79,11 @@
     {
         handle(upstream_lived_on{next.is_young()});
     }
+    const bool is_first = m_upstream == nullptr;
+    const bool is_silent_yet =
+        !next.started && next.first_heard == 0 && next.returns == 0;
+    handle(upstream_told{next.cold_until, is_first && next.lived_on,
+                         is_silent_yet});
     if (next.leaves)
     {
         handle(leave_requested{});
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -63,6 +63,7 @@
     add("flows_idle_closed_total", counts.idle_closed);
     add("packets_wrong_service_total", counts.wrong_service);
     add("packets_wrong_tag_total", counts.wrong_tag);
+    add("packets_for_former_life_total", counts.former_life);
     add("packets_too_many_hops_total", counts.too_many_hops);
     add("answers_unknown_total", counts.unknown_answers);
     add("redirects_published_total", counts.redirects_published);
@@ -71,6 +72,7 @@
     add("notices_sent_total", counts.notices_sent);
     add("loads_sent_total", counts.loads_sent);
     add("datagrams_undecodable_total", totals.undecodable);
+    add("packets_before_upstream_known_total", totals.handed_on);
     add("datagrams_unsent_total", totals.unsent);
     add("payloads_undelivered_total", totals.undelivered);
     return out;
--- a/packages/daemon/src/agent/agent_report.hpp
+++ b/packages/daemon/src/agent/agent_report.hpp
@@ -24,6 +24,7 @@
     // Datagrams that were no message of ours, that the kernel did not take,
     // and payloads that did not reach the upstream.
     std::uint64_t undecodable = 0;
+    std::uint64_t handed_on = 0;
     std::uint64_t unsent = 0;
     std::uint64_t undelivered = 0;
 };
--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -104,6 +104,8 @@
                 const wire::observer_digest& in, observer_output& out);
 
     bool merge(internal::observed_record next, observer_output& out);
+    void end_former_life(time_point now, const upstream_record& present,
+                         observer_output& out);
     void store(internal::observed_record& held, internal::observed_record next,
                observer_output& out);
     void send_changes(observer_output& out);
@@ -126,6 +128,8 @@
     void place_back(time_point now, const place_id& where,
                     observer_output& out);
     void expire_silent(time_point now, observer_output& out);
+    void note_agent(const upstream_record& before,
+                    const upstream_record& after);
     void note_expired(time_point now, const internal::observed_record& held);
     bool may_expire(time_point now, const internal::observed_record& held);
     bool may_be_whole_place(time_point now, const place_id& where) const;
@@ -138,6 +142,9 @@
     observer_settings m_settings;
     internal::peer_board m_peers;
     table m_records;
+    // For each agent the living record that was stored last; there may be
+    // others, of former upstreams.
+    std::map<endpoint, internal::record_key> m_at_agent;
     internal::digest_book m_book;
     std::size_t m_living = 0;
     // Own changes that the peers must still hear.
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -165,6 +165,7 @@
     }
     out.set_slots(declared.limits.slots);
     out.set_connections(declared.limits.connections);
+    out.set_cold_flows_per_second(declared.limits.cold_flows_per_second);
     out.set_goal(static_cast<std::uint32_t>(declared.sharing.goal));
     out.set_candidates(declared.sharing.candidates);
     out.set_cold_start_ns(
@@ -210,6 +211,7 @@
     }
     out.limits.slots = in.slots();
     out.limits.connections = in.connections();
+    out.limits.cold_flows_per_second = in.cold_flows_per_second();
     out.sharing.goal = static_cast<service_goal>(in.goal());
     out.sharing.candidates = in.candidates();
     out.sharing.cold_start =
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -174,6 +174,10 @@
     next.lease_until = now + m_settings.lease;
     next.gone_at = now;
     const auto held = m_records.find(key_of(*record));
+    if (!is_gone(*record))
+    {
+        end_former_life(now, *record, out);
+    }
     if (merge(next, out))
     {
         m_unsent.insert(key_of(*record));
@@ -228,6 +232,39 @@
     out.sends.push_back(membership_send{from, answer(body)});
 }
 
+// One agent has one upstream: what it announces ends the one before, whose agent
+// may have had no time to say so. Without this the former one stays a candidate
+// until its lease is judged, seconds after others run in its place.
+void observer::end_former_life(time_point now, const upstream_record& present,
+                               observer_output& out)
+{
+    const auto known = m_at_agent.find(present.agent);
+    if (known == m_at_agent.end() || known->second == key_of(present))
+    {
+        return;
+    }
+    const record_key key = known->second;
+    const auto former = m_records.find(key);
+    const bool ends = former != m_records.end() &&
+                      !is_gone(former->second.record) &&
+                      former->second.record.agent == present.agent &&
+                      newer(present, former->second.record);
+    if (!ends)
+    {
+        return;
+    }
+    observed_record ended = former->second;
+    ended.record.state = upstream_state::gone;
+    // As if it had said so itself: nobody need wonder whether it is silent.
+    ++ended.record.sequence;
+    ended.home = m_settings.self.id;
+    ended.gone_at = now;
+    ended.suspect = false;
+    store(former->second, std::move(ended), out);
+    m_unsent.insert(key);
+    m_metrics.count("membership_former_lives_ended_total");
+}
+
 // Keeps the held record, or replaces it if the next one supersedes it.
 bool observer::merge(observed_record next, observer_output& out)
 {
@@ -264,6 +301,7 @@
     m_book.replace(next.record.service, bucket, held.hash, next.hash);
     m_living += is_gone(next.record) ? 0 : 1;
     m_living -= is_gone(held.record) ? 0 : 1;
+    note_agent(held.record, next.record);
     held = std::move(next);
     if (before != after)
     {
@@ -271,6 +309,22 @@
     }
 }
 
+void observer::note_agent(const upstream_record& before,
+                          const upstream_record& after)
+{
+    const auto known = m_at_agent.find(before.agent);
+    const bool was_noted = !is_gone(before) && known != m_at_agent.end() &&
+                           known->second == key_of(before);
+    if (was_noted)
+    {
+        m_at_agent.erase(known);
+    }
+    if (!is_gone(after))
+    {
+        m_at_agent[after.agent] = key_of(after);
+    }
+}
+
 observer_output observer::tick(time_point now)
 {
     observer_output out;
--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "fake_network.hpp"
 
+#include <array>
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -105,7 +106,7 @@
         record.id = upstream_id(id);
         record.service = service_id(service);
         record.where = place_id(place);
-        record.agent = endpoint::parse("192.0.2.1:7000").value();
+        record.agent = next_address(7000);
         add_record(record, region);
     }
 
@@ -115,10 +116,21 @@
         balancer_record record;
         record.id = host_id(id);
         record.where = place_id(place);
-        record.answers = endpoint::parse("192.0.2.9:9000").value();
+        record.answers = next_address(9000);
         add_record(to_member(record), region);
     }
 
+    // No two agents have one address.
+    endpoint next_address(std::uint16_t port) const
+    {
+        const std::size_t index = announcers.size();
+        const std::array<std::uint8_t, 4> bytes{
+            10, static_cast<std::uint8_t>(index >> 16U),
+            static_cast<std::uint8_t>(index >> 8U),
+            static_cast<std::uint8_t>(index)};
+        return endpoint{ip_address::from_v4(bytes), port};
+    }
+
     void add_record(const upstream_record& record, const std::string& region)
     {
         announcers.push_back(announced{record, region_id(region), nullptr});
--- a/packages/membership/test/merge_test.cpp
+++ b/packages/membership/test/merge_test.cpp
@@ -55,6 +55,62 @@
 
 } // namespace
 
+namespace
+{
+
+// What an agent with one address announces of its upstream.
+wire::membership_message announced(const char* id, std::uint64_t started,
+                                   std::uint64_t sequence)
+{
+    wire::membership_message out;
+    auto& body = *out.mutable_announce();
+    body.add_places("p");
+    auto& member = *body.mutable_record();
+    member.set_service(1);
+    member.set_id(id);
+    member.set_started(started);
+    member.set_sequence(sequence);
+    member.set_address("abcd");
+    return out;
+}
+
+upstream_state state_of(const observer& core, const char* id)
+{
+    const upstream_record* found =
+        core.find(service_id(1), upstream_id(id));
+    return found == nullptr ? upstream_state::gone : found->state;
+}
+
+} // namespace
+
+// The agent restarted together with its upstream, and knows nothing of the one
+// before.
+TEST(merge, an_upstream_ends_the_one_before_it_at_the_same_agent)
+{
+    observer core = make_observer();
+    core.handle(now, host_id("n"), announced("old", 1, 1000));
+    const observer_output out =
+        core.handle(now, host_id("n"), announced("new", 1, 2000));
+    EXPECT_EQ(state_of(core, "old"), upstream_state::gone);
+    EXPECT_EQ(state_of(core, "new"), upstream_state::ready);
+    // Nodes are told at once, and as if it had said so itself.
+    ASSERT_EQ(out.records.size(), 2U);
+    EXPECT_EQ(out.records[0].id, upstream_id("old"));
+    EXPECT_EQ(out.records[0].sequence, 1001U);
+    // A late word of the former one changes nothing.
+    core.handle(now, host_id("n"), announced("old", 1, 1000));
+    EXPECT_EQ(state_of(core, "old"), upstream_state::gone);
+    EXPECT_EQ(state_of(core, "new"), upstream_state::ready);
+}
+
+TEST(merge, a_late_word_of_the_former_upstream_does_not_end_the_present_one)
+{
+    observer core = make_observer();
+    core.handle(now, host_id("n"), announced("new", 2, 1));
+    core.handle(now, host_id("n"), announced("old", 1, 9));
+    EXPECT_EQ(state_of(core, "new"), upstream_state::ready);
+}
+
 // Whatever order records come in, and however often, observers end up alike,
 // and a record that is held is never replaced by an older one.
 TEST(merge, does_not_depend_on_order_or_doubling)
