--- a/packages/document/src/document_json.cpp
+++ b/packages/document/src/document_json.cpp
@@ -51,6 +51,8 @@
     target_limits limits;
     limits.slots = value.value("slots", limits.slots);
     limits.connections = value.value("connections", limits.connections);
+    limits.cold_flows_per_second =
+        value.value("cold_flows_per_second", limits.cold_flows_per_second);
     return limits;
 }
 
@@ -162,6 +164,17 @@
             {"shares", shares}};
 }
 
+ordered_json limits_json(const target_limits& limits)
+{
+    ordered_json value = {{"slots", limits.slots},
+                          {"connections", limits.connections}};
+    if (limits.cold_flows_per_second > 0)
+    {
+        value["cold_flows_per_second"] = limits.cold_flows_per_second;
+    }
+    return value;
+}
+
 ordered_json kind_json(const request_kind& kind)
 {
     return {{"name", kind.name},
@@ -191,9 +204,7 @@
             {"candidates", declared.sharing.candidates},
             {"cold_start_s", to_seconds(declared.sharing.cold_start)},
             {"silent_after_s", to_seconds(declared.sharing.silent_after)},
-            {"limits",
-             {{"slots", declared.limits.slots},
-              {"connections", declared.limits.connections}}},
+            {"limits", limits_json(declared.limits)},
             {"kinds", kinds}};
 }
 
--- a/packages/document/test/reader_test.cpp
+++ b/packages/document/test/reader_test.cpp
@@ -137,7 +137,7 @@
     EXPECT_EQ(hiraman.id, service_id(1));
     EXPECT_EQ(hiraman.protocol, transport::udp);
     EXPECT_EQ(hiraman.addresses.size(), 2U);
-    EXPECT_EQ(hiraman.limits, (target_limits{8, 1000}));
+    EXPECT_EQ(hiraman.limits, (target_limits{8, 1000, 30}));
     EXPECT_EQ(hiraman.sharing.goal, service_goal::continuity);
     EXPECT_EQ(hiraman.sharing.candidates, 2U);
     EXPECT_EQ(hiraman.sharing.cold_start, std::chrono::milliseconds(250));
--- a/packages/document/test/sample_documents.hpp
+++ b/packages/document/test/sample_documents.hpp
@@ -17,7 +17,7 @@
      "addresses": ["127.0.0.1:7100", "[::1]:7100"],
      "goal": "continuity", "candidates": 2,
      "cold_start_s": 0.25, "silent_after_s": 60,
-     "limits": {"slots": 8, "connections": 1000},
+     "limits": {"slots": 8, "connections": 1000, "cold_flows_per_second": 30},
      "kinds": [{"name": "reserve", "weight": 2, "idempotent": false},
                {"name": "browse", "idempotent": true}]},
     {"id": 2, "name": "Bibliothèque", "protocol": "tcp",
@@ -56,7 +56,7 @@
                               *endpoint::parse("[2001:db8::1]:1")};
         declared.addresses[0].port = port;
         declared.addresses[1].port = port;
-        declared.limits = {1 + draw(8), 8 + draw(2000)};
+        declared.limits = {1 + draw(8), 8 + draw(2000), draw(3)};
         declared.sharing.goal =
             draw(2) == 0 ? service_goal::balance : service_goal::continuity;
         declared.sharing.candidates = 1 + draw(4);
