--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -50,8 +50,9 @@
 
     // Whether what runs and waits would make one more request late.
     bool is_full_of_work() const;
-    // Whether a copy of an opening packet that is turned away now may find room:
-    // work ends within milliseconds, and a cold upstream's bound moves on.
+    // Whether a copy of an opening packet that is turned away now may find
+    // room: work ends within milliseconds, and a cold upstream's bound moves
+    // on.
     bool has_room_soon(time_point now) const;
 
     // What the agent knows of the upstream's start.
--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -43,7 +43,6 @@
 // upstream had before. Yields whether it is the one addressed then.
 bool replace_former_life(packet_header& header, const candidate& present);
 
-
 // An agent's place in the order of walks for a flow. All agents agree on it,
 // and it differs from flow to flow, so that no agent ends all walks.
 std::uint64_t walk_order(std::uint64_t flow_hash, const candidate& agent);
--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -67,6 +67,11 @@
     bool has_ended(upstream_tag tag) const;
     // Whether its lease has run out without a word of its own.
     bool is_silent(upstream_tag tag) const;
+    // Whether it is silent, and out of this host's reach for so long that its
+    // flows are given up.
+    bool is_given_up(upstream_tag tag) const;
+    // Whether that holds for all that are silent, and there are some.
+    bool has_given_up_silent() const;
     // Whether it has, or is silent: nothing new is sent there.
     bool is_gone(upstream_tag tag) const;
     // Whether a balancer is among the living; true as long as none is known.
@@ -95,6 +100,8 @@
     std::vector<upstream_tag> m_gone;
     // Of the present view.
     std::vector<upstream_tag> m_silent;
+    // Those of them whose flows are given up.
+    std::vector<upstream_tag> m_given_up;
     std::uint32_t m_generation = 0;
 };
 
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -54,9 +54,10 @@
 
 std::uint32_t admission::load(std::size_t flows) const
 {
-    const std::uint64_t used = std::max({millionths(flows, m_limits.connections),
-                                         millionths(m_work, m_limits.slots),
-                                         std::uint64_t{m_cold.used(m_now)}});
+    const std::uint64_t used =
+        std::max({millionths(flows, m_limits.connections),
+                  millionths(m_work, m_limits.slots),
+                  std::uint64_t{m_cold.used(m_now)}});
     const std::uint64_t capacity =
         static_cast<std::uint64_t>(m_weight) * share(m_now) / default_weight;
     const std::uint64_t load = millionths(used, capacity);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -268,7 +268,9 @@
         m_redirects.erase(header.flow);
         return false;
     }
-    if (m_members.is_silent(to.tag) && gives_up(now, event))
+    const bool is_given_up =
+        m_members.is_given_up(to.tag) && event.need == answer_need::required;
+    if (is_given_up || (m_members.is_silent(to.tag) && gives_up(now, event)))
     {
         m_redirects.erase(header.flow);
         reset_silent(header, event.payload);
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -16,8 +16,13 @@
 void agent::start_search(time_point now, const packet_header& header,
                          const packet_arrived& event)
 {
+    // Where all that are silent are out of this host's own reach, it need not
+    // wait for the caller's repetition to know that nobody there answers.
+    const bool is_given_up =
+        m_members.has_given_up_silent() && event.need == answer_need::required;
     const bool waits_in_vain =
-        !m_members.silent_members().empty() && gives_up(now, event);
+        is_given_up ||
+        (!m_members.silent_members().empty() && gives_up(now, event));
     if (!m_search.add(now, header, event.payload, waits_in_vain))
     {
         ++m_counts.searches_omitted;
@@ -58,9 +63,9 @@
     send(message.sender.agent, std::move(told));
 }
 
-// Nobody else can answer for an upstream that ran here before: it took its flows
-// with it. Whoever asks has not heard of its end yet. Where the present life is
-// not known by its name yet, the question may be meant for it.
+// Nobody else can answer for an upstream that ran here before: it took its
+// flows with it. Whoever asks has not heard of its end yet. Where the present
+// life is not known by its name yet, the question may be meant for it.
 void agent::answer_for_former_life(const owner_question& message)
 {
     if (m_is_life_uncertain)
--- a/packages/agent/src/chain_walk.cpp
+++ b/packages/agent/src/chain_walk.cpp
@@ -142,10 +142,9 @@
     {
         return false;
     }
-    const candidate* const best =
-        header.best == packet_header::no_position
-            ? nullptr
-            : candidate_at(header, header.best);
+    const candidate* const best = header.best == packet_header::no_position
+                                      ? nullptr
+                                      : candidate_at(header, header.best);
     const std::optional<candidate> best_kept =
         best == nullptr ? std::nullopt : std::optional(*best);
     const auto renewed = [&present](const candidate_chain& chain)
@@ -153,8 +152,7 @@
         candidate_chain out;
         for (const candidate& each : chain)
         {
-            const candidate next =
-                each.agent == present.agent ? present : each;
+            const candidate next = each.agent == present.agent ? present : each;
             if (std::find(out.begin(), out.end(), next) == out.end())
             {
                 out.push_back(next);
@@ -164,8 +162,7 @@
     };
     header.current = renewed(header.current);
     header.previous = renewed(header.previous);
-    header.position =
-        static_cast<std::uint8_t>(position_of(header, present));
+    header.position = static_cast<std::uint8_t>(position_of(header, present));
     header.best = packet_header::no_position;
     if (best_kept && best_kept->agent != present.agent)
     {
--- a/packages/agent/src/cold_gate.cpp
+++ b/packages/agent/src/cold_gate.cpp
@@ -45,8 +45,8 @@
 
 std::size_t cold_gate::recent(time_point now) const
 {
-    const auto first = std::upper_bound(m_admitted.begin(), m_admitted.end(),
-                                        now - window);
+    const auto first =
+        std::upper_bound(m_admitted.begin(), m_admitted.end(), now - window);
     return static_cast<std::size_t>(m_admitted.end() - first);
 }
 
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -90,12 +90,17 @@
 void member_tables::note_silent(const service_view& next)
 {
     m_silent.clear();
+    m_given_up.clear();
     for (const upstream_record& member : next.members)
     {
-        if (member.state == upstream_state::silent)
+        if (is_silent_state(member.state))
         {
             m_silent.push_back(tag_of(member));
         }
+        if (member.state == upstream_state::unreachable)
+        {
+            m_given_up.push_back(tag_of(member));
+        }
     }
 }
 
@@ -207,7 +212,7 @@
     }
     for (const upstream_record& member : m_view->members)
     {
-        if (member.state == upstream_state::silent)
+        if (is_silent_state(member.state))
         {
             found.push_back(candidate{member.agent, tag_of(member)});
         }
@@ -232,6 +237,17 @@
     return std::find(m_silent.begin(), m_silent.end(), tag) != m_silent.end();
 }
 
+bool member_tables::has_given_up_silent() const
+{
+    return !m_silent.empty() && m_given_up.size() == m_silent.size();
+}
+
+bool member_tables::is_given_up(upstream_tag tag) const
+{
+    return std::find(m_given_up.begin(), m_given_up.end(), tag) !=
+           m_given_up.end();
+}
+
 bool member_tables::is_gone(upstream_tag tag) const
 {
     return has_ended(tag) || is_silent(tag);
--- a/packages/agent/test/cold_gate_test.cpp
+++ b/packages/agent/test/cold_gate_test.cpp
@@ -112,8 +112,8 @@
     {
         packet_header sent = header(number);
         sent.role = packet_role::opens;
-        handle(packet_arrived{sent, {}, answer_need::required, false,
-                              comes_again});
+        handle(packet_arrived{
+            sent, {}, answer_need::required, false, comes_again});
     }
 };
 
--- a/packages/agent/test/former_life_test.cpp
+++ b/packages/agent/test/former_life_test.cpp
@@ -21,9 +21,9 @@
     static candidate former()
     {
         const upstream_record record = member(0);
-        return candidate{record.agent,
-                         tag_of(record.id, incarnation(record.started.value() -
-                                                       1))};
+        return candidate{
+            record.agent,
+            tag_of(record.id, incarnation(record.started.value() - 1))};
     }
 
     packet_header named_by_former(std::uint16_t number, packet_role role) const
@@ -46,8 +46,8 @@
 
 TEST_F(former_life, an_old_flow_is_not_taken_for_one_of_the_present_one)
 {
-    handle(packet_arrived{named_by_former(1, packet_role::continues), {},
-                          answer_need::required});
+    handle(packet_arrived{
+        named_by_former(1, packet_role::continues), {}, answer_need::required});
     EXPECT_TRUE(effects.delivered.empty());
     // It is looked for at the others.
     ASSERT_EQ(effects.forwards.size(), 1U);
@@ -105,7 +105,8 @@
 TEST_F(former_life, has_no_flow_any_more_and_says_so)
 {
     const candidate asker = identity(1);
-    tell(owner_question{service_id(5), former().tag, asker, {flow(1), flow(2)}});
+    tell(
+        owner_question{service_id(5), former().tag, asker, {flow(1), flow(2)}});
     ASSERT_EQ(effects.sent.size(), 1U);
     const auto& told = std::get<owner_answer>(effects.sent.front().second);
     EXPECT_EQ(told.sender, former());
--- a/packages/agent/test/silent_owner_test.cpp
+++ b/packages/agent/test/silent_owner_test.cpp
@@ -75,6 +75,21 @@
     EXPECT_FALSE(is_sent_to_owner(fixture));
 }
 
+// Nothing comes back from the whole data centre: there is nothing to wait for.
+TEST(silent_owner, a_caller_of_one_that_is_given_up_is_reset_at_once)
+{
+    agent_fixture fixture(2);
+    tell_owner(fixture, continuing(fixture).flow);
+    show_owner_as(fixture, upstream_state::unreachable);
+    const packet_header sent = continuing(fixture);
+    fixture.handle(packet_arrived{sent, {}, answer_need::none});
+    EXPECT_TRUE(fixture.effects.caller_resets.empty());
+    fixture.handle(packet_arrived{sent, {}, answer_need::required});
+    ASSERT_EQ(fixture.effects.caller_resets.size(), 1U);
+    EXPECT_EQ(fixture.effects.caller_resets.front().told.outcome,
+              verdict::may_have_run);
+}
+
 TEST(silent_owner, a_caller_that_repeats_itself_in_vain_is_reset)
 {
     agent_fixture fixture(2);
--- a/packages/client/src/command_evacuate.cpp
+++ b/packages/client/src/command_evacuate.cpp
@@ -23,11 +23,11 @@
     }
     for (const json& each : list)
     {
-        const auto when =
-            static_cast<std::time_t>(each.at("ordered_at_s").get<std::int64_t>());
+        const auto when = static_cast<std::time_t>(
+            each.at("ordered_at_s").get<std::int64_t>());
         fmt::print(stream, "{:<24}  since {:%Y-%m-%d %H:%M:%S} UTC  by {}\n",
-                   each.at("data_centre").get<std::string>(),
-                   fmt::gmtime(when), each.at("author").get<std::string>());
+                   each.at("data_centre").get<std::string>(), fmt::gmtime(when),
+                   each.at("author").get<std::string>());
     }
 }
 
@@ -54,8 +54,8 @@
         return ask_and_print(line.options(), {"/v1/evacuations", ""},
                              print_evacuations, output);
     }
-    const bool is_order = given.size() == 2 && (given.front() == "start" ||
-                                                given.front() == "stop");
+    const bool is_order = given.size() == 2 &&
+                          (given.front() == "start" || given.front() == "stop");
     if (!is_order)
     {
         fmt::print(output.err, "crowlink evacuate: must be followed by list, "
--- a/packages/client/test/client_test.cpp
+++ b/packages/client/test/client_test.cpp
@@ -80,8 +80,8 @@
     EXPECT_EQ(run_bare({"--help"}), exit_code::ok);
     EXPECT_NE(m_out.str().find("undrain"), std::string::npos);
     for (const char* name :
-         {"apply", "check", "diff", "drain", "evacuate", "explain", "get", "history",
-          "members", "status", "timeline", "token", "undrain"})
+         {"apply", "check", "diff", "drain", "evacuate", "explain", "get",
+          "history", "members", "status", "timeline", "token", "undrain"})
     {
         EXPECT_EQ(run_bare({name, "--help"}), exit_code::ok) << name;
         EXPECT_NE(m_out.str().find("Usage"), std::string::npos) << name;
--- a/packages/console/include/crowlink/console/operator_backend.hpp
+++ b/packages/console/include/crowlink/console/operator_backend.hpp
@@ -40,7 +40,8 @@
 //   change_members(m)  yields the hosts after the change; `conflict` while
 //                    another such change is under way; remembers its operation
 //                    id as change() does
-//   evacuate(r)      puts an order about a data centre in force; done once it is
+//   evacuate(r)      puts an order about a data centre in force; done once it
+//   is
 //                    durable, or was so already. `not_found` names the data
 //                    centres that are known; after `unavailable` it may have
 //                    been taken
--- a/packages/console/src/api_handlers.cpp
+++ b/packages/console/src/api_handlers.cpp
@@ -275,8 +275,7 @@
     const auto action = text_field(*body, "action");
     if (!where || !action)
     {
-        return answer_error(response,
-                            where ? action.error() : where.error());
+        return answer_error(response, where ? action.error() : where.error());
     }
     if (*action != "start" && *action != "stop")
     {
--- a/packages/console/src/api_json.cpp
+++ b/packages/console/src/api_json.cpp
@@ -47,6 +47,7 @@
         return "draining";
     case upstream_state::gone:
         return "gone";
+    case upstream_state::unreachable:
     case upstream_state::silent:
         return "silent";
     }
@@ -117,12 +118,14 @@
     {
         upstreams.push_back(to_json(upstream));
     }
-    return {
-        {"host", report.host.value()},     {"leader", report.leader.value()},
-        {"quorum", report.quorum},         {"version", report.version.value()},
-        {"age_s", to_seconds(report.age)}, {"nodes", nodes},
-        {"upstreams", upstreams},
-        {"evacuations", to_json(report.evacuations)}};
+    return {{"host", report.host.value()},
+            {"leader", report.leader.value()},
+            {"quorum", report.quorum},
+            {"version", report.version.value()},
+            {"age_s", to_seconds(report.age)},
+            {"nodes", nodes},
+            {"upstreams", upstreams},
+            {"evacuations", to_json(report.evacuations)}};
 }
 
 ordered_json to_json(const explain_answer& answer)
--- a/packages/console/src/status_pages.cpp
+++ b/packages/console/src/status_pages.cpp
@@ -160,12 +160,11 @@
     {
         return show_error(response, session, report.error());
     }
-    response.set_content(page(session, "Status",
-                              summary_html(*report) +
-                                  evacuations_html(*report) +
-                                  upstreams_html(*report) +
-                                  nodes_html(*report)),
-                         html_type);
+    response.set_content(
+        page(session, "Status",
+             summary_html(*report) + evacuations_html(*report) +
+                 upstreams_html(*report) + nodes_html(*report)),
+        html_type);
 }
 
 void form_handlers::get_services(const request_type& request,
--- a/packages/console/test/api_test.cpp
+++ b/packages/console/test/api_test.cpp
@@ -17,16 +17,14 @@
 TEST_F(api, only_a_bearer_of_a_token_is_let_in)
 {
     for (const char* path : {"/v1/document", "/v1/history", "/v1/status",
-                             "/v1/members", "/v1/explain",
-                             "/v1/evacuations"})
+                             "/v1/members", "/v1/explain", "/v1/evacuations"})
     {
         EXPECT_EQ(m_client->Get(path)->status, 401) << path;
         EXPECT_EQ(m_client->Get(path, {{"Authorization", "Bearer x"}})->status,
                   401);
     }
     for (const char* path : {"/v1/document", "/v1/drain", "/v1/undrain",
-                             "/v1/members", "/v1/preview",
-                             "/v1/evacuations"})
+                             "/v1/members", "/v1/preview", "/v1/evacuations"})
     {
         EXPECT_EQ(m_client->Post(path, "{}", "application/json")->status, 401);
     }
--- a/packages/daemon/src/control/blackboard.hpp
+++ b/packages/daemon/src/control/blackboard.hpp
@@ -38,6 +38,17 @@
                             const applied_evacuations&) = default;
 };
 
+// The data centres that this host itself does not reach, and those of them
+// whose flows it gives up.
+struct unreachable_places
+{
+    std::set<place_id> all;
+    std::set<place_id> given_up;
+
+    friend auto operator<=>(const unreachable_places&,
+                            const unreachable_places&) = default;
+};
+
 // How far the daemon is on its way to its end.
 enum class stop_phase : std::uint8_t
 {
@@ -68,9 +79,8 @@
     // Written by the control thread itself, from the settings: hosts to ask
     // for control, beside those that are learned.
     board_value<std::vector<host_id>> seeds;
-    // Written by the reach controller: data centres that this host itself does
-    // not reach.
-    board_value<std::set<place_id>> unreachable;
+    // Written by the reach controller.
+    board_value<unreachable_places> unreachable;
     // Written by the node controller.
     board_value<service_views> views;
     board_value<config_version> node_version;
--- a/packages/daemon/src/control/control_backend.cpp
+++ b/packages/daemon/src/control/control_backend.cpp
@@ -266,7 +266,11 @@
 {
     return carry_out_order(m_control, m_settings,
                            evacuation_order{order.where, order.evacuates,
-                                            order.author, [] { return true; }});
+                                            order.author,
+                                            []
+                                            {
+                                                return true;
+                                            }});
 }
 
 result<explain_answer> control_backend::explain(const flow_key& flow)
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -155,7 +155,9 @@
     follow_connections(now);
     if (m_unreachable.changed(board.unreachable))
     {
-        take(m_subscriber.set_unreachable(board.unreachable.get()), board);
+        const unreachable_places& now_known = board.unreachable.get();
+        take(m_subscriber.set_unreachable(now_known.all, now_known.given_up),
+             board);
     }
     take(m_subscriber.tick(now), board);
     log_publisher();
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -69,7 +69,7 @@
     board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
     board_reader<wanted_records> m_wanted;
-    board_reader<std::set<place_id>> m_unreachable;
+    board_reader<unreachable_places> m_unreachable;
     board_reader<stop_phase> m_phase;
 };
 
--- a/packages/daemon/src/control/reach_controller.cpp
+++ b/packages/daemon/src/control/reach_controller.cpp
@@ -70,9 +70,8 @@
     {
         return tl::unexpected(asking.error());
     }
-    return std::unique_ptr<reach_controller>(
-        new reach_controller(std::move(*answering), std::move(*asking),
-                             settings.host.place, log));
+    return std::unique_ptr<reach_controller>(new reach_controller(
+        std::move(*answering), std::move(*asking), settings.host.place, log));
 }
 
 // What has arrived is read before time is looked at: after a pause of this
@@ -90,7 +89,7 @@
         // What the kernel does not take is lost, as on any network.
         (void)m_asking.send(bytes_of(probe_text(each.number, false)), each.to);
     }
-    tell(m_watch.unreachable(), board);
+    tell(unreachable_places{m_watch.unreachable(), m_watch.given_up()}, board);
 }
 
 void reach_controller::answer_others()
@@ -145,24 +144,24 @@
         {
             if (member.where != m_own)
             {
-                hosts[member.where].push_back(endpoint{
-                    member.agent.address, m_answering.local().port});
+                hosts[member.where].push_back(
+                    endpoint{member.agent.address, m_answering.local().port});
             }
         }
     }
     m_watch.set_hosts(hosts);
 }
 
-void reach_controller::tell(const std::set<place_id>& unreachable,
-                            blackboard& board)
+void reach_controller::tell(unreachable_places next, blackboard& board)
 {
-    if (unreachable == board.unreachable.get())
+    if (next == board.unreachable.get())
     {
         return;
     }
     m_log.write(log_line(log_level::warning, "unreachable_places")
-                    .field("places", names_of(unreachable)));
-    board.unreachable.set(unreachable);
+                    .field("places", names_of(next.all))
+                    .field("given_up", names_of(next.given_up)));
+    board.unreachable.set(std::move(next));
 }
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/control/reach_controller.hpp
+++ b/packages/daemon/src/control/reach_controller.hpp
@@ -32,7 +32,7 @@
     void answer_others();
     void take_answers();
     void follow_hosts(const service_views& views);
-    void tell(const std::set<place_id>& unreachable, blackboard& board);
+    void tell(unreachable_places next, blackboard& board);
 
     udp_socket m_answering;
     // One of its own, so that answers wake nobody.
--- a/packages/daemon/src/control/status_view.cpp
+++ b/packages/daemon/src/control/status_view.cpp
@@ -61,10 +61,9 @@
         {
             continue;
         }
-        upstreams.push_back(upstream_status{key.id, key.service,
-                                            held.record.where,
-                                            effective_state(with, held),
-                                            duration()});
+        upstreams.push_back(
+            upstream_status{key.id, key.service, held.record.where,
+                            effective_state(with, held), duration()});
     }
     return upstreams;
 }
--- a/packages/daemon/src/process/platform_calls.cpp
+++ b/packages/daemon/src/process/platform_calls.cpp
@@ -160,7 +160,9 @@
         return carry_out_order(control, settings,
                                evacuation_order{where, evacuates, "platform",
                                                 [&caller]
-                                                { return caller.waits(); }});
+                                                {
+                                                    return caller.waits();
+                                                }});
     };
     calls.read = [&control]
     {
--- a/packages/membership/include/crowlink/membership/place_watch.hpp
+++ b/packages/membership/include/crowlink/membership/place_watch.hpp
@@ -26,6 +26,9 @@
     // So many probes to different hosts, all in vain after a first one, prove
     // that the data centre and not a host of it is silent.
     std::uint32_t confirmations = 5;
+    // After so many more in vain, one after the other, the flows there are
+    // given up: hosts that were all stopped for a moment would be back.
+    std::uint32_t patience = 3;
 };
 
 // A probe to send.
@@ -64,6 +67,8 @@
 
     // Data centres none of whose hosts answers.
     const std::set<place_id>& unreachable() const { return m_unreachable; }
+    // Those of them that have been so for some time.
+    const std::set<place_id>& given_up() const { return m_given_up; }
 
 private:
     struct sent_probe
@@ -91,6 +96,7 @@
     place_watch_settings m_settings;
     std::map<place_id, watched_place> m_places;
     std::set<place_id> m_unreachable;
+    std::set<place_id> m_given_up;
     std::uint32_t m_next_number = 1;
 };
 
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -55,8 +55,10 @@
     bool take_service(const service& declared, bool removed,
                       std::uint64_t version, std::uint32_t generation);
     bool set_lost_places(std::set<place_id> lost);
-    // The data centres that this host itself does not reach.
-    bool set_unreachable(std::set<place_id> unreachable);
+    // The data centres that this host itself does not reach, and those of them
+    // whose flows it gives up.
+    bool set_unreachable(std::set<place_id> unreachable,
+                         std::set<place_id> given_up);
     // Ignores a revision that is lower than the one it has.
     bool set_evacuated(std::uint64_t revision, std::set<place_id> evacuated);
 
@@ -105,6 +107,7 @@
     std::map<service_id, subscribed_service> m_services;
     std::set<place_id> m_lost_places;
     std::set<place_id> m_unreachable;
+    std::set<place_id> m_given_up;
     std::uint64_t m_evacuations_revision = 0;
     std::set<place_id> m_evacuated;
     std::set<service_id> m_touched;
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -30,8 +30,10 @@
     subscriber_output tick(time_point now);
 
     // The data centres that this host itself does not reach: their upstreams
-    // are silent for it, whatever control says.
-    subscriber_output set_unreachable(std::set<place_id> unreachable);
+    // are silent for it, whatever control says. Of those that are given up the
+    // flows are, too.
+    subscriber_output set_unreachable(std::set<place_id> unreachable,
+                                      std::set<place_id> given_up);
 
     // Other control hosts are there from now on.
     void set_publishers(time_point now, std::vector<observer_info> publishers);
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -232,9 +232,9 @@
     out.sends.push_back(membership_send{from, answer(body)});
 }
 
-// One agent has one upstream: what it announces ends the one before, whose agent
-// may have had no time to say so. Without this the former one stays a candidate
-// until its lease is judged, seconds after others run in its place.
+// One agent has one upstream: what it announces ends the one before, whose
+// agent may have had no time to say so. Without this the former one stays a
+// candidate until its lease is judged, seconds after others run in its place.
 void observer::end_former_life(time_point now, const upstream_record& present,
                                observer_output& out)
 {
--- a/packages/membership/src/place_watch.cpp
+++ b/packages/membership/src/place_watch.cpp
@@ -9,8 +9,12 @@
 {
     std::erase_if(m_places, [&hosts](const auto& each)
                   { return hosts.count(each.first) == 0; });
-    std::erase_if(m_unreachable, [&hosts](const place_id& each)
-                  { return hosts.count(each) == 0; });
+    const auto is_unknown = [&hosts](const place_id& each)
+    {
+        return hosts.count(each) == 0;
+    };
+    std::erase_if(m_unreachable, is_unknown);
+    std::erase_if(m_given_up, is_unknown);
     for (const auto& [where, list] : hosts)
     {
         m_places[where].hosts = list;
@@ -60,6 +64,10 @@
         m_unreachable.insert(where);
         place.is_confirming = false;
     }
+    if (place.missed > m_settings.confirmations + m_settings.patience)
+    {
+        m_given_up.insert(where);
+    }
 }
 
 void place_watch::ask(time_point now, watched_place& place,
@@ -75,10 +83,9 @@
 {
     for (auto& [where, place] : m_places)
     {
-        const bool is_known =
-            std::any_of(place.unanswered.begin(), place.unanswered.end(),
-                        [number](const sent_probe& each)
-                        { return each.number == number; });
+        const bool is_known = std::any_of(
+            place.unanswered.begin(), place.unanswered.end(),
+            [number](const sent_probe& each) { return each.number == number; });
         if (!is_known)
         {
             continue;
@@ -89,6 +96,7 @@
         place.missed = 0;
         place.is_confirming = false;
         m_unreachable.erase(where);
+        m_given_up.erase(where);
         return;
     }
 }
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -350,8 +350,8 @@
 
 bool publisher::has_news(const publisher_session& session) const
 {
-    return session.places_due || session.evacuations_due ||
-           session.hosts_due || session.snapshot.active ||
+    return session.places_due || session.evacuations_due || session.hosts_due ||
+           session.snapshot.active ||
            session.complete_version < m_state.version().value() ||
            session.urgent < m_state.urgent().end() ||
            session.ordinary < m_state.ordinary().end();
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -120,9 +120,11 @@
     return replace_places(m_lost_places, std::move(lost));
 }
 
-bool subscribed_state::set_unreachable(std::set<place_id> unreachable)
+bool subscribed_state::set_unreachable(std::set<place_id> unreachable,
+                                       std::set<place_id> given_up)
 {
-    return replace_places(m_unreachable, std::move(unreachable));
+    const bool changes = replace_places(m_unreachable, std::move(unreachable));
+    return replace_places(m_given_up, std::move(given_up)) || changes;
 }
 
 bool subscribed_state::set_evacuated(std::uint64_t revision,
@@ -285,7 +287,9 @@
                                m_unreachable.count(record.where) != 0;
         if (is_silent)
         {
-            record.state = upstream_state::silent;
+            const bool is_given_up = m_given_up.count(record.where) != 0;
+            record.state = is_given_up ? upstream_state::unreachable
+                                       : upstream_state::silent;
         }
         else if (held.drained || m_evacuated.count(record.where) != 0)
         {
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -277,10 +277,11 @@
     return sum;
 }
 
-subscriber_output subscriber::set_unreachable(std::set<place_id> unreachable)
+subscriber_output subscriber::set_unreachable(std::set<place_id> unreachable,
+                                              std::set<place_id> given_up)
 {
     subscriber_output out;
-    m_state.set_unreachable(std::move(unreachable));
+    m_state.set_unreachable(std::move(unreachable), std::move(given_up));
     emit(out);
     return out;
 }
--- a/packages/membership/test/merge_test.cpp
+++ b/packages/membership/test/merge_test.cpp
@@ -76,8 +76,7 @@
 
 upstream_state state_of(const observer& core, const char* id)
 {
-    const upstream_record* found =
-        core.find(service_id(1), upstream_id(id));
+    const upstream_record* found = core.find(service_id(1), upstream_id(id));
     return found == nullptr ? upstream_state::gone : found->state;
 }
 
--- a/packages/membership/test/place_watch_test.cpp
+++ b/packages/membership/test/place_watch_test.cpp
@@ -87,6 +87,21 @@
     EXPECT_TRUE(reaches("south"));
 }
 
+// Hosts that were all stopped for a moment are back by then.
+TEST_F(reached_places, flows_of_a_lost_place_are_given_up_later_than_it_is)
+{
+    run(1s);
+    m_down_places = {1};
+    run(450ms);
+    EXPECT_FALSE(reaches("north"));
+    EXPECT_TRUE(m_watch.given_up().empty());
+    run(400ms);
+    EXPECT_EQ(m_watch.given_up().count(place_id("north")), 1U);
+    m_down_places = {};
+    run(200ms);
+    EXPECT_TRUE(m_watch.given_up().empty());
+}
+
 TEST_F(reached_places, a_place_that_is_back_is_known_within_0_2_s)
 {
     m_down_places = {1, 2};
--- a/packages/model/include/crowlink/model/upstream_record.hpp
+++ b/packages/model/include/crowlink/model/upstream_record.hpp
@@ -21,8 +21,18 @@
     // Only in views: its lease ran out, and nobody knows whether it ended. It
     // takes no new flow, and those that it has are not given up.
     silent,
+    // Only in views: silent, and out of this host's own reach for so long that
+    // its flows are given up here.
+    unreachable,
 };
 
+// Whether nothing is heard of an upstream in this state that may live on.
+inline bool is_silent_state(upstream_state state)
+{
+    return state == upstream_state::silent ||
+           state == upstream_state::unreachable;
+}
+
 // What an agent announces of its upstream. Of two records of one upstream, the
 // one with the higher (incarnation, sequence) is the newer, wherever it comes
 // from: the agent alone writes them, so no agreement is needed.
--- a/packages/replication/include/crowlink/replication/replicated_document_event.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document_event.hpp
@@ -20,8 +20,8 @@
     document_change change;
 };
 
-// An operator's order about a data centre. Only the leader takes it; answered as
-// propose_change is.
+// An operator's order about a data centre. Only the leader takes it; answered
+// as propose_change is.
 struct propose_evacuation
 {
     std::uint64_t request = 0;
--- a/packages/replication/src/evacuations.cpp
+++ b/packages/replication/src/evacuations.cpp
@@ -21,15 +21,13 @@
     ++m_revision;
     if (is_so)
     {
-        return change_outcome{change_result::superseded,
-                              config_version(m_revision),
-                              {}};
+        return change_outcome{
+            change_result::superseded, config_version(m_revision), {}};
     }
     if (change.evacuates)
     {
-        m_in_force.emplace(
-            change.where,
-            evacuation{change.operator_name, change.ordered_at_ms});
+        m_in_force.emplace(change.where, evacuation{change.operator_name,
+                                                    change.ordered_at_ms});
     }
     else
     {
--- a/packages/replication/test/evacuations_test.cpp
+++ b/packages/replication/test/evacuations_test.cpp
@@ -27,7 +27,8 @@
     EXPECT_EQ(state.apply(order("north", true, 0)).result,
               change_result::applied);
     ASSERT_EQ(state.in_force().count(place_id("north")), 1U);
-    EXPECT_EQ(state.in_force().at(place_id("north")), (evacuation{"anna", 1000}));
+    EXPECT_EQ(state.in_force().at(place_id("north")),
+              (evacuation{"anna", 1000}));
     EXPECT_EQ(state.apply(order("north", false, 1)).result,
               change_result::applied);
     EXPECT_TRUE(state.in_force().empty());
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -231,7 +231,8 @@
             if (host.document->can_read(at))
             {
                 m_checker.see_evacuated(
-                    status.self, !host.document->evacuated().in_force().empty());
+                    status.self,
+                    !host.document->evacuated().in_force().empty());
             }
         }
     }
--- a/packages/replication/test/schedule.cpp
+++ b/packages/replication/test/schedule.cpp
@@ -161,8 +161,8 @@
     else if (known > 0 && m_cluster.up(host))
     {
         constexpr std::size_t kept = 6;
-        m_cluster.send_order(
-            host, known - 1 - one.amount % std::min(kept, known));
+        m_cluster.send_order(host,
+                             known - 1 - one.amount % std::min(kept, known));
     }
 }
 
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -213,9 +213,9 @@
 
 TEST(settings, data_centres_that_orders_may_name_are_listed_once)
 {
-    const std::string named = replaced(
-        seeded_control, "\"trusted_network\": true",
-        R"("trusted_network": true, "data_centres": [
+    const std::string named =
+        replaced(seeded_control, "\"trusted_network\": true",
+                 R"("trusted_network": true, "data_centres": [
             {"name": "quezon", "region": "ncr"},
             {"name": "pasig", "region": "ncr"}])");
     const settings_result found = parse_settings(named, "f");
