--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -73,8 +73,8 @@
 }
 
 // Whoever is on a walk was met before the flow was taken up here. Another walk
-// for each that may have it took the packets of 179 lost flows beyond the limit
-// of hops in one loss of power.
+// for each that may have it would take packets of lost flows beyond the limit
+// of hops.
 void agent::look_elsewhere(time_point now, const packet_header& header,
                            const packet_arrived& event)
 {
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -16,8 +16,7 @@
 // A walk over two chains is done by then. Two agents that were told of an owner
 // which lost the flow can send a packet round: the owner gives it back to the
 // head, whose walk meets them again. What is known of the flow on the way has
-// led nowhere, and is forgotten; 1,274 packets of a day with a loss of all
-// power ended at the limit without this, each of a caller that was never reset.
+// led nowhere, and is forgotten, so that its caller can be reset.
 constexpr std::uint8_t led_astray_after = 12;
 
 // The marks of a trail end one after another. Who starts to follow it needs
--- /dev/null
+++ b/packages/daemon/src/control/control_links_messages.cpp
@@ -0,0 +1,145 @@
+#include "control/control_links.hpp"
+
+#include <algorithm>
+
+// Messages of and to other processes.
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+// More nodes than one control host is meant for; beyond that a new one takes
+// the place of another, which is heard again at its next message.
+constexpr std::size_t most_node_connections = 16384;
+
+} // namespace
+
+std::optional<inbound_message> control_links::next()
+{
+    if (m_peer_router)
+    {
+        std::optional<inbound_message> found =
+            next_of(*m_peer_router, link_kind::peer);
+        if (!found)
+        {
+            found = next_of(*m_node_router, link_kind::node);
+        }
+        if (found)
+        {
+            return found;
+        }
+    }
+    return next_from_control();
+}
+
+std::optional<inbound_message> control_links::next_of(router_socket& socket,
+                                                      link_kind link)
+{
+    while (true)
+    {
+        std::optional<received_message> received = socket.receive();
+        if (!received)
+        {
+            return std::nullopt;
+        }
+        if (!is_genuine(*received, link))
+        {
+            continue;
+        }
+        if (link == link_kind::node)
+        {
+            if (m_node_connections.size() >= most_node_connections)
+            {
+                m_node_connections.erase(m_node_connections.begin());
+            }
+            m_node_connections[received->sender] = received->connection;
+        }
+        return inbound_message{link, std::move(received->sender),
+                               std::move(received->public_key),
+                               received->channel, std::move(received->bytes)};
+    }
+}
+
+std::optional<inbound_message> control_links::next_from_control()
+{
+    for (auto& [host, dealer] : m_control)
+    {
+        std::optional<dealer_socket::message> received = dealer.receive();
+        if (received)
+        {
+            return inbound_message{link_kind::control, host, std::string(),
+                                   received->channel,
+                                   std::move(received->bytes)};
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<host_id> control_links::lost_control()
+{
+    std::vector<host_id> lost;
+    for (auto& [host, dealer] : m_control)
+    {
+        if (dealer.is_lost())
+        {
+            lost.push_back(host);
+        }
+    }
+    return lost;
+}
+
+// The name must be that of the key's holder, and the key must still be allowed:
+// its connection may be older than the present grants.
+bool control_links::is_genuine(const received_message& message, link_kind link)
+{
+    if (m_authenticator == nullptr)
+    {
+        return true;
+    }
+    const std::shared_ptr<const key_grants> grants = m_authenticator->grants();
+    const key_grant* grant = grants->find(message.public_key);
+    const bool is_allowed =
+        grant != nullptr && grant->holder == host_of(message.sender) &&
+        (link == link_kind::peer ? grant->allows(node_role::control_node)
+                                 : grant->allows(node_role::balancer_node) ||
+                                       grant->allows(node_role::agent_node));
+    if (!is_allowed)
+    {
+        m_metrics.count("crowlink_control_messages_refused_total");
+    }
+    return is_allowed;
+}
+
+bool control_links::send_to_peer(const host_id& to, message_channel channel,
+                                 std::string_view bytes)
+{
+    const auto found = m_peers.find(to);
+    return found != m_peers.end() && found->second.send(channel, bytes);
+}
+
+bool control_links::send_to_node(const host_id& to, std::string_view bytes)
+{
+    const auto found = m_node_connections.find(to);
+    if (found == m_node_connections.end())
+    {
+        return false;
+    }
+    const bool sent =
+        m_node_router->send(found->second, message_channel::membership, bytes);
+    if (!sent)
+    {
+        m_metrics.count("crowlink_control_messages_unsent_total");
+    }
+    return sent;
+}
+
+bool control_links::send_to_control(const host_id& to, std::string_view bytes)
+{
+    const auto found = m_control.find(to);
+    return found != m_control.end() &&
+           found->second.send(message_channel::membership, bytes);
+}
+
+} // namespace crowlink::internal
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -73,8 +73,8 @@
 
 // The members that the log names are reached before the first message to them,
 // also before the seeds are known: what is sent to a host that is not reached
-// is lost. A former leader's first request for votes was, and it asked again
-// only after an election timeout (335 ms on the platform).
+// is lost, and a request for votes is sent again only after an election
+// timeout.
 void document_controller::start(time_point now, blackboard& board)
 {
     carry_out(m_core.start(), board);
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -17,26 +17,8 @@
 namespace
 {
 
-// A part is not begun for less than this; it keeps the share of framing low.
-constexpr double least_part_bytes = 768;
 constexpr std::size_t most_listed_services = 65536;
 
-std::uint32_t whole_seconds(duration time)
-{
-    const auto seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(time).count();
-    return static_cast<std::uint32_t>(seconds);
-}
-
-// Bounded, since a document that was never confirmed is very old.
-std::uint32_t whole_milliseconds(duration time)
-{
-    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
-    const auto count =
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(count, most));
-}
-
 selection selection_of(const wire::attach& in)
 {
     selection out;
@@ -88,16 +70,6 @@
     return out;
 }
 
-std::uint64_t root_of(const digest_book& book, const selection& wants)
-{
-    std::uint64_t root = wants.all_services ? book.services_total() : 0;
-    for (const service_id service : wants.services)
-    {
-        root += book.of(service);
-    }
-    return root;
-}
-
 } // namespace
 
 publisher::publisher(publisher_settings settings, std::uint64_t seed)
@@ -227,8 +199,7 @@
 }
 
 // A host whose disk was lost gets the document from another one, which may
-// serve long before it: of 37 nodes that came after a loss of power, 26 waited
-// 0.29 s for such a host while others served.
+// serve long before it: nodes need not wait for such a host.
 bool publisher::will_serve() const
 {
     return is_sure() || m_state.version() > config_version();
@@ -312,146 +283,4 @@
     return out;
 }
 
-// Yields whether the node is still served.
-bool publisher::serve(time_point now, const host_id& node,
-                      publisher_session& session,
-                      std::vector<membership_send>& out)
-{
-    if (now - session.heard > m_settings.node_timeout)
-    {
-        return false;
-    }
-    const bool lags = m_state.urgent().lost(session.urgent) ||
-                      m_state.ordinary().lost(session.ordinary);
-    if (lags)
-    {
-        wire::membership_message ended;
-        ended.mutable_ended()->set_stream(session.stream);
-        out.push_back(membership_send{node, std::move(ended)});
-        return false;
-    }
-    while (has_news(session))
-    {
-        if (session.pace.available(now) < least_part_bytes)
-        {
-            return true;
-        }
-        if (!send_part(now, node, session, out))
-        {
-            break;
-        }
-    }
-    if (now >= session.next_digest)
-    {
-        send_digest(now, node, session, out);
-    }
-    return true;
-}
-
-bool publisher::has_news(const publisher_session& session) const
-{
-    return session.places_due || session.evacuations_due || session.hosts_due ||
-           session.snapshot.active ||
-           session.complete_version < m_state.version().value() ||
-           session.urgent < m_state.urgent().end() ||
-           session.ordinary < m_state.ordinary().end();
-}
-
-// Whole data centres go first: one line says much of many upstreams. Yields
-// whether anything was added.
-bool publisher::add_places(publisher_session& session,
-                           wire::stream_part& part) const
-{
-    const bool added = session.places_due || session.evacuations_due;
-    if (session.places_due)
-    {
-        part.set_lost_places_set(true);
-        for (const place_id& place : m_lost_places)
-        {
-            part.add_lost_places(place.value());
-        }
-    }
-    if (session.evacuations_due)
-    {
-        part.set_evacuations_revision(m_evacuations_revision);
-        for (const place_id& place : m_evacuated)
-        {
-            part.add_evacuated_places(place.value());
-        }
-    }
-    session.places_due = false;
-    session.evacuations_due = false;
-    return added;
-}
-
-// Yields whether there was anything to send.
-bool publisher::send_part(time_point now, const host_id& node,
-                          publisher_session& session,
-                          std::vector<membership_send>& out)
-{
-    const double tokens = session.pace.available(now);
-    const auto limit =
-        std::min(static_cast<std::size_t>(tokens), m_settings.part_bytes) -
-        framing_bytes;
-    wire::membership_message message;
-    wire::stream_part& part = *message.mutable_part();
-    bool added = add_places(session, part);
-    if (session.hosts_due && !m_control_hosts.empty())
-    {
-        added = true;
-        part.set_control_hosts_set(true);
-        for (const host_id& host : m_control_hosts)
-        {
-            part.add_control_hosts(host.value());
-        }
-    }
-    session.hosts_due = false;
-    internal::part_builder builder(m_state, session, limit);
-    added = builder.fill(part) || added;
-    const std::uint64_t version = m_state.version().value();
-    const bool complete =
-        !session.snapshot.active && session.urgent == m_state.urgent().end();
-    part.set_document_complete(complete);
-    added = added || (complete && session.complete_version < version);
-    if (!added)
-    {
-        return false;
-    }
-    session.complete_version = complete ? version : session.complete_version;
-    part.set_version(version);
-    part.set_stream(session.stream);
-    part.set_sequence(++session.sequence);
-    const std::size_t size = wire_size(message);
-    session.pace.take(size);
-    session.bytes += size;
-    session.next_digest = now + m_settings.digest_every;
-    out.push_back(membership_send{node, std::move(message)});
-    return true;
-}
-
-void publisher::send_digest(time_point now, const host_id& node,
-                            publisher_session& session,
-                            std::vector<membership_send>& out) const
-{
-    session.next_digest = now + m_settings.digest_every;
-    wire::membership_message message;
-    wire::stream_digest& body = *message.mutable_idle();
-    body.set_stream(session.stream);
-    body.set_sequence(session.sequence);
-    body.set_root(root_of(m_state.book(), session.wants));
-    body.set_version(m_state.version().value());
-    body.set_document_seconds(whole_seconds(m_document_age));
-    body.set_document_ms(whole_milliseconds(m_document_age));
-    for (const region_age& each : m_cut_regions)
-    {
-        auto& to = *body.add_stale();
-        to.set_region(each.region.value());
-        to.set_seconds(whole_seconds(each.age));
-    }
-    const std::size_t size = wire_size(message);
-    session.pace.take(size);
-    session.bytes += size;
-    out.push_back(membership_send{node, std::move(message)});
-}
-
 } // namespace crowlink
