--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -162,6 +162,8 @@
     take(m_subscriber.tick(now), board);
     log_publisher();
     log_evacuations();
+    log_lost();
+    log_homes();
     const config_version in_force = m_subscriber.applied_version();
     if (in_force > board.node_version.get())
     {
@@ -219,6 +221,41 @@
                     .field("at_ms", wall_clock_ms()));
 }
 
+void node_controller::log_lost()
+{
+    for (const lost_member& each : m_subscriber.take_lost())
+    {
+        m_log.write(log_line(log_level::info, "member_lost")
+                        .field("upstream", each.id.value())
+                        .field("service", each.service.value())
+                        .field("reason", to_string(each.reason))
+                        .field("known_sequence", each.known_sequence)
+                        .field("told_sequence", each.told_sequence));
+    }
+}
+
+void node_controller::log_homes()
+{
+    for (const announcer& each : m_announcers)
+    {
+        if (!each.accepted())
+        {
+            continue;
+        }
+        host_id& known = m_homes[each.record().id];
+        if (known == each.home())
+        {
+            continue;
+        }
+        m_log.write(log_line(log_level::info, "lease_home")
+                        .field("upstream", each.record().id.value())
+                        .field("observer", each.home().value())
+                        .field("before", known.value())
+                        .field("sequence", each.record().sequence));
+        known = each.home();
+    }
+}
+
 bool node_controller::settled() const
 {
     return std::all_of(m_announcers.begin(), m_announcers.end(),
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -45,6 +45,10 @@
     // Logs whose stream this node takes, when that changes.
     void log_publisher();
     void log_evacuations();
+    // Logs the members that this node found lost.
+    void log_lost();
+    // Logs which control host is asked to hold each lease, when that changes.
+    void log_homes();
     void follow_hosts(time_point now, const blackboard& board);
     std::vector<observer_info>
     infos_of(const std::vector<host_id>& hosts) const;
@@ -65,6 +69,7 @@
     host_id m_serving;
     // Those that the log told of last.
     std::set<place_id> m_evacuated;
+    std::map<upstream_id, host_id> m_homes;
     bool m_is_hosts_due = false;
     board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/base/time.hpp"
 #include "crowlink/membership/digest_book.hpp"
+#include "crowlink/membership/lost_member.hpp"
 #include "crowlink/membership/record_key.hpp"
 #include "crowlink/model/service_view.hpp"
 
@@ -10,6 +11,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace crowlink::internal
 {
@@ -76,6 +79,10 @@
     // The services whose views changed since the last call.
     std::set<service_id> take_touched();
 
+    // The members that were found not to be there any more since the last
+    // call; at most 256 of them.
+    std::vector<lost_member> take_lost() { return std::exchange(m_lost, {}); }
+
     std::optional<service_view> view(service_id id) const;
     const std::map<service_id, subscribed_service>& services() const
     {
@@ -99,6 +106,8 @@
     bool replace_places(std::set<place_id>& held, std::set<place_id> next);
     void replace_hash(const record_key& key, subscribed_record& held);
     void touch(service_id service);
+    void note_lost(const subscribed_record& held, loss_reason reason,
+                   std::uint64_t told_sequence);
     std::size_t
     count_absent(std::uint32_t generation,
                  const std::bitset<digest_book::bucket_count>& covered) const;
@@ -111,6 +120,7 @@
     std::uint64_t m_evacuations_revision = 0;
     std::set<place_id> m_evacuated;
     std::set<service_id> m_touched;
+    std::vector<lost_member> m_lost;
     digest_book m_book;
     std::size_t m_living = 0;
     std::uint64_t m_floor = 0;
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -68,6 +68,9 @@
     // Bytes received and sent, framing included.
     std::uint64_t bytes() const { return m_bytes; }
     const internal::subscribed_state& state() const { return m_state; }
+    // The members that were found not to be there any more since the last
+    // call.
+    std::vector<lost_member> take_lost() { return m_state.take_lost(); }
 
 private:
     enum class phase : std::uint8_t
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -6,6 +6,24 @@
 #include <algorithm>
 #include <utility>
 
+namespace crowlink
+{
+
+const char* to_string(loss_reason reason)
+{
+    switch (reason)
+    {
+    case loss_reason::lease_expired:
+        return "lease_expired";
+    case loss_reason::absent:
+        return "absent";
+    default:
+        return "ended";
+    }
+}
+
+} // namespace crowlink
+
 namespace crowlink::internal
 {
 
@@ -76,6 +94,13 @@
         m_living -= is_gone(held.record) ? 0 : 1;
         // Its own word would have raised the sequence.
         const bool is_silent = same && is_gone(record) && !unknown;
+        if (is_gone(record) && !is_gone(held.record))
+        {
+            note_lost(held,
+                      is_silent ? loss_reason::lease_expired
+                                : loss_reason::ended,
+                      record.sequence);
+        }
         held.silent = is_silent ? std::optional(held.record) : std::nullopt;
         held.record = record;
         held.forgotten = false;
@@ -195,6 +220,7 @@
         }
         if (now - *held.absent_since >= grace)
         {
+            note_lost(held, loss_reason::absent, held.record.sequence);
             held.record.state = upstream_state::gone;
             held.forgotten = true;
             held.gone_at = now;
@@ -244,6 +270,19 @@
     held.hash = hash;
 }
 
+void subscribed_state::note_lost(const subscribed_record& held,
+                                 loss_reason reason,
+                                 std::uint64_t told_sequence)
+{
+    constexpr std::size_t most_kept = 256;
+    if (m_lost.size() < most_kept)
+    {
+        m_lost.push_back(lost_member{held.record.service, held.record.id,
+                                     reason, held.record.sequence,
+                                     told_sequence});
+    }
+}
+
 // A balancer's change touches every view that this node holds.
 void subscribed_state::touch(service_id service)
 {
