--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -27,8 +27,8 @@
     std::uint64_t hash = 0;
     // The stream that confirmed it last.
     std::uint32_t generation = 0;
-    // The record before, where it is gone without a word of its own: its lease
-    // ran out.
+    // What it was before its lease ran out, where it did not end by its own
+    // word.
     std::optional<upstream_record> silent;
     // A publisher's snapshot did not name it, first at this time.
     std::optional<time_point> absent_since;
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -65,6 +65,12 @@
     return combine_hash(stable_hash(view, seed), value.port);
 }
 
+// Nothing more is to be told of it: it ended by its own word.
+bool has_ended(const upstream_record& record)
+{
+    return record.state == upstream_state::gone && !record.expired;
+}
+
 result<upstream_record> read_version(const wire::member& in)
 {
     if (in.id().empty() || in.id().size() > longest_name)
@@ -81,6 +87,7 @@
     record.started = incarnation(in.started());
     record.sequence = in.sequence();
     record.state = static_cast<upstream_state>(in.state());
+    record.expired = record.state == upstream_state::gone && in.expired();
     return record;
 }
 
@@ -107,7 +114,8 @@
     out.set_started(record.started.value());
     out.set_sequence(record.sequence);
     out.set_state(static_cast<std::uint32_t>(record.state));
-    if (record.state == upstream_state::gone)
+    out.set_expired(record.expired);
+    if (has_ended(record))
     {
         return;
     }
@@ -121,7 +129,7 @@
                                     const name_list& places)
 {
     auto record = read_version(in);
-    if (!record || record->state == upstream_state::gone)
+    if (!record || has_ended(*record))
     {
         return record;
     }
--- a/packages/membership/src/observer_judgement.cpp
+++ b/packages/membership/src/observer_judgement.cpp
@@ -220,6 +220,7 @@
             note_expired(now, each->second);
             observed_record next = each->second;
             next.record.state = upstream_state::gone;
+            next.record.expired = true;
             next.gone_at = now;
             next.suspect = false;
             const bool own = next.home == m_settings.self.id;
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -55,6 +55,20 @@
     return is_gone(next) ? !is_gone(held.record) : held.forgotten;
 }
 
+// What a member was before its lease ran out.
+upstream_record living_form(const upstream_record& expired,
+                            const subscribed_record& held)
+{
+    if (!expired.expired)
+    {
+        return held.record;
+    }
+    upstream_record living = expired;
+    living.state = upstream_state::ready;
+    living.expired = false;
+    return living;
+}
+
 } // namespace
 
 bool subscribed_state::take_record(time_point now,
@@ -92,8 +106,10 @@
     {
         m_living += is_gone(record) ? 0 : 1;
         m_living -= is_gone(held.record) ? 0 : 1;
-        // Its own word would have raised the sequence.
-        const bool is_silent = same && is_gone(record) && !unknown;
+        // A control host of an earlier release does not say that the lease
+        // ran out; its own word would have raised the sequence.
+        const bool is_silent =
+            record.expired || (same && is_gone(record) && !unknown);
         if (is_gone(record) && !is_gone(held.record))
         {
             note_lost(held,
@@ -101,7 +117,8 @@
                                 : loss_reason::ended,
                       record.sequence);
         }
-        held.silent = is_silent ? std::optional(held.record) : std::nullopt;
+        held.silent =
+            is_silent ? std::optional(living_form(record, held)) : std::nullopt;
         held.record = record;
         held.forgotten = false;
         held.gone_at = now;
--- a/packages/membership/test/expired_upstream_test.cpp
+++ b/packages/membership/test/expired_upstream_test.cpp
@@ -95,4 +95,20 @@
     EXPECT_EQ(seen(1, id), upstream_state::silent);
 }
 
+TEST_F(expired_upstream, is_silent_to_a_node_that_starts_later)
+{
+    fake_cluster::announced& lost = m_cluster.announcers[0];
+    const upstream_id id = lost.first.id;
+    const endpoint agent = lost.first.agent;
+    lost.core.reset();
+    m_cluster.run(std::chrono::seconds(40));
+    m_cluster.start_node(0);
+    m_cluster.run(std::chrono::seconds(10));
+    ASSERT_EQ(seen(0, id), upstream_state::silent);
+    const auto view = m_cluster.nodes[0].core->view(m_service);
+    EXPECT_TRUE(std::any_of(view->members.begin(), view->members.end(),
+                            [&agent](const upstream_record& each)
+                            { return each.agent == agent; }));
+}
+
 } // namespace crowlink::test
--- a/packages/model/include/crowlink/model/upstream_record.hpp
+++ b/packages/model/include/crowlink/model/upstream_record.hpp
@@ -48,6 +48,9 @@
     // The upstream's share relative to others of its service, 1 to 1000.
     std::uint32_t weight = 100;
     upstream_state state = upstream_state::ready;
+    // Only of one that is gone: its lease ran out. It did not say that it
+    // ends, so it may live on.
+    bool expired = false;
 
     friend auto operator<=>(const upstream_record&,
                             const upstream_record&) = default;
