--- a/packages/membership/src/part_builder.cpp
+++ b/packages/membership/src/part_builder.cpp
@@ -128,7 +128,10 @@
             cursor.next = record->first;
             return;
         }
-        if (cursor.covered[bucket_of(service, record->first.id)])
+        // Digests leave out what is gone, so that a node that starts would not
+        // hear of those that may live on.
+        if (cursor.covered[bucket_of(service, record->first.id)] ||
+            record->second.record.expired)
         {
             add_record(record->second, part);
         }
