--- a/packages/membership/include/crowlink/membership/announcer.hpp
+++ b/packages/membership/include/crowlink/membership/announcer.hpp
@@ -64,6 +64,7 @@
     std::vector<membership_send> answered(time_point now,
                                           const wire::announcement_answer& in);
     void fail_over(time_point now);
+    void choose_next_home(time_point now);
     duration jittered(duration time);
     void order_observers();
     std::vector<membership_send> send(wire::membership_message message) const;
@@ -81,6 +82,8 @@
     bool m_superseded = false;
     bool m_forbidden = false;
     bool m_waiting_answer = false;
+    // The home holds the lease, but the other observers do not hear it.
+    bool m_is_home_isolated = false;
     int m_tries = 0;
     std::size_t m_failed_observers = 0;
     duration m_backoff;
--- a/packages/membership/include/crowlink/membership/peer_board.hpp
+++ b/packages/membership/include/crowlink/membership/peer_board.hpp
@@ -48,6 +48,10 @@
     // are heard.
     bool own_region_heard(time_point now) const;
 
+    // Whether fewer than half of the own region's observers, this one
+    // included, have said within the timeout that they hear this one.
+    bool isolated(time_point now) const;
+
     // Whether another observer of the own region is heard directly.
     bool neighbour_heard(time_point now) const;
 
@@ -67,11 +71,14 @@
         observer_info info;
         time_point direct{};
         time_point indirect{};
+        // When it last said that it hears this observer.
+        time_point hears_this{};
         std::set<place_id> lost_places;
     };
 
     static time_point latest(const known_peer& value);
     std::size_t neighbours_heard(time_point now) const;
+    bool is_half_of_region(std::size_t observers) const;
 
     host_id m_self;
     region_id m_region;
--- a/packages/membership/src/announcer.cpp
+++ b/packages/membership/src/announcer.cpp
@@ -94,6 +94,7 @@
     m_tries = 0;
     m_failed_observers = 0;
     m_forbidden = in.status() == wire::ANNOUNCEMENT_FORBIDDEN;
+    m_is_home_isolated = in.isolated();
     switch (in.status())
     {
     case wire::ANNOUNCEMENT_UNKNOWN:
@@ -141,6 +142,11 @@
         m_tries = 0;
         return announce(now);
     }
+    if (m_accepted && m_is_home_isolated)
+    {
+        choose_next_home(now);
+        return announce(now);
+    }
     return m_accepted ? renew(now) : announce(now);
 }
 
@@ -197,8 +203,7 @@
     m_waiting_answer = false;
     m_accepted = false;
     m_tries = 0;
-    m_home = (m_home + 1) % m_order.size();
-    m_return_at = now + jittered(m_settings.return_after);
+    choose_next_home(now);
     if (++m_failed_observers >= m_order.size())
     {
         m_failed_observers = 0;
@@ -207,6 +212,13 @@
     }
 }
 
+void announcer::choose_next_home(time_point now)
+{
+    m_is_home_isolated = false;
+    m_home = (m_home + 1) % m_order.size();
+    m_return_at = now + jittered(m_settings.return_after);
+}
+
 duration announcer::jittered(duration time)
 {
     std::uniform_real_distribution<double> share(least_jitter, most_jitter);
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -201,6 +201,7 @@
     {
         held->second.lease_until = now + m_settings.lease;
     }
+    body.set_isolated(m_peers.isolated(now));
     out.sends.push_back(membership_send{from, answer(body)});
 }
 
@@ -229,6 +230,7 @@
     {
         body.set_status(wire::ANNOUNCEMENT_UNKNOWN);
     }
+    body.set_isolated(m_peers.isolated(now));
     out.sends.push_back(membership_send{from, answer(body)});
 }
 
--- a/packages/membership/src/peer_board.cpp
+++ b/packages/membership/src/peer_board.cpp
@@ -13,7 +13,7 @@
 {
     for (const observer_info& each : settings.peers)
     {
-        m_peers.emplace(each.id, known_peer{each, now, now, {}});
+        m_peers.emplace(each.id, known_peer{each, now, now, now, {}});
     }
 }
 
@@ -24,7 +24,7 @@
     {
         const auto found = m_peers.find(each.id);
         kept.emplace(each.id, found == m_peers.end()
-                                  ? known_peer{each, now, now, {}}
+                                  ? known_peer{each, now, now, now, {}}
                                   : found->second);
     }
     m_peers = std::move(kept);
@@ -49,6 +49,10 @@
     found->second.lost_places = std::move(lost_places);
     for (const host_id& each : heard_by_it)
     {
+        if (each == m_self)
+        {
+            found->second.hears_this = now;
+        }
         const auto other = m_peers.find(each);
         if (other != m_peers.end())
         {
@@ -122,14 +126,30 @@
     return neighbours_heard(now) > 0;
 }
 
-bool peer_board::own_region_heard(time_point now) const
+bool peer_board::is_half_of_region(std::size_t observers) const
 {
     std::size_t all = 1;
     for (const auto& each : m_peers)
     {
         all += each.second.info.region == m_region ? 1 : 0;
     }
-    return (neighbours_heard(now) + 1) * 2 >= all;
+    return observers * 2 >= all;
+}
+
+bool peer_board::own_region_heard(time_point now) const
+{
+    return is_half_of_region(neighbours_heard(now) + 1);
+}
+
+bool peer_board::isolated(time_point now) const
+{
+    std::size_t hearing = 1;
+    for (const auto& each : m_peers)
+    {
+        const bool near = each.second.info.region == m_region;
+        hearing += near && now - each.second.hears_this <= m_timeout ? 1 : 0;
+    }
+    return !is_half_of_region(hearing);
 }
 
 std::vector<host_id> peer_board::directly_heard(time_point now) const
@@ -169,6 +189,7 @@
     for (auto& each : m_peers)
     {
         each.second.indirect = now;
+        each.second.hears_this = now;
     }
 }
 
--- a/packages/membership/test/expired_upstream_test.cpp
+++ b/packages/membership/test/expired_upstream_test.cpp
@@ -72,8 +72,81 @@
     fake_cluster m_cluster{7};
 };
 
+// A home that exchanges nothing with the other control hosts, and goes on
+// answering its announcers.
+class cut_off_home : public expired_upstream
+{
+protected:
+    using direction = std::function<bool(bool from_home, bool to_home)>;
+
+    void cut(const host_id& home, const direction& is_lost)
+    {
+        const auto is_control = [this](const host_id& id)
+        {
+            return std::any_of(m_cluster.controls.begin(),
+                               m_cluster.controls.end(),
+                               [&id](const fake_cluster::control& each)
+                               { return each.info.id == id; });
+        };
+        m_cluster.network.drop = [=](const host_id& from, const host_id& to,
+                                     const wire::membership_message&)
+        {
+            return is_control(from) && is_control(to) &&
+                   is_lost(from == home, to == home);
+        };
+    }
+
+    // Whether both nodes see an upstream ready all the time.
+    bool stays_ready(const upstream_id& id, duration time)
+    {
+        const time_point end = m_cluster.now + time;
+        bool is_ready = true;
+        while (m_cluster.now < end)
+        {
+            m_cluster.step();
+            is_ready = is_ready && seen(0, id) == upstream_state::ready &&
+                       seen(1, id) == upstream_state::ready;
+        }
+        return is_ready;
+    }
+
+    const fake_cluster::announced& m_upstream = m_cluster.announcers[0];
+    host_id m_home = home_of(m_upstream).info.id;
+};
+
 } // namespace
 
+TEST_F(cut_off_home, keeps_no_upstream_from_the_others)
+{
+    cut(m_home,
+        [](bool from_home, bool to_home) { return from_home || to_home; });
+    EXPECT_TRUE(stays_ready(m_upstream.first.id, std::chrono::minutes(2)));
+    EXPECT_NE(m_upstream.core->home(), m_home);
+    m_cluster.network.drop = nullptr;
+    EXPECT_TRUE(stays_ready(m_upstream.first.id, std::chrono::minutes(1)));
+    EXPECT_EQ(m_cluster.difference(), "");
+}
+
+TEST_F(cut_off_home, that_is_not_heard_keeps_no_upstream_from_the_others)
+{
+    cut(m_home, [](bool from_home, bool) { return from_home; });
+    EXPECT_TRUE(stays_ready(m_upstream.first.id, std::chrono::minutes(2)));
+    EXPECT_NE(m_upstream.core->home(), m_home);
+}
+
+// Where no control host hears another one, each is as good as the next.
+TEST_F(cut_off_home, is_left_once_in_each_renewal_where_all_are_cut_off)
+{
+    cut(m_home, [](bool, bool) { return true; });
+    m_cluster.run(std::chrono::seconds(30));
+    const std::uint64_t before = m_upstream.core->record().sequence;
+    EXPECT_TRUE(stays_ready(m_upstream.first.id, std::chrono::minutes(2)));
+    const std::uint64_t moves = m_upstream.core->record().sequence - before;
+    const auto renewals =
+        std::chrono::minutes(2) / (announcer_settings().renew_every * 3 / 4);
+    EXPECT_LE(moves, static_cast<std::uint64_t>(renewals) + 1);
+}
+
 TEST_F(expired_upstream, is_silent_where_it_kept_its_home)
 {
     fake_cluster::announced& lost = m_cluster.announcers[0];
