--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -238,6 +238,7 @@
         if (now - *held.absent_since >= grace)
         {
             note_lost(held, loss_reason::absent, held.record.sequence);
+            held.silent = held.record;
             held.record.state = upstream_state::gone;
             held.forgotten = true;
             held.gone_at = now;
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -302,6 +302,39 @@
     EXPECT_EQ(members(), 0U);
 }
 
+// Its flows may go on: that nobody knows it any more is no word of its own.
+TEST_F(subscriber_parts, a_record_that_stays_absent_is_silent_not_gone)
+{
+    const auto take_snapshot_without_it = [this]
+    {
+        take(part(9, 5));
+        attach();
+        wire::stream_part whole = part(1, 5);
+        add_service(whole, 4);
+        for (std::uint32_t bucket = 0;
+             bucket < internal::digest_book::bucket_count; ++bucket)
+        {
+            whole.add_covered(bucket);
+        }
+        whole.set_snapshot_end(true);
+        take(whole);
+    };
+    take_snapshot_without_it();
+    ASSERT_EQ(members(), 1U);
+    EXPECT_EQ(m_core.view(service_id(1))->members[0].state,
+              upstream_state::ready);
+    m_now += std::chrono::seconds(30);
+    take_snapshot_without_it();
+    ASSERT_EQ(members(), 1U);
+    EXPECT_EQ(m_core.view(service_id(1))->members[0].state,
+              upstream_state::silent);
+    wire::stream_part back = part(2, 5);
+    add_member(back, 7, 0);
+    take(back);
+    EXPECT_EQ(m_core.view(service_id(1))->members.at(0).state,
+              upstream_state::ready);
+}
+
 TEST_F(subscriber_parts, an_older_declaration_is_not_taken)
 {
     wire::stream_part newer = part(2, 7);
