--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -130,6 +130,7 @@
     void expire_silent(time_point now, observer_output& out);
     void note_agent(const upstream_record& before,
                     const upstream_record& after);
+    void forget_agent(const upstream_record& record);
     void note_expired(time_point now, const internal::observed_record& held);
     bool may_expire(time_point now, const internal::observed_record& held);
     bool may_be_whole_place(time_point now, const place_id& where) const;
@@ -142,8 +143,8 @@
     observer_settings m_settings;
     internal::peer_board m_peers;
     table m_records;
-    // For each agent the living record that was stored last; there may be
-    // others, of former upstreams.
+    // For each agent the living record that was stored last, or one whose lease
+    // ran out; there may be others, of former upstreams.
     std::map<endpoint, internal::record_key> m_at_agent;
     internal::digest_book m_book;
     std::size_t m_living = 0;
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -65,12 +65,6 @@
     return combine_hash(stable_hash(view, seed), value.port);
 }
 
-// Nothing more is to be told of it: it ended by its own word.
-bool has_ended(const upstream_record& record)
-{
-    return record.state == upstream_state::gone && !record.expired;
-}
-
 result<upstream_record> read_version(const wire::member& in)
 {
     if (in.id().empty() || in.id().size() > longest_name)
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -248,7 +248,7 @@
     const record_key key = known->second;
     const auto former = m_records.find(key);
     const bool ends = former != m_records.end() &&
-                      !is_gone(former->second.record) &&
+                      !has_ended(former->second.record) &&
                       former->second.record.agent == present.agent &&
                       newer(present, former->second.record);
     if (!ends)
@@ -257,6 +257,7 @@
     }
     observed_record ended = former->second;
     ended.record.state = upstream_state::gone;
+    ended.record.expired = false;
     // As if it had said so itself: nobody need wonder whether it is silent.
     ++ended.record.sequence;
     ended.home = m_settings.self.id;
@@ -296,6 +297,8 @@
 {
     const std::uint64_t before = internal::content_hash(held.record, false);
     const std::uint64_t after = internal::content_hash(next.record, false);
+    const bool differs =
+        before != after || held.record.expired != next.record.expired;
     const std::size_t bucket =
         internal::bucket_of(next.record.service, next.record.id);
     next.bucket = static_cast<std::uint8_t>(bucket);
@@ -305,26 +308,34 @@
     m_living -= is_gone(held.record) ? 0 : 1;
     note_agent(held.record, next.record);
     held = std::move(next);
-    if (before != after)
+    if (differs)
     {
         out.records.push_back(held.record);
     }
 }
 
-void observer::note_agent(const upstream_record& before,
-                          const upstream_record& after)
+void observer::forget_agent(const upstream_record& record)
 {
-    const auto known = m_at_agent.find(before.agent);
-    const bool was_noted = !is_gone(before) && known != m_at_agent.end() &&
-                           known->second == key_of(before);
-    if (was_noted)
+    const auto known = m_at_agent.find(record.agent);
+    if (known != m_at_agent.end() && known->second == key_of(record))
     {
         m_at_agent.erase(known);
     }
+}
+
+// Of one whose lease ran out the place is kept, so that its successor ends it.
+void observer::note_agent(const upstream_record& before,
+                          const upstream_record& after)
+{
+    forget_agent(before);
     if (!is_gone(after))
     {
         m_at_agent[after.agent] = key_of(after);
     }
+    else if (after.expired)
+    {
+        m_at_agent.emplace(after.agent, key_of(after));
+    }
 }
 
 observer_output observer::tick(time_point now)
--- a/packages/membership/test/expired_upstream_test.cpp
+++ b/packages/membership/test/expired_upstream_test.cpp
@@ -168,6 +168,22 @@
     EXPECT_EQ(seen(1, id), upstream_state::silent);
 }
 
+TEST_F(expired_upstream, has_ended_once_another_one_runs_at_its_agent)
+{
+    fake_cluster::announced& lost = m_cluster.announcers[0];
+    upstream_record next = lost.first;
+    next.id = upstream_id("next");
+    const upstream_id id = lost.first.id;
+    lost.core.reset();
+    m_cluster.run(std::chrono::seconds(40));
+    ASSERT_EQ(seen(0, id), upstream_state::silent);
+    m_cluster.add_record(next, "north");
+    m_cluster.run(std::chrono::seconds(10));
+    EXPECT_EQ(seen(0, id), upstream_state::gone);
+    EXPECT_EQ(seen(1, id), upstream_state::gone);
+    EXPECT_EQ(seen(0, next.id), upstream_state::ready);
+}
+
 TEST_F(expired_upstream, is_silent_to_a_node_that_starts_later)
 {
     fake_cluster::announced& lost = m_cluster.announcers[0];
--- a/packages/model/include/crowlink/model/upstream_record.hpp
+++ b/packages/model/include/crowlink/model/upstream_record.hpp
@@ -56,6 +56,12 @@
                             const upstream_record&) = default;
 };
 
+// Whether it ended by its own word, so that nothing more is to be told of it.
+inline bool has_ended(const upstream_record& record)
+{
+    return record.state == upstream_state::gone && !record.expired;
+}
+
 // Whether the first record is newer than the second one of the same upstream.
 inline bool newer(const upstream_record& first, const upstream_record& second)
 {
