--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -1,7 +1,6 @@
 #include "control/node_controller.hpp"
 
 #include "control/lease_scale.hpp"
-#include "control/place_names.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
 #include "process/process_identity.hpp"
@@ -95,6 +94,7 @@
                                  std::uint64_t seed, time_point now)
     : m_links(links)
     , m_log(log)
+    , m_beliefs(log)
     , m_subscriber(to_subscriber(settings), seed, now)
     , m_announcing(to_announcer(settings))
     , m_seed(seed)
@@ -160,18 +160,8 @@
              board);
     }
     take(m_subscriber.tick(now), board);
-    log_publisher();
-    log_evacuations();
-    log_lost();
-    log_homes();
-    const config_version in_force = m_subscriber.applied_version();
-    if (in_force > board.node_version.get())
-    {
-        m_log.write(log_line(log_level::info, "version_in_force")
-                        .field("version", in_force.value())
-                        .field("at_ms", wall_clock_ms()));
-    }
-    board.node_version.set(in_force);
+    m_beliefs.tell(m_subscriber, m_announcers);
+    board.node_version.set(m_subscriber.applied_version());
 }
 
 void node_controller::follow_connections(time_point now)
@@ -191,71 +181,6 @@
     m_lost = lost;
 }
 
-void node_controller::log_publisher()
-{
-    const host_id serving =
-        m_subscriber.attached() ? m_subscriber.source() : host_id();
-    if (serving == m_serving)
-    {
-        return;
-    }
-    const bool is_lost = serving.value().empty();
-    m_log.write(log_line(log_level::info,
-                         is_lost ? "publisher_left" : "publisher_attached")
-                    .field("host", (is_lost ? m_serving : serving).value())
-                    .field("version", m_subscriber.applied_version().value()));
-    m_serving = serving;
-}
-
-void node_controller::log_evacuations()
-{
-    const subscribed_state& known = m_subscriber.state();
-    if (known.evacuated() == m_evacuated)
-    {
-        return;
-    }
-    m_evacuated = known.evacuated();
-    m_log.write(log_line(log_level::info, "evacuations_in_force")
-                    .field("revision", known.evacuations_revision())
-                    .field("places", names_of(m_evacuated))
-                    .field("at_ms", wall_clock_ms()));
-}
-
-void node_controller::log_lost()
-{
-    for (const lost_member& each : m_subscriber.take_lost())
-    {
-        m_log.write(log_line(log_level::info, "member_lost")
-                        .field("upstream", each.id.value())
-                        .field("service", each.service.value())
-                        .field("reason", to_string(each.reason))
-                        .field("known_sequence", each.known_sequence)
-                        .field("told_sequence", each.told_sequence));
-    }
-}
-
-void node_controller::log_homes()
-{
-    for (const announcer& each : m_announcers)
-    {
-        if (!each.accepted())
-        {
-            continue;
-        }
-        host_id& known = m_homes[each.record().id];
-        if (known == each.home())
-        {
-            continue;
-        }
-        m_log.write(log_line(log_level::info, "lease_home")
-                        .field("upstream", each.record().id.value())
-                        .field("observer", each.home().value())
-                        .field("before", known.value())
-                        .field("sequence", each.record().sequence));
-        known = each.home();
-    }
-}
-
 bool node_controller::settled() const
 {
     return std::all_of(m_announcers.begin(), m_announcers.end(),
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
+#include "control/belief_log.hpp"
 #include "control/blackboard.hpp"
 #include "control/control_links.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/membership/announcer.hpp"
 #include "crowlink/membership/subscriber.hpp"
 
-#include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace crowlink::internal
@@ -42,13 +41,6 @@
     void take(const subscriber_output& out, blackboard& board);
     void change_records(time_point now, const blackboard& board);
     void follow_connections(time_point now);
-    // Logs whose stream this node takes, when that changes.
-    void log_publisher();
-    void log_evacuations();
-    // Logs the members that this node found lost.
-    void log_lost();
-    // Logs which control host is asked to hold each lease, when that changes.
-    void log_homes();
     void follow_hosts(time_point now, const blackboard& board);
     std::vector<observer_info>
     infos_of(const std::vector<host_id>& hosts) const;
@@ -57,6 +49,7 @@
 
     control_links& m_links;
     log_sink& m_log;
+    belief_log m_beliefs;
     subscriber m_subscriber;
     announcer_settings m_announcing;
     std::uint64_t m_seed;
@@ -65,11 +58,6 @@
     std::vector<host_id> m_learned;
     // The control hosts that there is no connection to.
     std::vector<host_id> m_lost;
-    // Whose stream it takes; empty for nobody's.
-    host_id m_serving;
-    // Those that the log told of last.
-    std::set<place_id> m_evacuated;
-    std::map<upstream_id, host_id> m_homes;
     bool m_is_hosts_due = false;
     board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
--- a/packages/membership/test/expired_upstream_test.cpp
+++ b/packages/membership/test/expired_upstream_test.cpp
@@ -57,6 +57,14 @@
         EXPECT_EQ(m_cluster.difference(), "");
     }
 
+    // It stops without a word, and its lease runs out.
+    upstream_id lose(fake_cluster::announced& upstream)
+    {
+        upstream.core.reset();
+        m_cluster.run(std::chrono::seconds(40));
+        return upstream.first.id;
+    }
+
     // The state in which a node sees an upstream; gone if it does not.
     upstream_state seen(std::size_t node, const upstream_id& id) const
     {
@@ -149,10 +157,7 @@
 
 TEST_F(expired_upstream, is_silent_where_it_kept_its_home)
 {
-    fake_cluster::announced& lost = m_cluster.announcers[0];
-    const upstream_id id = lost.first.id;
-    lost.core.reset();
-    m_cluster.run(std::chrono::seconds(40));
+    const upstream_id id = lose(m_cluster.announcers[0]);
     EXPECT_EQ(seen(0, id), upstream_state::silent);
     EXPECT_EQ(seen(1, id), upstream_state::silent);
 }
@@ -161,9 +166,7 @@
 {
     fake_cluster::announced& lost = m_cluster.announcers[0];
     move_home(lost);
-    const upstream_id id = lost.first.id;
-    lost.core.reset();
-    m_cluster.run(std::chrono::seconds(40));
+    const upstream_id id = lose(lost);
     EXPECT_EQ(seen(0, id), upstream_state::silent);
     EXPECT_EQ(seen(1, id), upstream_state::silent);
 }
@@ -173,9 +176,7 @@
     fake_cluster::announced& lost = m_cluster.announcers[0];
     upstream_record next = lost.first;
     next.id = upstream_id("next");
-    const upstream_id id = lost.first.id;
-    lost.core.reset();
-    m_cluster.run(std::chrono::seconds(40));
+    const upstream_id id = lose(lost);
     ASSERT_EQ(seen(0, id), upstream_state::silent);
     m_cluster.add_record(next, "north");
     m_cluster.run(std::chrono::seconds(10));
@@ -187,10 +188,8 @@
 TEST_F(expired_upstream, is_silent_to_a_node_that_starts_later)
 {
     fake_cluster::announced& lost = m_cluster.announcers[0];
-    const upstream_id id = lost.first.id;
     const endpoint agent = lost.first.agent;
-    lost.core.reset();
-    m_cluster.run(std::chrono::seconds(40));
+    const upstream_id id = lose(lost);
     m_cluster.start_node(0);
     m_cluster.run(std::chrono::seconds(10));
     ASSERT_EQ(seen(0, id), upstream_state::silent);
