--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fake_network.hpp"
+#include "node_rules.hpp"
 
 #include <array>
 #include <gtest/gtest.h>
@@ -37,10 +38,7 @@
         interest wants;
         region_id region;
         std::unique_ptr<subscriber> core;
-        std::map<internal::record_key, upstream_record> seen;
-        std::map<internal::record_key, bool> forgotten;
-        std::map<service_id, config_version> versions;
-        config_version applied;
+        node_rules rules;
     };
 
     explicit fake_cluster(std::uint64_t seed) : network(seed), random(seed) {}
@@ -133,6 +131,13 @@
 
     void add_record(const upstream_record& record, const std::string& region)
     {
+        for (const announced& each : announcers)
+        {
+            if (each.first.agent == record.agent)
+            {
+                m_ended.insert(each.first.id);
+            }
+        }
         announcers.push_back(announced{record, region_id(region), nullptr});
         start_announcer(announcers.size() - 1);
     }
@@ -173,10 +178,7 @@
         settings.wants = each.wants;
         settings.publishers = infos();
         each.core = std::make_unique<subscriber>(settings, random(), now);
-        each.seen.clear();
-        each.versions.clear();
-        each.forgotten.clear();
-        each.applied = config_version();
+        each.rules = node_rules();
     }
 
     void run(duration time)
@@ -206,6 +208,7 @@
             if (each.core)
             {
                 network.send(now, id_of(each), each.core->tick(now));
+                note_ended(each);
             }
         }
         for (node& each : nodes)
@@ -213,7 +216,7 @@
             if (each.core)
             {
                 take(each, each.core->tick(now));
-                check_rises(each);
+                each.rules.check(each.id, *each.core, m_ended);
             }
         }
     }
@@ -250,6 +253,14 @@
         return host_id("a-" + each.first.id.value());
     }
 
+    void note_ended(const announced& each)
+    {
+        if (each.core->record().state == upstream_state::gone)
+        {
+            m_ended.insert(each.first.id);
+        }
+    }
+
     void tick_control(control& each)
     {
         if (!each.lags)
@@ -282,7 +293,7 @@
             if (each.id == to && each.core)
             {
                 take(each, each.core->handle(now, from, message));
-                check_rises(each);
+                each.rules.check(each.id, *each.core, m_ended);
             }
         }
     }
@@ -292,35 +303,6 @@
         network.send(now, each.id, out.sends);
     }
 
-    // No record, declaration or version of the document goes back at a node,
-    // and no gone record returns.
-    void check_rises(node& each)
-    {
-        ASSERT_GE(each.core->applied_version(), each.applied);
-        each.applied = each.core->applied_version();
-        for (const auto& held : each.core->state().services())
-        {
-            const config_version next(held.second.version);
-            ASSERT_GE(next, each.versions[held.first]) << each.id.value();
-            each.versions[held.first] = next;
-        }
-        for (const auto& held : each.core->state().records())
-        {
-            const upstream_record& next = held.second.record;
-            upstream_record& last = each.seen[held.first];
-            ASSERT_FALSE(newer(last, next)) << held.first.id.value();
-            const bool same =
-                next.started == last.started && next.sequence == last.sequence;
-            const bool returned = last.started.value() != 0 && same &&
-                                  last.state == upstream_state::gone &&
-                                  next.state != upstream_state::gone;
-            ASSERT_FALSE(returned && !each.forgotten[held.first])
-                << held.first.id.value();
-            each.forgotten[held.first] = held.second.forgotten;
-            last = next;
-        }
-    }
-
     std::string difference(const node& each) const
     {
         if (each.core->applied_version() != version)
@@ -407,6 +389,9 @@
         }
         return out;
     }
+
+    // Those that said that they end, or whose agent has another upstream.
+    std::set<upstream_id> m_ended;
 };
 
 } // namespace crowlink::test
