--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -16,6 +16,11 @@
 #include <utility>
 #include <vector>
 
+namespace crowlink::internal
+{
+class change_batch;
+}
+
 namespace crowlink
 {
 
@@ -113,6 +118,12 @@
     void send_digest(const host_id& to, bool asks, observer_output& out) const;
     void send_next_digest(observer_output& out);
     void ask_for_digests(time_point now, observer_output& out);
+    void send_differing(time_point now, const host_id& to,
+                        const wire::observer_digest& in, observer_output& out);
+    void send_gone(time_point now, const host_id& to,
+                   observer_output& out) const;
+    static void send_batch(internal::change_batch& batch, const host_id& to,
+                           observer_output& out);
     void note_equal_digest(const host_id& from, bool is_ready);
     std::vector<bool> buckets_to_send(const wire::observer_digest& in);
     void forgive_pause(time_point now);
@@ -130,6 +141,8 @@
     void expire_silent(time_point now, observer_output& out);
     void note_agent(const upstream_record& before,
                     const upstream_record& after);
+    // Takes a record that is removed out of what else is kept of it.
+    void forget(const upstream_record& record);
     void forget_agent(const upstream_record& record);
     void note_expired(time_point now, const internal::observed_record& held);
     bool may_expire(time_point now, const internal::observed_record& held);
@@ -147,6 +160,8 @@
     // ran out; there may be others, of former upstreams.
     std::map<endpoint, internal::record_key> m_at_agent;
     internal::digest_book m_book;
+    // A sum over the records whose lease ran out, which the book leaves out.
+    std::uint64_t m_expired_digest = 0;
     std::size_t m_living = 0;
     // Own changes that the peers must still hear.
     std::set<internal::record_key> m_unsent;
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -42,6 +42,10 @@
     {
         return is_gone(next.record);
     }
+    if (has_ended(next.record) != has_ended(held.record))
+    {
+        return has_ended(next.record);
+    }
     return next.home > held.home;
 }
 
@@ -56,6 +60,19 @@
     return stable_hash(held.home.value(), version) | 1U;
 }
 
+// What a record adds to the digest of those whose lease ran out.
+std::uint64_t expired_hash(const upstream_record& record)
+{
+    if (!record.expired)
+    {
+        return 0;
+    }
+    const std::uint64_t named =
+        stable_hash(record.id.value(), record.service.value());
+    const std::uint64_t life = combine_hash(named, record.started.value());
+    return combine_hash(life, record.sequence) | 1U;
+}
+
 wire::membership_message answer(const wire::announcement_answer& body)
 {
     wire::membership_message message;
@@ -304,6 +321,7 @@
     next.bucket = static_cast<std::uint8_t>(bucket);
     next.hash = version_hash(next);
     m_book.replace(next.record.service, bucket, held.hash, next.hash);
+    m_expired_digest += expired_hash(next.record) - expired_hash(held.record);
     m_living += is_gone(next.record) ? 0 : 1;
     m_living -= is_gone(held.record) ? 0 : 1;
     note_agent(held.record, next.record);
@@ -314,6 +332,12 @@
     }
 }
 
+void observer::forget(const upstream_record& record)
+{
+    m_expired_digest -= expired_hash(record);
+    forget_agent(record);
+}
+
 void observer::forget_agent(const upstream_record& record)
 {
     const auto known = m_at_agent.find(record.agent);
--- a/packages/membership/src/observer_judgement.cpp
+++ b/packages/membership/src/observer_judgement.cpp
@@ -212,7 +212,7 @@
     {
         if (purge(now, each->second))
         {
-            forget_agent(each->second.record);
+            forget(each->second.record);
             each = m_records.erase(each);
             continue;
         }
--- a/packages/membership/src/observer_peers.cpp
+++ b/packages/membership/src/observer_peers.cpp
@@ -138,6 +138,7 @@
     auto& body = *message.mutable_digest();
     body.set_asks(asks);
     body.set_ready(m_ready);
+    body.set_expired(m_expired_digest);
     for (const std::uint64_t bucket : m_book.buckets())
     {
         body.add_buckets(bucket);
@@ -153,18 +154,32 @@
         m_metrics.count("membership_malformed_total");
         return;
     }
-    if (std::equal(in.buckets().begin(), in.buckets().end(),
-                   m_book.buckets().begin()))
+    const bool same_living = std::equal(
+        in.buckets().begin(), in.buckets().end(), m_book.buckets().begin());
+    const bool same_expired =
+        !in.has_expired() || in.expired() == m_expired_digest;
+    if (same_living && same_expired)
     {
         note_equal_digest(from, in.ready());
-        if (in.asks())
-        {
-            send_digest(from, false, out);
-        }
-        return;
     }
-    m_agreeing.erase(from);
-    m_metrics.count("membership_digest_differences_total");
+    else
+    {
+        m_agreeing.erase(from);
+        m_metrics.count("membership_digest_differences_total");
+        same_living ? send_gone(now, from, out)
+                    : send_differing(now, from, in, out);
+    }
+    if (in.asks())
+    {
+        // After the records, so that the asker holds them when it compares.
+        send_digest(from, false, out);
+    }
+}
+
+void observer::send_differing(time_point now, const host_id& to,
+                              const wire::observer_digest& in,
+                              observer_output& out)
+{
     const auto chosen = buckets_to_send(in);
     internal::change_batch batch(m_settings.records_a_message);
     for (const auto& each : m_records)
@@ -174,14 +189,33 @@
             batch.add(each.second, now);
         }
     }
-    for (wire::membership_message& message : batch.take())
+    send_batch(batch, to, out);
+}
+
+// Those that ended as well: the other one may hold one of them for expired.
+void observer::send_gone(time_point now, const host_id& to,
+                         observer_output& out) const
+{
+    std::size_t left =
+        m_settings.records_a_message * m_settings.messages_a_digest;
+    internal::change_batch batch(m_settings.records_a_message);
+    for (const auto& each : m_records)
     {
-        out.sends.push_back(membership_send{from, std::move(message)});
+        if (each.second.record.state == upstream_state::gone && left > 0)
+        {
+            batch.add(each.second, now);
+            --left;
+        }
     }
-    if (in.asks())
+    send_batch(batch, to, out);
+}
+
+void observer::send_batch(internal::change_batch& batch, const host_id& to,
+                          observer_output& out)
+{
+    for (wire::membership_message& message : batch.take())
     {
-        // After the records, so that the asker holds them when it compares.
-        send_digest(from, false, out);
+        out.sends.push_back(membership_send{to, std::move(message)});
     }
 }
 
--- a/packages/membership/test/expired_upstream_test.cpp
+++ b/packages/membership/test/expired_upstream_test.cpp
@@ -65,6 +65,28 @@
         return upstream.first.id;
     }
 
+    // One after the other, each with nothing left of its life before.
+    void restart_control_hosts()
+    {
+        for (std::size_t index = 0; index < m_cluster.controls.size(); ++index)
+        {
+            m_cluster.start_control(index);
+            m_cluster.run(std::chrono::seconds(10));
+        }
+    }
+
+    // From now on only one control host answers nodes.
+    void let_one_publish(const host_id& host)
+    {
+        m_cluster.network.drop = [host](const host_id& from, const host_id&,
+                                        const wire::membership_message& message)
+        {
+            const bool is_stream = message.has_part() || message.has_idle() ||
+                                   message.has_refused();
+            return is_stream && from != host;
+        };
+    }
+
     // The state in which a node sees an upstream; gone if it does not.
     upstream_state seen(std::size_t node, const upstream_id& id) const
     {
@@ -155,6 +177,48 @@
     EXPECT_LE(moves, static_cast<std::uint64_t>(renewals) + 1);
 }
 
+// Two halves of a region, each of which expires what is at home in the other.
+TEST(halved_region, takes_no_upstream_for_ended)
+{
+    fake_cluster cluster(11);
+    service declared;
+    declared.id = service_id(1);
+    declared.name = "service";
+    cluster.document.services.push_back(declared);
+    const std::array hosts{"c1", "c2", "c3", "c4"};
+    for (const char* host : hosts)
+    {
+        cluster.add_control(host, host, "north");
+    }
+    cluster.start_controls();
+    for (int index = 0; index < 8; ++index)
+    {
+        const std::string place = hosts.at(index % hosts.size());
+        cluster.add_upstream("u" + std::to_string(index), 1, place, "north");
+    }
+    interest all;
+    all.all_services = true;
+    cluster.add_node("n1", all, "north");
+    cluster.add_node("n2", all, "north");
+    cluster.run(std::chrono::seconds(30));
+    ASSERT_EQ(cluster.difference(), "");
+    const std::set<host_id> half{host_id("c1"), host_id("c2")};
+    cluster.network.drop = [half](const host_id& from, const host_id& to,
+                                  const wire::membership_message&)
+    {
+        const bool between_controls =
+            from.value().starts_with('c') && to.value().starts_with('c');
+        return between_controls && half.count(from) != half.count(to);
+    };
+    // The rules of the cluster check it at every step.
+    cluster.run(std::chrono::minutes(2));
+    cluster.start_node(0);
+    cluster.run(std::chrono::minutes(1));
+    cluster.network.drop = nullptr;
+    cluster.run(std::chrono::minutes(1));
+    EXPECT_EQ(cluster.difference(), "");
+}
+
 TEST_F(expired_upstream, is_silent_where_it_kept_its_home)
 {
     const upstream_id id = lose(m_cluster.announcers[0]);
@@ -199,4 +263,46 @@
                             { return each.agent == agent; }));
 }
 
+// A node that starts later and asks only a control host that started later.
+TEST_F(expired_upstream, is_silent_though_a_control_host_started_later)
+{
+    const upstream_id id = lose(m_cluster.announcers[0]);
+    restart_control_hosts();
+    let_one_publish(m_cluster.controls[0].info.id);
+    m_cluster.start_node(0);
+    m_cluster.run(std::chrono::seconds(30));
+    ASSERT_TRUE(m_cluster.nodes[0].core->view(m_service));
+    EXPECT_EQ(seen(0, id), upstream_state::silent);
+}
+
+// What one control host has forgotten and another one has not is repaired in
+// vain for a moment only.
+TEST_F(expired_upstream, is_forgotten_by_all_control_hosts_after_its_time)
+{
+    m_cluster.observing.tombstone_life = std::chrono::minutes(3);
+    restart_control_hosts();
+    const upstream_id id = lose(m_cluster.announcers[0]);
+    restart_control_hosts();
+    ASSERT_NE(m_cluster.controls[0].core->observing().find(m_service, id),
+              nullptr);
+    m_cluster.run(m_cluster.observing.tombstone_life);
+    for (const fake_cluster::control& each : m_cluster.controls)
+    {
+        EXPECT_EQ(each.core->observing().find(m_service, id), nullptr);
+    }
+    const auto differences = [this]
+    {
+        std::uint64_t sum = 0;
+        for (const fake_cluster::control& each : m_cluster.controls)
+        {
+            sum += each.core->observing().counters().counter(
+                "membership_digest_differences_total");
+        }
+        return sum;
+    };
+    const std::uint64_t before = differences();
+    m_cluster.run(std::chrono::minutes(1));
+    EXPECT_EQ(differences(), before);
+}
+
 } // namespace crowlink::test
--- a/packages/membership/test/fake_cluster.hpp
+++ b/packages/membership/test/fake_cluster.hpp
@@ -51,6 +51,7 @@
     std::vector<node> nodes;
     system_document document;
     config_version version{1};
+    observer_settings observing;
     publisher_settings publishing;
     announcer_settings announcing;
     subscriber_settings subscribing;
@@ -74,7 +75,7 @@
 
     void start_control(std::size_t index)
     {
-        observer_settings settings;
+        observer_settings settings = observing;
         settings.self = controls[index].info;
         for (const control& each : controls)
         {
