--- a/bench/processes/udp_callers.cpp
+++ b/bench/processes/udp_callers.cpp
@@ -125,6 +125,7 @@
         {
             each.failed = true;
             ++m_finished;
+            tell("unanswered", each, "");
             return;
         }
         m_messages += each.waiting ? 0 : 1;
@@ -158,7 +159,11 @@
         words >> service >> upstream >> number;
         m_wrong_service +=
             service == m_plan.targets[each.target].service ? 0 : 1;
-        m_moved += each.upstream.empty() || each.upstream == upstream ? 0 : 1;
+        if (!each.upstream.empty() && each.upstream != upstream)
+        {
+            ++m_moved;
+            tell("moved", each, upstream);
+        }
         each.upstream = upstream;
         if (!each.waiting || number != each.next)
         {
@@ -172,6 +177,16 @@
         m_finished += each.next == m_plan.messages ? 1 : 0;
     }
 
+    // Says at once what went wrong, so that it can be put beside other logs.
+    static void tell(const char* what, const flow& each,
+                     const std::string& answered_by)
+    {
+        fmt::print("{} from={} message={} upstream={} answered_by={}\n", what,
+                   each.socket.local().to_string(), each.next, each.upstream,
+                   answered_by);
+        std::fflush(stdout);
+    }
+
     plan m_plan;
     std::vector<flow> m_flows;
     poller m_poller;
