--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -53,6 +53,7 @@
     duration_s: float
     controls: int
     agents: int
+    log_level: str
 
 
 def read_arguments() -> argparse.Namespace:
@@ -70,6 +71,10 @@
         "--programs", type=Path, default=BUILD / "bin",
         help="the folder of crowlinkd; an older one may be named",
     )  # fmt: skip
+    parser.add_argument(
+        "--log-level", default="info", choices=("debug", "info", "warning"),
+        help="of the programs",
+    )  # fmt: skip
     parser.add_argument("--keep", action="store_true", help="keep all logs")
     return parser.parse_args()
 
@@ -104,6 +109,7 @@
     system = Deployment(
         settings.programs, settings.tools, folder, run_log,
         controls=settings.controls, agents=settings.agents,
+        log_level=settings.log_level,
     )  # fmt: skip
     events = (
         schedule.read(file)
@@ -151,6 +157,7 @@
     settings = Settings(
         arguments.programs.resolve(), (BUILD / "bin").resolve(),
         arguments.duration, arguments.controls, arguments.agents,
+        arguments.log_level,
     )  # fmt: skip
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -28,11 +28,13 @@
     def __init__(
         self, programs: Path, tools: Path, folder: Path, log: RunLog,
         controls: int = 3, balancers: int = 3, agents: int = 6,
+        log_level: str = "info",
     ) -> None:  # fmt: skip
         self._programs = programs
         self._tools = tools
         self._folder = folder
         self._log = log
+        self._log_level = log_level
         self.hosts = Hosts(
             tuple(f"control-{n}" for n in range(1, controls + 1)),
             tuple(f"balancer-{n}" for n in range(1, balancers + 1)),
@@ -113,7 +115,7 @@
         place = PLACES[int(name.rpartition("-")[2]) % len(PLACES)]
         return {
             "host": {"name": name, "place": place, "region": REGION},
-            "log": {"level": "info"},
+            "log": {"level": self._log_level},
             "trusted_network": True,
             "lease_ms": LEASE_MS,
         }
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -15,6 +15,7 @@
 #include "crowlink/agent/repeat_watch.hpp"
 #include "crowlink/agent/returned_flows.hpp"
 #include "crowlink/agent/shed_warden.hpp"
+#include "crowlink/agent/silent_inquiry.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -91,6 +92,14 @@
         elsewhere,
     };
 
+    // Whether the silent members were asked for a datagram's flow by this
+    // agent.
+    enum class inquiry : bool
+    {
+        due,
+        done,
+    };
+
     // Packets.
     route route_of(time_point now, const packet_arrived& event);
     static bool is_new_again(const internal::flow_entry& entry,
@@ -112,16 +121,16 @@
     void return_to_head(time_point now, packet_header header,
                         const packet_arrived& event);
     void start_walk(time_point now, packet_header header,
-                    const packet_arrived& event);
+                    const packet_arrived& event, inquiry asked = inquiry::due);
     void walk(time_point now, packet_header header, const packet_arrived& event,
-              const candidate& as);
+              const candidate& as, inquiry asked = inquiry::due);
     const candidate* missed_on_walk(const packet_header& header,
                                     const candidate_chain& before,
                                     const candidate& as) const;
     const candidate* next_on_walk(const packet_header& header,
                                   std::uint64_t after) const;
     void end_walk(time_point now, packet_header header,
-                  const packet_arrived& event);
+                  const packet_arrived& event, inquiry asked);
     bool gives_up(time_point now, const packet_arrived& event);
     void reset_silent(const packet_header& header, payload_view payload);
 
@@ -131,6 +140,17 @@
     void start_search(time_point now, const packet_header& header,
                       const packet_arrived& event);
     void ask_members(time_point now);
+    void send_questions(std::vector<internal::addressed_question> questions);
+    bool passes_silent(const packet_header& header) const;
+    bool ask_silent(time_point now, const packet_header& header,
+                    const packet_arrived& event);
+    void continue_inquiry(time_point now);
+    void take_silent_answer(const candidate& sender,
+                            const stated_ownership& told);
+    void begin_inquiries_anew(time_point now);
+    void end_inquiries(time_point now);
+    void go_on(time_point now, const packet_arrived& event);
+    void go_on_from_head(time_point now, const packet_arrived& event);
     void take_in(time_point now, const endpoint& from,
                  const owner_question& message);
     void answer_for_former_life(const owner_question& message);
@@ -150,7 +170,8 @@
     bool may_be_moved(const packet_header& header) const;
     void reset_unknown(const packet_header& header, payload_view payload);
     void start_admission(time_point now, packet_header header,
-                         const packet_arrived& event);
+                         const packet_arrived& event,
+                         inquiry asked = inquiry::due);
     void ask_to_admit(time_point now, packet_header header,
                       const packet_arrived& event);
     void ask_next(time_point now, packet_header header,
@@ -263,6 +284,7 @@
     internal::repeat_watch m_repeated;
     internal::returned_flows m_returned;
     internal::owner_search m_search;
+    internal::silent_inquiry m_inquiry;
     // Those that ended with this event; its effects refer to them.
     std::vector<internal::searched_flow> m_ended_searches;
     agent_counts m_counts;
--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -67,6 +67,8 @@
     bool has_ended(upstream_tag tag) const;
     // Whether its lease has run out without a word of its own.
     bool is_silent(upstream_tag tag) const;
+    // Whether any member is.
+    bool has_silent() const { return !m_silent.empty(); }
     // Whether it is silent, and out of this host's reach for so long that its
     // flows are given up.
     bool is_given_up(upstream_tag tag) const;
--- a/packages/agent/include/crowlink/agent/owner_search.hpp
+++ b/packages/agent/include/crowlink/agent/owner_search.hpp
@@ -40,6 +40,21 @@
     std::vector<flow_key> flows;
 };
 
+// How long a search goes on.
+struct search_times
+{
+    // From the start of a round to that of the next one: many times the way to
+    // a member and back, and half of the time after which callers repeat
+    // themselves.
+    duration round = std::chrono::milliseconds(100);
+    // Callers send copies 1.6 s apart at most: three were due by then.
+    duration lifetime = std::chrono::seconds(5);
+    // Whether another copy of the caller's begins that time anew.
+    bool is_renewed_by_copies = true;
+
+    friend auto operator<=>(const search_times&, const search_times&) = default;
+};
+
 // Flows whose owner is looked for by asking all members of their service, all
 // flows at once in rounds. A flow that every member denied has no owner.
 //
@@ -53,12 +68,7 @@
     // At 1.3 KB and 4 bytes a member each, 1.4 MB with 1,000 members. Beyond
     // that a caller's next copy is searched for.
     static constexpr std::size_t most_flows = 256;
-    // From the start of a round to that of the next one: many times the way to
-    // a member and back, and half of the time after which callers repeat
-    // themselves.
-    static constexpr duration round_time = std::chrono::milliseconds(100);
-    // Callers send copies 1.6 s apart at most: three were due by then.
-    static constexpr duration lifetime = std::chrono::seconds(5);
+    explicit owner_search(const search_times& times = {}) : m_times(times) {}
 
     // Begins a search, or renews the packet of one that is on. Whether there
     // was room.
@@ -80,15 +90,20 @@
     std::optional<searched_flow> take(std::uint64_t flow);
     // Ends the searches for the flows that no member is left to ask about.
     std::vector<searched_flow> take_denied();
+    // Ends the searches that have taken their time; some member said nothing.
+    std::vector<searched_flow> take_unanswered(time_point now);
+    std::vector<searched_flow> take_all();
 
     bool empty() const { return m_flows.empty(); }
     std::size_t size() const { return m_flows.size(); }
 
 private:
-    void forget_given_up(time_point now);
+    template <class Ends>
+    std::vector<searched_flow> take_if(const Ends& ends);
     void meet(const std::vector<candidate>& members);
     std::vector<flow_key> unheard_of(const candidate& member) const;
 
+    search_times m_times;
     std::unordered_map<std::uint64_t, searched_flow> m_flows;
     // Members that all flows wait for or have heard; in order.
     std::vector<upstream_tag> m_met;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -197,6 +197,7 @@
         m_checking = true;
         m_flows.rewind();
     }
+    begin_inquiries_anew(now);
 }
 
 void agent::on(time_point, const leave_requested&)
@@ -235,6 +236,7 @@
     renew_due(now);
     find_silent(now);
     ask_members(now);
+    continue_inquiry(now);
     close_finished(now);
     close_idle(now);
     if (now >= m_next_assessment)
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -7,8 +7,12 @@
 using internal::redirect_kind;
 
 void agent::start_admission(time_point now, packet_header header,
-                            const packet_arrived& event)
+                            const packet_arrived& event, inquiry asked)
 {
+    if (asked == inquiry::due && ask_silent(now, header, event))
+    {
+        return;
+    }
     header.pass = packet_pass::admit;
     header.best = packet_header::no_position;
     const std::size_t first = next_usable(header, 0);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -295,11 +295,15 @@
                          header.pass != packet_pass::place && !from_walk &&
                          !is_behind && mark.to != m_self &&
                          mark.expires - now > margin_of(header.pass) &&
-                         !m_members.is_gone(mark.to.tag);
+                         !m_members.has_ended(mark.to.tag);
     if (!applies)
     {
         return false;
     }
+    if (m_members.is_silent(mark.to.tag))
+    {
+        return ask_silent(now, header, event);
+    }
     packet_header sent = header;
     sent.pass = packet_pass::admit;
     switch (mark.kind)
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -35,12 +35,23 @@
 
 void agent::ask_members(time_point now)
 {
+    for (const internal::searched_flow& each : m_search.take_unanswered(now))
+    {
+        decide(flow_action::dropped, each.header.flow, each.header.table,
+               candidate(), "search_unanswered");
+    }
     if (m_search.empty())
     {
         return;
     }
     auto questions =
         m_search.ask(now, m_questions_left, m_members.others(m_tag));
+    send_questions(std::move(questions));
+    end_searches(now);
+}
+
+void agent::send_questions(std::vector<internal::addressed_question> questions)
+{
     m_questions_left -= std::min(m_questions_left, questions.size());
     m_counts.questions += questions.size();
     for (internal::addressed_question& each : questions)
@@ -48,7 +59,6 @@
         send(each.to.agent, owner_question{m_record.service, each.to.tag,
                                            m_self, std::move(each.flows)});
     }
-    end_searches(now);
 }
 
 void agent::take_in(time_point now, const endpoint&,
@@ -100,8 +110,10 @@
 void agent::take_in(time_point now, const endpoint&,
                     const owner_answer& message)
 {
+    m_inquiry.heard(message.sender.tag);
     for (const stated_ownership& each : message.flows)
     {
+        take_silent_answer(message.sender, each);
         const internal::searched_flow* searched = m_search.find(each.flow);
         if (searched == nullptr)
         {
@@ -126,6 +138,7 @@
         }
     }
     end_searches(now);
+    end_inquiries(now);
 }
 
 // A copy of the packet came to this agent alone, which may have its flow.
@@ -179,7 +192,8 @@
     m_ended_searches.push_back(std::move(searched));
     const internal::searched_flow& ended = m_ended_searches.back();
     packet_header sent = ended.header;
-    sent.hops = 0;
+    // Not as from a head that knows the owner: it is to be told.
+    sent.hops = 1;
     internal::look_up_at(sent, owner);
     ++m_counts.redirected;
     forward(sent, packet_arrived{ended.header, ended.payload},
--- /dev/null
+++ b/packages/agent/src/agent_silent.cpp
@@ -0,0 +1,138 @@
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
+
+#include <utility>
+
+// Flows of members that control does not hear, and that may serve on.
+
+namespace crowlink
+{
+
+// Whether a walk leaves out a candidate here. Agents that know other views may
+// not know that it was left out, so that each asks for itself.
+bool agent::passes_silent(const packet_header& header) const
+{
+    const std::size_t count = header.current.size() + header.previous.size();
+    for (std::size_t at = 0; m_members.has_silent() && at < count; ++at)
+    {
+        if (m_members.is_silent(internal::candidate_at(header, at)->tag))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Keeps a datagram that may belong to a flow of a silent member, and asks them.
+// Whether it was kept.
+bool agent::ask_silent(time_point now, const packet_header& header,
+                       const packet_arrived& event)
+{
+    const bool may_be_theirs =
+        header.role == packet_role::any && m_members.has_silent();
+    if (!may_be_theirs ||
+        !m_inquiry.add(now, header, event.payload, m_members.silent_members()))
+    {
+        return false;
+    }
+    decide(flow_action::looked_up, header.flow, header.table, candidate(),
+           "owner_may_be_silent");
+    continue_inquiry(now);
+    return true;
+}
+
+void agent::continue_inquiry(time_point now)
+{
+    if (m_inquiry.empty())
+    {
+        return;
+    }
+    send_questions(
+        m_inquiry.ask(now, m_questions_left, m_members.silent_members()));
+    end_inquiries(now);
+}
+
+// One whose agent has restarted does not know which flows its upstream has;
+// it must not get new ones, so that this counts as no.
+void agent::take_silent_answer(const candidate& sender,
+                               const stated_ownership& told)
+{
+    if (told.state != ownership::owned)
+    {
+        m_inquiry.denied(told.flow, sender.tag);
+        return;
+    }
+    if (auto kept = m_inquiry.take(told.flow))
+    {
+        send_to_owner(std::move(*kept), sender);
+    }
+}
+
+// A member that was asked may be heard by control again. It is no silent one
+// then, and is met on a walk.
+void agent::begin_inquiries_anew(time_point now)
+{
+    for (internal::searched_flow& each : m_inquiry.take_all())
+    {
+        m_ended_searches.push_back(std::move(each));
+        const internal::searched_flow& ended = m_ended_searches.back();
+        const packet_header header = ended.header;
+        start_walk(now, header, packet_arrived{header, ended.payload});
+    }
+}
+
+// Nobody who answers owns them: they go on from here as they came, unless
+// another way has led to an owner meanwhile.
+void agent::end_inquiries(time_point now)
+{
+    for (internal::searched_flow& each : m_inquiry.take_unowned(now))
+    {
+        m_ended_searches.push_back(std::move(each));
+        const internal::searched_flow& ended = m_ended_searches.back();
+        const packet_header header = ended.header;
+        go_on(now, packet_arrived{header, ended.payload});
+    }
+}
+
+void agent::go_on(time_point now, const packet_arrived& event)
+{
+    const packet_header& header = event.header;
+    const internal::redirect_entry* known = m_redirects.find(header.flow, now);
+    const bool has_owner = known != nullptr && !known->is_mark();
+    if (m_flows.find(header.flow) != nullptr)
+    {
+        m_effects.add(internal::deliver_effect{header.flow, event.payload});
+        return;
+    }
+    if (has_owner && follow_redirect(now, event, *known))
+    {
+        return;
+    }
+    switch (header.pass)
+    {
+    case packet_pass::walk:
+        walk(now, header, event, m_self, inquiry::done);
+        break;
+    case packet_pass::admit:
+        ask_to_admit(now, header, event);
+        break;
+    case packet_pass::place:
+        place(now, header, event);
+        break;
+    default:
+        go_on_from_head(now, event);
+    }
+}
+
+void agent::go_on_from_head(time_point now, const packet_arrived& event)
+{
+    const packet_header& header = event.header;
+    if (m_members.may_be_owned_elsewhere(now, header.table))
+    {
+        start_walk(now, header, event, inquiry::done);
+        return;
+    }
+    start_admission(now, header, event, inquiry::done);
+}
+
+} // namespace crowlink
--- a/packages/agent/src/agent_walk.cpp
+++ b/packages/agent/src/agent_walk.cpp
@@ -9,16 +9,21 @@
 using internal::redirect_kind;
 
 void agent::start_walk(time_point now, packet_header header,
-                       const packet_arrived& event)
+                       const packet_arrived& event, inquiry asked)
 {
     internal::drop_repeated(header);
     m_members.widen(header, now);
+    if (asked == inquiry::due && passes_silent(header) &&
+        ask_silent(now, header, event))
+    {
+        return;
+    }
     header.pass = packet_pass::walk;
     header.best = packet_header::no_position;
     const candidate* first = next_on_walk(header, 0);
     if (first == nullptr || *first == m_self)
     {
-        walk(now, header, event, m_self);
+        walk(now, header, event, m_self, asked);
         return;
     }
     internal::address_to(header, *first);
@@ -32,7 +37,8 @@
 // the way knows beyond the packet's chains joins them. A former life of the
 // upstream keeps its own place in that order, so that none is met twice.
 void agent::walk(time_point now, packet_header header,
-                 const packet_arrived& event, const candidate& as)
+                 const packet_arrived& event, const candidate& as,
+                 inquiry asked)
 {
     internal::address_to(header, as);
     const bool is_likely_owner =
@@ -45,6 +51,11 @@
     }
     const candidate_chain known_before = header.previous;
     m_members.widen(header, now);
+    if (asked == inquiry::due && passes_silent(header) &&
+        ask_silent(now, header, event))
+    {
+        return;
+    }
     const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
     if (mark != nullptr && mark->kind == redirect_kind::walked &&
         internal::may_open(header.role))
@@ -58,7 +69,7 @@
         missed != nullptr ? missed : next_on_walk(header, here);
     if (next == nullptr)
     {
-        end_walk(now, header, event);
+        end_walk(now, header, event, asked);
         return;
     }
     const candidate to = *next;
@@ -116,7 +127,7 @@
 }
 
 void agent::end_walk(time_point now, packet_header header,
-                     const packet_arrived& event)
+                     const packet_arrived& event, inquiry asked)
 {
     if (header.best != packet_header::no_position)
     {
@@ -139,7 +150,7 @@
     }
     if (internal::may_open(header.role))
     {
-        start_admission(now, header, event);
+        start_admission(now, header, event, asked);
     }
 }
 
--- a/packages/agent/src/owner_search.cpp
+++ b/packages/agent/src/owner_search.cpp
@@ -58,10 +58,13 @@
     {
         kept.unheard = m_met;
     }
+    if (!is_known || m_times.is_renewed_by_copies)
+    {
+        kept.until = now + m_times.lifetime;
+    }
     kept.header = header;
     kept.payload.assign(payload.begin(), payload.end());
     kept.waits_in_vain = kept.waits_in_vain || waits_in_vain;
-    kept.until = now + lifetime;
     return true;
 }
 
@@ -69,7 +72,6 @@
 owner_search::ask(time_point now, std::size_t room,
                   const std::vector<candidate>& members)
 {
-    forget_given_up(now);
     std::vector<addressed_question> questions;
     if (m_flows.empty())
     {
@@ -80,7 +82,7 @@
     if (m_to_ask.empty() && now >= m_next_round)
     {
         m_to_ask = members;
-        m_next_round = now + round_time;
+        m_next_round = now + m_times.round;
     }
     while (!m_to_ask.empty() && questions.size() < room)
     {
@@ -99,12 +101,6 @@
     return questions;
 }
 
-void owner_search::forget_given_up(time_point now)
-{
-    std::erase_if(m_flows,
-                  [now](const auto& each) { return now >= each.second.until; });
-}
-
 // Who has ended can't have the flow, and who is new to this agent may.
 void owner_search::meet(const std::vector<candidate>& members)
 {
@@ -170,16 +166,34 @@
 }
 
 std::vector<searched_flow> owner_search::take_denied()
+{
+    return take_if([](const searched_flow& each)
+                   { return each.unheard.empty(); });
+}
+
+std::vector<searched_flow> owner_search::take_unanswered(time_point now)
+{
+    return take_if([now](const searched_flow& each)
+                   { return now >= each.until; });
+}
+
+std::vector<searched_flow> owner_search::take_all()
+{
+    return take_if([](const searched_flow&) { return true; });
+}
+
+template <class Ends>
+std::vector<searched_flow> owner_search::take_if(const Ends& ends)
 {
     std::vector<searched_flow> taken;
     for (auto next = m_flows.begin(); next != m_flows.end();)
     {
-        const bool is_denied = next->second.unheard.empty();
-        if (is_denied)
+        const bool is_taken = ends(next->second);
+        if (is_taken)
         {
             taken.push_back(std::move(next->second));
         }
-        next = is_denied ? m_flows.erase(next) : std::next(next);
+        next = is_taken ? m_flows.erase(next) : std::next(next);
     }
     return taken;
 }
--- a/packages/agent/test/mesh.cpp
+++ b/packages/agent/test/mesh.cpp
@@ -204,7 +204,12 @@
     next->declared = m_settings.declared;
     for (const member_node& member : m_nodes)
     {
-        if (member.alive && member.record.state != upstream_state::gone)
+        if (member.is_silent)
+        {
+            next->members.push_back(member.record);
+            next->members.back().state = upstream_state::silent;
+        }
+        else if (member.alive && member.record.state != upstream_state::gone)
         {
             next->members.push_back(member.record);
         }
@@ -226,6 +231,10 @@
     const auto next = view();
     for (std::size_t i = 0; i < m_nodes.size(); ++i)
     {
+        if (m_nodes[i].is_silent)
+        {
+            continue;
+        }
         time_point& known = m_nodes[i].view_known;
         known = std::max(known,
                          m_now + draw(duration::zero(), m_settings.most_lag));
--- a/packages/agent/test/mesh.hpp
+++ b/packages/agent/test/mesh.hpp
@@ -74,6 +74,10 @@
     // Another upstream comes up under the address of a dead one.
     void revive_as_another(std::size_t index);
     void set_answering(std::size_t index, bool on);
+    // Control does not hear an agent any more, nor is it told of views. Its
+    // lease has run out for all others; it serves on, unless it is dead.
+    void cut_from_control(std::size_t index, bool is_dead);
+    void return_to_control(std::size_t index);
     // The upstream that has a flow speaks first.
     void push(std::uint32_t flow);
 
@@ -104,6 +108,7 @@
         std::unique_ptr<agent> core;
         bool alive = true;
         bool answering = true;
+        bool is_silent = false;
         time_point view_known{};
         std::set<flow_key> open;
         std::set<std::uint32_t> requests;
--- a/packages/agent/test/mesh_changes.cpp
+++ b/packages/agent/test/mesh_changes.cpp
@@ -101,4 +101,17 @@
     m_nodes[index].answering = on;
 }
 
+void mesh::cut_from_control(std::size_t index, bool is_dead)
+{
+    m_nodes[index].is_silent = true;
+    m_nodes[index].alive = !is_dead;
+    publish();
+}
+
+void mesh::return_to_control(std::size_t index)
+{
+    m_nodes[index].is_silent = false;
+    publish();
+}
+
 } // namespace crowlink::test
--- a/packages/agent/test/owner_search_test.cpp
+++ b/packages/agent/test/owner_search_test.cpp
@@ -53,7 +53,7 @@
     ASSERT_TRUE(search.add(start, packet_of(1), {}, false));
     EXPECT_EQ(search.ask(start, much_room, members(5)).size(), 5U);
     EXPECT_TRUE(search.ask(start + 1ms, much_room, members(5)).empty());
-    const time_point next = start + owner_search::round_time;
+    const time_point next = start + search_times().round;
     EXPECT_EQ(search.ask(next, much_room, members(5)).size(), 5U);
 }
 
@@ -64,7 +64,7 @@
     (void)search.ask(start, much_room, members(5));
     deny_all(search, 1, members(4));
     const auto again =
-        search.ask(start + owner_search::round_time, much_room, members(5));
+        search.ask(start + search_times().round, much_room, members(5));
     ASSERT_EQ(again.size(), 1U);
     EXPECT_EQ(again[0].to, agent_fixture::identity(5));
     EXPECT_TRUE(search.take_denied().empty());
@@ -94,7 +94,7 @@
     EXPECT_EQ(asked.size(), 5U);
     EXPECT_EQ(asked[0].flows.size(), owner_question::most_flows);
     search.add(start, packet_of(100), {}, false);
-    const time_point next = start + owner_search::round_time;
+    const time_point next = start + search_times().round;
     EXPECT_EQ(search.ask(next, much_room, members(5)).size(), 10U);
 }
 
@@ -125,7 +125,7 @@
     // The third one ended, and a fourth one is known now.
     std::vector<candidate> later = members(4);
     later.erase(later.begin() + 2);
-    const time_point next = start + owner_search::round_time;
+    const time_point next = start + search_times().round;
     const auto asked = search.ask(next, much_room, later);
     ASSERT_EQ(asked.size(), 1U);
     EXPECT_EQ(asked[0].to, agent_fixture::identity(4));
@@ -138,7 +138,8 @@
     owner_search search;
     search.add(start, packet_of(1), {}, false);
     search.add(start + 1s, packet_of(2), {}, false);
-    (void)search.ask(start + owner_search::lifetime, much_room, members(3));
+    const time_point later = start + search_times().lifetime;
+    EXPECT_EQ(search.take_unanswered(later).size(), 1U);
     EXPECT_EQ(search.find(hash_of(1)), nullptr);
     EXPECT_NE(search.find(hash_of(2)), nullptr);
 }
--- /dev/null
+++ b/packages/agent/test/silent_inquiry_test.cpp
@@ -0,0 +1,104 @@
+#include "crowlink/agent/silent_inquiry.hpp"
+
+#include "agent_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace crowlink::internal
+{
+
+namespace
+{
+
+using test::agent_fixture;
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+constexpr std::size_t much_room = 100;
+// By then nobody who has not answered is waited for.
+constexpr duration waited = 150ms;
+
+packet_header packet_of(std::uint16_t flow)
+{
+    packet_header made;
+    made.flow = agent_fixture::flow(flow);
+    return made;
+}
+
+std::uint64_t hash_of(std::uint16_t flow)
+{
+    return stable_hash(agent_fixture::flow(flow));
+}
+
+class asked_members : public ::testing::Test
+{
+protected:
+    bool add(time_point now, std::uint16_t flow)
+    {
+        const packet_header header = packet_of(flow);
+        const bool is_kept = m_inquiry.add(now, header, {}, m_silent);
+        (void)m_inquiry.ask(now, much_room, m_silent);
+        return is_kept;
+    }
+
+    std::vector<candidate> m_silent{agent_fixture::identity(1),
+                                    agent_fixture::identity(2)};
+    silent_inquiry m_inquiry;
+};
+
+} // namespace
+
+TEST_F(asked_members, are_asked_at_once_and_again_until_they_answer)
+{
+    const packet_header header = packet_of(1);
+    ASSERT_TRUE(m_inquiry.add(start, header, {}, m_silent));
+    EXPECT_EQ(m_inquiry.ask(start, much_room, m_silent).size(), 2U);
+    m_inquiry.denied(hash_of(1), m_silent[0].tag);
+    EXPECT_EQ(m_inquiry.ask(start + 50ms, much_room, m_silent).size(), 1U);
+    EXPECT_TRUE(m_inquiry.take_unowned(start + 50ms).empty());
+    m_inquiry.denied(hash_of(1), m_silent[1].tag);
+    EXPECT_EQ(m_inquiry.take_unowned(start + 50ms).size(), 1U);
+}
+
+TEST_F(asked_members, one_that_owns_the_flow_ends_the_wait)
+{
+    ASSERT_TRUE(add(start, 1));
+    EXPECT_TRUE(m_inquiry.take(hash_of(1)));
+    EXPECT_TRUE(m_inquiry.take_unowned(start + waited).empty());
+}
+
+TEST_F(asked_members, are_waited_for_no_longer_than_callers_wait)
+{
+    ASSERT_TRUE(add(start, 1));
+    // Another copy makes the wait no longer.
+    ASSERT_TRUE(add(start + 100ms, 1));
+    EXPECT_EQ(m_inquiry.take_unowned(start + waited).size(), 1U);
+}
+
+TEST_F(asked_members, that_say_nothing_hold_up_no_further_flow)
+{
+    ASSERT_TRUE(add(start, 1));
+    EXPECT_EQ(m_inquiry.take_unowned(start + waited).size(), 1U);
+    EXPECT_FALSE(add(start + waited, 2));
+}
+
+TEST_F(asked_members, that_say_nothing_are_left_out_for_longer_each_time)
+{
+    std::size_t waits = 0;
+    for (duration passed{}; passed < 10min; passed += 1s)
+    {
+        waits += add(start + passed, 1) ? 1 : 0;
+        (void)m_inquiry.take_unowned(start + passed + waited);
+    }
+    EXPECT_LE(waits, 8U);
+}
+
+TEST_F(asked_members, that_answer_again_are_waited_for)
+{
+    ASSERT_TRUE(add(start, 1));
+    (void)m_inquiry.take_unowned(start + waited);
+    m_inquiry.heard(m_silent[0].tag);
+    EXPECT_TRUE(add(start + waited, 2));
+}
+
+} // namespace crowlink::internal
