--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -113,6 +113,8 @@
     void end_by_caller(time_point now, internal::flow_entry& entry,
                        const packet_arrived& event);
     void find_or_place(time_point now, const packet_arrived& event);
+    void continue_pass(time_point now, const packet_arrived& event,
+                       inquiry asked);
     bool follow_redirect(time_point now, const packet_arrived& event,
                          const internal::redirect_entry& known);
     bool follow_mark(time_point now, const packet_arrived& event,
--- a/packages/agent/include/crowlink/agent/chain_walk.hpp
+++ b/packages/agent/include/crowlink/agent/chain_walk.hpp
@@ -8,6 +8,10 @@
 namespace crowlink::internal
 {
 
+// More agents than a packet meets in a walk over two chains, an admission over
+// one, and a few detours.
+inline constexpr std::uint8_t hop_limit = 32;
+
 // Whether a packet of this role may open a flow.
 bool may_open(packet_role role);
 
--- /dev/null
+++ b/packages/agent/src/agent_lookup.cpp
@@ -0,0 +1,241 @@
+#include "crowlink/agent/agent.hpp"
+#include "crowlink/agent/chain_walk.hpp"
+
+// Where packets of flows that this agent does not have are sent.
+
+namespace crowlink
+{
+
+using internal::redirect_kind;
+
+namespace
+{
+
+// A walk over two chains is done by then. Two agents that were told of an owner
+// which lost the flow can send a packet round: the owner gives it back to the
+// head, whose walk meets them again. What is known of the flow on the way has
+// led nowhere, and is forgotten, so that its caller can be reset.
+constexpr std::uint8_t led_astray_after = 12;
+
+// The marks of a trail end one after another. Who starts to follow it needs
+// time to reach the last one, where the flow's owner is known.
+duration margin_of(packet_pass pass)
+{
+    switch (pass)
+    {
+    case packet_pass::lookup:
+        return std::chrono::seconds(1);
+    case packet_pass::walk:
+        return std::chrono::milliseconds(500);
+    default:
+        return duration::zero();
+    }
+}
+
+} // namespace
+
+void agent::find_or_place(time_point now, const packet_arrived& event)
+{
+    const packet_header& header = event.header;
+    const internal::redirect_entry* known = m_redirects.find(header.flow, now);
+    const bool is_search = header.pass == packet_pass::search;
+    if (header.hops >= internal::hop_limit)
+    {
+        ++m_counts.too_many_hops;
+        // Whatever is known here led nowhere.
+        m_redirects.erase(header.flow);
+        decide(flow_action::dropped, header.flow, header.table, candidate(),
+               "too_many_hops");
+        return;
+    }
+    if (known != nullptr && !known->is_mark() && !is_search &&
+        header.hops >= led_astray_after)
+    {
+        m_redirects.erase(header.flow);
+        known = nullptr;
+    }
+    // Whoever searches asked this agent itself; what it was told long ago must
+    // not turn the packet aside.
+    if (known != nullptr && !is_search)
+    {
+        const bool sent = known->is_mark()
+                              ? follow_mark(now, event, *known)
+                              : follow_redirect(now, event, *known);
+        if (sent)
+        {
+            return;
+        }
+    }
+    continue_pass(now, event, inquiry::due);
+}
+
+void agent::continue_pass(time_point now, const packet_arrived& event,
+                          inquiry asked)
+{
+    const packet_header& header = event.header;
+    switch (header.pass)
+    {
+    case packet_pass::lookup:
+        asked == inquiry::due ? look_up(now, event)
+                              : go_on_from_head(now, event);
+        break;
+    case packet_pass::walk:
+        walk(now, header, event, m_self, asked);
+        break;
+    case packet_pass::admit:
+        ask_to_admit(now, header, event);
+        break;
+    case packet_pass::place:
+        place(now, header, event);
+        break;
+    case packet_pass::search:
+        search(now, header, event);
+        break;
+    }
+}
+
+bool agent::follow_redirect(time_point now, const packet_arrived& event,
+                            const internal::redirect_entry& known)
+{
+    const packet_header& header = event.header;
+    const candidate to = known.to;
+    const bool came_back = header.pass == packet_pass::lookup &&
+                           header.hops > 0 && header.previous.size() == 1 &&
+                           header.previous[0] == to;
+    if (came_back || m_members.has_ended(to.tag) || to == m_self)
+    {
+        m_redirects.erase(header.flow);
+        return false;
+    }
+    const bool is_given_up =
+        m_members.is_given_up(to.tag) && event.need == answer_need::required;
+    if (is_given_up || (m_members.is_silent(to.tag) && gives_up(now, event)))
+    {
+        m_redirects.erase(header.flow);
+        reset_silent(header, event.payload);
+        return true;
+    }
+    packet_header sent = header;
+    internal::look_up_at(sent, to);
+    ++m_counts.redirected;
+    forward(sent, event, flow_action::redirected, "owner_published");
+    return true;
+}
+
+bool agent::follow_mark(time_point now, const packet_arrived& event,
+                        const internal::redirect_entry& mark)
+{
+    const packet_header& header = event.header;
+    // Those on a walk follow a walk's trail in their own way, and those that
+    // ask candidates have the end of the walk behind them.
+    const bool from_walk = mark.kind == redirect_kind::walked;
+    const bool is_behind =
+        mark.kind == redirect_kind::ended && header.pass == packet_pass::admit;
+    const bool applies = internal::may_open(header.role) &&
+                         header.pass != packet_pass::place && !from_walk &&
+                         !is_behind && mark.to != m_self &&
+                         mark.expires - now > margin_of(header.pass) &&
+                         !m_members.has_ended(mark.to.tag);
+    if (!applies)
+    {
+        return false;
+    }
+    if (m_members.is_silent(mark.to.tag))
+    {
+        return ask_silent(now, header, event);
+    }
+    packet_header sent = header;
+    sent.pass = packet_pass::admit;
+    switch (mark.kind)
+    {
+    case redirect_kind::ended:
+        internal::ask_first(sent, mark.to);
+        break;
+    case redirect_kind::asked:
+        // Should it overtake the packet that it follows, it asks no further:
+        // its own chain might lead back along the trail.
+        internal::ask_only(sent, mark.to);
+        break;
+    default:
+        internal::address_to(sent, mark.to);
+        sent.pass = packet_pass::place;
+    }
+    ++m_counts.diverted;
+    forward(sent, event, flow_action::looked_up, "being_placed");
+    return true;
+}
+
+void agent::look_up(time_point now, const packet_arrived& event)
+{
+    packet_header header = event.header;
+    if (header.position != 0)
+    {
+        // Who sent it here took this agent for the owner.
+        if (may_adopt(now, header, true))
+        {
+            take(now, header, event, flow_action::adopted, "upstream_lived_on");
+            return;
+        }
+        return_to_head(now, header, event);
+        return;
+    }
+    const internal::redirect_entry* mark = m_redirects.find(header.flow, now);
+    const bool others_look = mark != nullptr;
+    const bool settled = !m_members.may_be_owned_elsewhere(now, header.table);
+    if (internal::may_open(header.role) && settled && !others_look)
+    {
+        start_admission(now, header, event);
+        return;
+    }
+    start_walk(now, header, event);
+}
+
+void agent::return_to_head(time_point now, packet_header header,
+                           const packet_arrived& event)
+{
+    const candidate* head = internal::candidate_at(header, 0);
+    if (*head == m_self || m_members.is_gone(head->tag))
+    {
+        start_walk(now, header, event);
+        return;
+    }
+    header.position = 0;
+    ++m_counts.looked_up;
+    forward(header, event, flow_action::looked_up, "not_the_owner");
+}
+
+void agent::forward(packet_header header, const packet_arrived& event,
+                    flow_action how, std::string_view reason)
+{
+    ++header.hops;
+    const candidate to = *internal::candidate_at(header, header.position);
+    m_effects.add(internal::forward_effect{to.agent, header, event.payload});
+    decide(how, header.flow, header.table, to, reason);
+}
+
+void agent::leave_mark(time_point now, const packet_header& header,
+                       const candidate& to, internal::redirect_kind kind)
+{
+    const internal::redirect_entry* known = m_redirects.find(header.flow, now);
+    const bool is_published = known != nullptr && !known->is_mark();
+    if (is_published || !internal::may_open(header.role))
+    {
+        return;
+    }
+    m_redirects.put(internal::redirect_entry{
+        header.flow, to, kind, now + m_settings.placing_lifetime});
+}
+
+std::size_t agent::next_usable(const packet_header& header,
+                               std::size_t from) const
+{
+    std::size_t next = from;
+    while (next < header.current.size() &&
+           m_members.is_gone(header.current[next].tag))
+    {
+        ++next;
+    }
+    return next;
+}
+
+} // namespace crowlink
--- a/packages/agent/src/agent_silent.cpp
+++ b/packages/agent/src/agent_silent.cpp
@@ -108,20 +108,7 @@
     {
         return;
     }
-    switch (header.pass)
-    {
-    case packet_pass::walk:
-        walk(now, header, event, m_self, inquiry::done);
-        break;
-    case packet_pass::admit:
-        ask_to_admit(now, header, event);
-        break;
-    case packet_pass::place:
-        place(now, header, event);
-        break;
-    default:
-        go_on_from_head(now, event);
-    }
+    continue_pass(now, event, inquiry::done);
 }
 
 void agent::go_on_from_head(time_point now, const packet_arrived& event)
--- a/packages/membership/include/crowlink/membership/record_key.hpp
+++ b/packages/membership/include/crowlink/membership/record_key.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/model/upstream_record.hpp"
 
 #include <compare>
 
@@ -16,4 +17,9 @@
     friend auto operator<=>(const record_key&, const record_key&) = default;
 };
 
+inline record_key key_of(const upstream_record& record)
+{
+    return record_key{record.service, record.id};
+}
+
 } // namespace crowlink::internal
--- a/packages/membership/src/published_state.cpp
+++ b/packages/membership/src/published_state.cpp
@@ -90,7 +90,7 @@
 
 void published_state::set_record(time_point now, const upstream_record& record)
 {
-    const record_key key{record.service, record.id};
+    const record_key key = key_of(record);
     published_record& held = m_records[key];
     if (newer(held.record, record))
     {
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -38,17 +38,10 @@
 constexpr std::size_t mass_least = 16;
 constexpr std::size_t mass_part = 3;
 
-bool is_gone(const upstream_record& record)
-{
-    return record.state == upstream_state::gone;
-}
-
 // Whether a record may take the place of the held one.
 bool supersedes(const upstream_record& next, const subscribed_record& held)
 {
-    const bool same = next.started == held.record.started &&
-                      next.sequence == held.record.sequence;
-    if (!same)
+    if (!same_version(next, held.record))
     {
         return newer(next, held.record);
     }
@@ -76,15 +69,14 @@
                                    std::uint64_t version,
                                    std::uint32_t generation)
 {
-    const record_key key{record.service, record.id};
+    const record_key key = key_of(record);
     const bool unknown = m_records.count(key) == 0;
     subscribed_record& held = m_records[key];
     if (unknown)
     {
         held.record.state = upstream_state::gone;
     }
-    const bool same = record.started == held.record.started &&
-                      record.sequence == held.record.sequence;
+    const bool same = same_version(record, held.record);
     const bool next = unknown || supersedes(record, held);
     // Of a record that was not known, an old drain mark is better than none.
     const bool current =
--- a/packages/model/include/crowlink/model/upstream_record.hpp
+++ b/packages/model/include/crowlink/model/upstream_record.hpp
@@ -56,10 +56,23 @@
                             const upstream_record&) = default;
 };
 
+// Whether it ended or its lease ran out.
+inline bool is_gone(const upstream_record& record)
+{
+    return record.state == upstream_state::gone;
+}
+
 // Whether it ended by its own word, so that nothing more is to be told of it.
 inline bool has_ended(const upstream_record& record)
 {
-    return record.state == upstream_state::gone && !record.expired;
+    return is_gone(record) && !record.expired;
+}
+
+// Whether two records of one upstream are of one version.
+inline bool same_version(const upstream_record& first,
+                         const upstream_record& second)
+{
+    return first.started == second.started && first.sequence == second.sequence;
 }
 
 // Whether the first record is newer than the second one of the same upstream.
