--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -6,6 +6,7 @@
 import json
 import os
 import subprocess
+from dataclasses import dataclass
 from pathlib import Path
 
 from link_proxy import Address, Link
@@ -22,28 +23,42 @@
 SERVICE, GATEWAY, FIRST_LINK = 4001, 4100, 10001
 
 
+@dataclass(frozen=True)
+class Settings:
+    """What a run is made of, apart from its events."""
+
+    # Folders of crowlinkd, and of the stand-ins beside it.
+    programs: Path
+    tools: Path
+    controls: int = 3
+    balancers: int = 3
+    agents: int = 6
+    log_level: str = "info"
+
+
+def _names(role: str, count: int) -> tuple[str, ...]:
+    return tuple(f"{role}-{number}" for number in range(1, count + 1))
+
+
 class Deployment:
     """Control hosts, balancers and agents, an upstream a host of agents."""
 
     def __init__(
-        self, programs: Path, tools: Path, folder: Path, log: RunLog,
-        controls: int = 3, balancers: int = 3, agents: int = 6,
-        log_level: str = "info",
-    ) -> None:  # fmt: skip
-        self._programs = programs
-        self._tools = tools
+        self, settings: Settings, folder: Path, log: RunLog, run: int
+    ) -> None:
+        self._settings = settings
         self._folder = folder
         self._log = log
-        self._log_level = log_level
         self.hosts = Hosts(
-            tuple(f"control-{n}" for n in range(1, controls + 1)),
-            tuple(f"balancer-{n}" for n in range(1, balancers + 1)),
-            tuple(f"agent-{n}" for n in range(1, agents + 1)),
+            _names("control", settings.controls),
+            _names("balancer", settings.balancers),
+            _names("agent", settings.agents),
         )
         self.links: list[Link] = []
         self.processes: dict[str, Process] = {}
         self._next_link = FIRST_LINK
-        self._prefix = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
+        # Runs that go on at once meet on no address.
+        self._prefix = f"127.{1 + os.getpid() % 250}.{run % 250}"
         self.service = Address(f"{self._prefix}.1", SERVICE)
 
     def _address(self, host: str, port: int) -> Address:
@@ -108,14 +123,14 @@
     def _add(self, name: str, settings: dict) -> None:
         file = self._folder / f"{name}.jsonc"
         file.write_text(json.dumps(settings, indent=1))
-        command = [str(self._programs / "crowlinkd"), str(file)]
+        command = [str(self._settings.programs / "crowlinkd"), str(file)]
         self.processes[name] = Process(name, command, self._log)
 
     def _host(self, name: str) -> dict:
         place = PLACES[int(name.rpartition("-")[2]) % len(PLACES)]
         return {
             "host": {"name": name, "place": place, "region": REGION},
-            "log": {"level": self._log_level},
+            "log": {"level": self._settings.log_level},
             "trusted_network": True,
             "lease_ms": LEASE_MS,
         }
@@ -187,7 +202,7 @@
     def _add_upstream(self, agent: str) -> None:
         name = f"upstream-{agent}"
         command = [
-            str(self._tools / "crowlink_echo_upstream"),
+            str(self._settings.tools / "crowlink_echo_upstream"),
             "--listen", str(self._address(agent, UPSTREAM)),
             "--service", "Hiraman", "--name", name,
         ]  # fmt: skip
@@ -195,7 +210,7 @@
 
     def _add_fabric(self) -> None:
         command = [
-            str(self._tools / "crowlink_spray_fabric"), "--seed", "7",
+            str(self._settings.tools / "crowlink_spray_fabric"), "--seed", "7",
             "--service", str(self.service),
             "--gateway", str(self._address("fabric", GATEWAY)),
         ]  # fmt: skip
@@ -204,7 +219,7 @@
         self.processes["fabric"] = Process("fabric", command, self._log)
 
     def _client(self, *arguments: str) -> list[str]:
-        command = [str(self._tools.parent / "packages/client/crowlink")]
+        command = [str(self._settings.tools.parent / "packages/client/crowlink")]
         return command + list(arguments)
 
     def _make_operator(self) -> None:
@@ -257,7 +272,7 @@
     ) -> Process:
         """A program of callers, not yet started; it ends by itself."""
         command = [
-            str(self._tools / "crowlink_udp_callers"),
+            str(self._settings.tools / "crowlink_udp_callers"),
             "--service", f"Hiraman={self.service}",
             "--flows", str(flows), "--messages", str(messages),
             "--gap-ms", str(gap_ms), "--tries", str(tries),
--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -41,17 +41,18 @@
         self._log = log
         self._child: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task | None = None
-        # Whether the run itself wants it to be running.
+        # Whether it is started and not asked to end.
         self.is_wanted = False
 
     async def start(self) -> None:
-        self.is_wanted = True
         self._child = await asyncio.create_subprocess_exec(
             *self._command,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
         self._reading = asyncio.ensure_future(self._read(self._child))
+        # Not before there is a child: the one of its last life has ended.
+        self.is_wanted = True
 
     @property
     def is_running(self) -> bool:
