--- a/packages/agent/test/unheard_owner_test.cpp
+++ b/packages/agent/test/unheard_owner_test.cpp
@@ -104,6 +104,20 @@
     EXPECT_EQ(answered(flows, flows), 2 * flows);
 }
 
+// It tells the head, which sends it the flow's next datagrams itself.
+TEST_P(unheard_owner, is_asked_for_each_flow_once)
+{
+    m_net.cut_from_control(lost, false);
+    m_net.run(2min);
+    call_all(0, flows);
+    m_net.run(5s);
+    const std::uint64_t asked = m_net.total().questions;
+    call_all(0, flows);
+    m_net.run(5s);
+    EXPECT_EQ(m_net.total().questions, asked);
+    EXPECT_EQ(answered(0, flows), 3 * flows);
+}
+
 TEST_P(unheard_owner, gets_no_new_flow)
 {
     m_net.cut_from_control(lost, false);
