--- a/packages/document/src/document_json.cpp
+++ b/packages/document/src/document_json.cpp
@@ -101,8 +101,12 @@
     {request_class::safe, "safe"},
     {request_class::non_idempotent, "non_idempotent"},
     {request_class::download, "download"},
+    {request_class::upload, "upload"},
 };
 
+// A committed document may come from a control host of a later version. A class
+// that is unknown here is treated as the strictest one, whose requests run at
+// most once.
 request_class to_class(const std::string& name)
 {
     for (const class_name& each : class_names)
@@ -112,7 +116,7 @@
             return each.value;
         }
     }
-    return request_class::safe;
+    return request_class::non_idempotent;
 }
 
 const char* to_name(request_class value)
@@ -134,10 +138,12 @@
     parsed.address =
         endpoint::parse(value.at("address").get_ref<const std::string&>())
             .value();
-    parsed.requests = to_class(value.value("requests", std::string("safe")));
-    parsed.timeout = to_duration(value, "timeout_s", parsed.timeout);
-    parsed.aim = to_duration(value, "aim_s", parsed.aim);
-    parsed.priority = value.value("priority", parsed.priority);
+    parsed.terms.requests =
+        to_class(value.value("requests", std::string("safe")));
+    parsed.terms.timeout =
+        to_duration(value, "timeout_s", parsed.terms.timeout);
+    parsed.terms.aim = to_duration(value, "aim_s", parsed.terms.aim);
+    parsed.terms.priority = value.value("priority", parsed.terms.priority);
     for (const auto& item : value.at("shares"))
     {
         route_share share;
@@ -158,10 +164,10 @@
     }
     return {{"name", value.name},
             {"address", value.address.to_string()},
-            {"requests", to_name(value.requests)},
-            {"timeout_s", to_seconds(value.timeout)},
-            {"aim_s", to_seconds(value.aim)},
-            {"priority", value.priority},
+            {"requests", to_name(value.terms.requests)},
+            {"timeout_s", to_seconds(value.terms.timeout)},
+            {"aim_s", to_seconds(value.terms.aim)},
+            {"priority", value.terms.priority},
             {"shares", shares}};
 }
 
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -149,6 +149,36 @@
     return record;
 }
 
+void write_terms(const route_terms& terms, wire::route_terms& out)
+{
+    out.set_requests(static_cast<std::uint32_t>(terms.requests));
+    out.set_timeout_ns(static_cast<std::uint64_t>(terms.timeout.count()));
+    out.set_aim_ns(static_cast<std::uint64_t>(terms.aim.count()));
+    out.set_priority(terms.priority);
+}
+
+// A class of a later release counts as the strictest one.
+request_class read_class(std::uint32_t value)
+{
+    const bool is_known =
+        value <= static_cast<std::uint32_t>(last_request_class);
+    return is_known ? static_cast<request_class>(value)
+                    : request_class::non_idempotent;
+}
+
+std::optional<route_terms> read_terms(const wire::shared_address& in)
+{
+    if (!in.has_terms())
+    {
+        return std::nullopt;
+    }
+    const wire::route_terms& terms = in.terms();
+    return route_terms{read_class(terms.requests()),
+                       duration(static_cast<duration::rep>(terms.timeout_ns())),
+                       duration(static_cast<duration::rep>(terms.aim_ns())),
+                       terms.priority()};
+}
+
 void write_service(const service& declared, wire::service_declaration& out)
 {
     out.set_id(declared.id.value());
@@ -166,6 +196,10 @@
         write_address(share.address.address, *to.mutable_address());
         to.set_port(share.address.port);
         to.set_weight(share.weight);
+        if (share.terms)
+        {
+            write_terms(*share.terms, *to.mutable_terms());
+        }
     }
     out.set_slots(declared.limits.slots);
     out.set_connections(declared.limits.connections);
@@ -211,7 +245,8 @@
         {
             return tl::unexpected<error>(read.error());
         }
-        out.shares.push_back(address_share{*read, share.weight()});
+        out.shares.push_back(
+            address_share{*read, share.weight(), read_terms(share)});
     }
     out.limits.slots = in.slots();
     out.limits.connections = in.connections();
--- a/packages/model/include/crowlink/model.hpp
+++ b/packages/model/include/crowlink/model.hpp
@@ -5,10 +5,12 @@
 // document is the document module's job.
 //
 //   place.hpp            a data centre and its region
+//   request_class.hpp    what the requests of a route allow
 //   request_kind.hpp     one kind of request, its weight and idempotency
 //   target_limits.hpp    what one upstream can take
 //   sharing_policy.hpp   how a service's traffic is shared
 //   route.hpp            an address and the services that share it
+//   route_terms.hpp      what the callers of a route need
 //   address_share.hpp    a service's part of such an address
 //   service.hpp          a service with its addresses, limits and policy
 //   system_document.hpp  the whole truth: places, services and drains
@@ -17,8 +19,10 @@
 
 #include "crowlink/model/address_share.hpp"
 #include "crowlink/model/place.hpp"
+#include "crowlink/model/request_class.hpp"
 #include "crowlink/model/request_kind.hpp"
 #include "crowlink/model/route.hpp"
+#include "crowlink/model/route_terms.hpp"
 #include "crowlink/model/service.hpp"
 #include "crowlink/model/service_view.hpp"
 #include "crowlink/model/sharing_policy.hpp"
--- a/packages/model/src/system_document.cpp
+++ b/packages/model/src/system_document.cpp
@@ -24,7 +24,7 @@
         for (const route_share& part : each.shares)
         {
             shares[part.service].push_back(
-                address_share{each.address, part.weight});
+                address_share{each.address, part.weight, each.terms});
         }
     }
     std::vector<service> services = document.services;
