--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -28,6 +28,8 @@
     }
 
     void declare(const service& declared, std::uint32_t weight);
+    // An agent that finds its upstream running learns the slots later.
+    void set_announced_slots(std::uint32_t slots);
     void set_draining(bool draining) { m_draining = draining; }
     bool is_draining() const { return m_draining; }
     void permit_shedding(time_point until) { m_shed_until = until; }
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -157,7 +157,8 @@
     void resume_at_head(time_point now, const packet_arrived& event);
     void receive(time_point now, const endpoint& from,
                  const owner_question& message);
-    void answer_for_former_incarnation(const owner_question& message);
+    void answer_for_other_incarnation(time_point now,
+                                      const owner_question& message);
     void receive(time_point now, const endpoint& from,
                  const owner_answer& message);
     ownership ownership_of(time_point now, const flow_key& flow);
--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -93,6 +93,8 @@
     // The agent found the upstream at its own start, and may identify its
     // incarnation differently from peers until the upstream announces itself.
     bool is_incarnation_uncertain = false;
+    // The requests that it runs concurrently; 0 where it has not told.
+    std::uint32_t slots = 0;
 };
 
 // Another agent sent a message.
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -39,6 +39,15 @@
     m_weight = std::max(weight, 1U);
 }
 
+void admission::set_announced_slots(std::uint32_t slots)
+{
+    if (slots > 0)
+    {
+        m_announced_slots = slots;
+        m_limits.slots = slots;
+    }
+}
+
 void admission::ended(time_point now, std::uint32_t weight, bool completed)
 {
     m_work -= std::min<std::uint64_t>(m_work, weight);
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -135,6 +135,7 @@
 void agent::on(time_point now, const upstream_start_reported& event)
 {
     m_is_incarnation_uncertain = event.is_incarnation_uncertain;
+    m_admission.set_announced_slots(event.slots);
     m_admission.cold().set_cold_until(event.cold_until);
     if (event.is_second_before_unknown)
     {
@@ -162,7 +163,7 @@
                 if constexpr (std::is_same_v<std::decay_t<decltype(message)>,
                                              owner_question>)
                 {
-                    answer_for_former_incarnation(message);
+                    answer_for_other_incarnation(now, message);
                     return;
                 }
                 ++m_counts.wrong_tag;
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -74,25 +74,36 @@
     send(message.sender.agent, std::move(told));
 }
 
-// Answers for an earlier incarnation of the upstream, whose flows ended with
-// it, because no other agent can. The sender has not learned of its end yet.
-// While the present incarnation is not known for certain, the question may be
-// meant for it.
-void agent::answer_for_former_incarnation(const owner_question& message)
+// Answers a question to another incarnation of the upstream at this address,
+// because no other agent can. The flows of an ended incarnation ended with it.
+// The sender may also know the present incarnation by another start than this
+// agent, so that what is held here is stated under the present identity. While
+// the present incarnation is not known for certain, nothing is denied.
+void agent::answer_for_other_incarnation(time_point now,
+                                         const owner_question& message)
 {
+    const candidate other{m_self.agent, message.receiver};
+    owner_answer held{m_record.service, message.sender.tag, m_self, {}};
+    owner_answer denied{m_record.service, message.sender.tag, other, {}};
+    for (const flow_key& each : message.flows)
+    {
+        const ownership state = ownership_of(now, each);
+        owner_answer& told = state == ownership::none ? denied : held;
+        told.flows.push_back(stated_ownership{stable_hash(each), state});
+    }
+    if (!held.flows.empty())
+    {
+        send(message.sender.agent, std::move(held));
+    }
     if (m_is_incarnation_uncertain)
     {
         ++m_counts.wrong_tag;
         return;
     }
-    const candidate former{m_self.agent, message.receiver};
-    owner_answer told{m_record.service, message.sender.tag, former, {}};
-    for (const flow_key& each : message.flows)
+    if (!denied.flows.empty())
     {
-        told.flows.push_back(
-            stated_ownership{stable_hash(each), ownership::none});
+        send(message.sender.agent, std::move(denied));
     }
-    send(message.sender.agent, std::move(told));
 }
 
 ownership agent::ownership_of(time_point now, const flow_key& flow)
--- a/packages/agent/src/upstream_tracker.cpp
+++ b/packages/agent/src/upstream_tracker.cpp
@@ -48,6 +48,7 @@
     {
         m_sequence = announced.sequence;
         m_status->leaves = announced.leaves;
+        m_status->slots = announced.slots;
         m_status->cold_until = cold_until(now, announced);
     }
     return {};
--- a/packages/daemon/src/agent/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent/agent_loop_upstream.cpp
@@ -83,8 +83,9 @@
     const bool is_first = m_upstream == nullptr;
     const bool is_silent_yet =
         !next.started && next.first_heard == 0 && next.returns == 0;
-    handle(upstream_start_reported{
-        next.cold_until, is_first && next.was_running, is_silent_yet});
+    handle(upstream_start_reported{next.cold_until,
+                                   is_first && next.was_running, is_silent_yet,
+                                   next.slots});
     if (next.leaves)
     {
         handle(leave_requested{});
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -282,7 +282,10 @@
     {
         if (find(record.service.value(), id.value()) == nullptr)
         {
-            m_announcers.emplace_back(m_announcing, record, ++m_seed, now);
+            announcer_settings announcing = m_announcing;
+            announcing.raises_incarnation = false;
+            m_announcers.emplace_back(std::move(announcing), record, ++m_seed,
+                                      now);
         }
     }
 }
@@ -295,15 +298,24 @@
         upstream_state state = each.record().state;
         std::uint32_t weight = each.record().weight;
         const auto wanted = board.wanted.get().find(each.record().id);
+        const bool announces_itself = !each.raises_incarnation();
         if (wanted != board.wanted.get().end())
         {
             state = wanted->second.state;
             weight = wanted->second.weight;
+            if (announces_itself &&
+                each.record().started != wanted->second.started)
+            {
+                send(each.restart(now, wanted->second));
+            }
         }
-        // A balancer leaves first and serves on, so that agents find others.
-        const bool leaves = phase == stop_phase::leaving ||
-                            (phase == stop_phase::draining &&
-                             is_balancer_group(each.record().service));
+        // A balancer leaves first and serves on, so that agents find others. An
+        // upstream that announces itself lives on when its agent stops: it
+        // stays draining, since flows of one that is gone would be reset.
+        const bool leaves =
+            (phase == stop_phase::leaving && !announces_itself) ||
+            (phase == stop_phase::draining &&
+             is_balancer_group(each.record().service));
         if (leaves)
         {
             state = upstream_state::gone;
--- a/packages/membership/include/crowlink/membership/announcer.hpp
+++ b/packages/membership/include/crowlink/membership/announcer.hpp
@@ -39,6 +39,11 @@
     std::vector<membership_send> change(time_point now, upstream_state state,
                                         std::uint32_t weight);
 
+    // Announces the record under another incarnation from now on: its agent has
+    // learned the upstream's start.
+    std::vector<membership_send> restart(time_point now,
+                                         const upstream_record& record);
+
     // Replaces the set of observers.
     void set_observers(std::vector<observer_info> observers);
 
@@ -56,6 +61,10 @@
     // announcement is retried at the longest backoff.
     bool forbidden() const { return m_forbidden; }
 
+    // Whether the incarnation is this process's own and may be raised; see
+    // announcer_settings.
+    bool raises_incarnation() const { return m_settings.raises_incarnation; }
+
     // The observer that the record is announced to at present.
     const host_id& home() const;
 
--- a/packages/membership/src/announcer.cpp
+++ b/packages/membership/src/announcer.cpp
@@ -104,6 +104,13 @@
         ++m_record.sequence;
         return announce(now);
     case wire::ANNOUNCEMENT_OLDER:
+        if (!m_settings.raises_incarnation)
+        {
+            // Waits until the upstream reports its start.
+            m_accepted = false;
+            m_next = now + jittered(m_settings.backoff_limit);
+            return {};
+        }
         if (m_ever_accepted)
         {
             m_superseded = true;
@@ -167,6 +174,22 @@
     return announce(now);
 }
 
+std::vector<membership_send> announcer::restart(time_point now,
+                                                const upstream_record& record)
+{
+    const std::uint64_t next = m_record.sequence + 1;
+    m_record = record;
+    m_record.sequence = std::max(record.sequence, next);
+    m_ever_accepted = false;
+    m_superseded = false;
+    m_attempts = 0;
+    if (m_order.empty())
+    {
+        return {};
+    }
+    return announce(now);
+}
+
 std::vector<membership_send> announcer::announce(time_point now)
 {
     // The record contains its home, so a new home needs a new version.
