--- a/packages/document/test/reader_test.cpp
+++ b/packages/document/test/reader_test.cpp
@@ -177,8 +177,10 @@
     EXPECT_EQ(document->routes, std::vector<route>{expected});
     EXPECT_EQ(document->source, "as it came");
     const std::vector<service> shared = with_shares(*document);
-    EXPECT_EQ(shared.at(0).shares, (std::vector<address_share>{{address, 90}}));
-    EXPECT_EQ(shared.at(1).shares, (std::vector<address_share>{{address, 10}}));
+    EXPECT_EQ(shared.at(0).shares,
+              (std::vector<address_share>{{address, 90, expected.terms}}));
+    EXPECT_EQ(shared.at(1).shares,
+              (std::vector<address_share>{{address, 10, expected.terms}}));
     EXPECT_EQ(read_document(write_document(*document)), document);
 }
 
