--- a/packages/daemon/src/agent/flow_delivery.cpp
+++ b/packages/daemon/src/agent/flow_delivery.cpp
@@ -15,16 +15,18 @@
 // As many as one receive of the batch yields.
 constexpr std::size_t batch_packets = 32;
 constexpr std::size_t packet_bytes = 2048;
-// A caller gives up a connection that has not opened after 1.4 s, so that one
-// which has sent no request by then keeps no slot busy.
-constexpr duration opening_time = std::chrono::milliseconds(1500);
+// A request follows the opening of its connection after one round trip. If the
+// request was lost, the caller sends it again after 200 ms, and it counts as
+// work again when it arrives. Counted longer, connections whose entry host is
+// down would keep slots busy here that are free.
+constexpr duration opening_time = std::chrono::milliseconds(100);
 // Copies come after 200 and 600 ms; then the caller gives up.
 constexpr std::uint32_t last_opening_copy = 2;
 // The users' callers give up after 1.5 to 3 s, downloads aside, whose work
 // takes milliseconds: what has not been answered by then keeps no slot busy
 // here, or was answered to an agent before this one.
 constexpr duration longest_work = std::chrono::seconds(3);
-constexpr duration sweep_interval = std::chrono::milliseconds(250);
+constexpr duration sweep_interval = std::chrono::milliseconds(50);
 // An upstream acknowledges within a few milliseconds, however busy; callers
 // repeat themselves after 200 ms.
 constexpr duration owed_too_long = std::chrono::milliseconds(150);
--- a/packages/daemon/test/flow_delivery_test.cpp
+++ b/packages/daemon/test/flow_delivery_test.cpp
@@ -81,6 +81,23 @@
     EXPECT_EQ(m_core.take_work(time_point()).given_up, 0U);
 }
 
+// While an entry host is down its callers open connections and their requests
+// are lost. Counted as work for a second and a half, they made agents refuse
+// new connections with their slots free.
+TEST_F(delivery, connection_without_its_request_is_work_for_one_round_trip)
+{
+    const time_point start{std::chrono::hours(1)};
+    (void)m_core.take_work(start);
+    EXPECT_TRUE(m_core.deliver(flow, packet(opens, 1, 0)));
+    const std::chrono::milliseconds round_trip(40);
+    EXPECT_EQ(m_core.take_work(start + round_trip).given_up, 0U);
+    const std::chrono::milliseconds before_repetition(190);
+    EXPECT_EQ(m_core.take_work(start + before_repetition).given_up, 1U);
+    // The caller's repeated request counts again.
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, 10)));
+    EXPECT_EQ(m_core.take_work(start + before_repetition).started, 1U);
+}
+
 TEST_F(delivery, work_that_nobody_waits_for_any_more_is_given_up)
 {
     const time_point start{std::chrono::hours(1)};
