--- a/packages/agent/test/former_incarnation_test.cpp
+++ b/packages/agent/test/former_incarnation_test.cpp
@@ -129,6 +129,118 @@
     EXPECT_TRUE(effects.sent.empty());
 }
 
+// Agents of an upstream that was known by another start, for example one that
+// was raised by an observer's refusal, ask for its flows under that identity. A
+// denial would reset flows that the upstream serves.
+class other_identity : public former_incarnation
+{
+protected:
+    std::vector<owner_answer> ask(std::initializer_list<std::uint16_t> numbers)
+    {
+        owner_question question{service_id(5), former().tag, identity(1), {}};
+        for (const std::uint16_t number : numbers)
+        {
+            question.flows.push_back(flow(number));
+        }
+        effects.sent.clear();
+        deliver_message(question);
+        std::vector<owner_answer> answers;
+        for (const auto& [to, message] : effects.sent)
+        {
+            EXPECT_EQ(to, address(1));
+            answers.push_back(std::get<owner_answer>(message));
+        }
+        return answers;
+    }
+};
+
+TEST_F(other_identity, owned_flow_is_stated_under_the_present_identity)
+{
+    call(1);
+    ASSERT_TRUE(core->owns(flow(1)));
+    const auto answers = ask({1});
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].sender, identity(0));
+    EXPECT_EQ(answers[0].receiver, identity(1).tag);
+    ASSERT_EQ(answers[0].flows.size(), 1U);
+    EXPECT_EQ(answers[0].flows[0].flow, stable_hash(flow(1)));
+    EXPECT_EQ(answers[0].flows[0].state, ownership::owned);
+}
+
+// Each flow gets the answer that holds for it.
+TEST_F(other_identity, only_flows_that_are_not_held_are_denied)
+{
+    call(1);
+    const auto answers = ask({2, 1});
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].sender, identity(0));
+    ASSERT_EQ(answers[0].flows.size(), 1U);
+    EXPECT_EQ(answers[0].flows[0].flow, stable_hash(flow(1)));
+    EXPECT_EQ(answers[1].sender, former());
+    ASSERT_EQ(answers[1].flows.size(), 1U);
+    EXPECT_EQ(answers[1].flows[0].flow, stable_hash(flow(2)));
+    EXPECT_EQ(answers[1].flows[0].state, ownership::none);
+}
+
+// The agent restarted beside its upstream, which may hold any flow.
+TEST_F(other_identity, flow_that_the_upstream_may_hold_is_not_denied)
+{
+    handle(upstream_survived{false});
+    const auto answers = ask({1});
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].sender, identity(0));
+    EXPECT_EQ(answers[0].flows[0].state, ownership::possible);
+}
+
+// Before the start is reported: what is held is stated, nothing is denied.
+TEST_F(other_identity, uncertain_incarnation_states_what_it_holds)
+{
+    handle(upstream_start_reported{time_point(), true, true});
+    call(1);
+    const auto answers = ask({1, 2});
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].sender, identity(0));
+    ASSERT_EQ(answers[0].flows.size(), 1U);
+    EXPECT_EQ(answers[0].flows[0].state, ownership::owned);
+}
+
+// The upstream ended while its agent was down and another one runs under its
+// name: its callers must not wait for their own timeouts.
+TEST_F(other_identity, flow_of_an_ended_incarnation_is_denied)
+{
+    handle(upstream_start_reported{time_point(), true, true});
+    handle(upstream_start_reported{time_point(), false, false});
+    const auto answers = ask({1});
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].sender, former());
+    EXPECT_EQ(answers[0].flows[0].state, ownership::none);
+}
+
+// The upstream took over by its agent returns a flow that it does not hold.
+// After that the flow is denied, so that the search ends.
+TEST_F(other_identity, returned_flow_is_denied)
+{
+    handle(upstream_survived{false});
+    packet_header sent = header_for_former(1, packet_role::continues);
+    handle(packet_returned{sent, {}});
+    const auto answers = ask({1});
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].sender, former());
+    EXPECT_EQ(answers[0].flows[0].state, ownership::none);
+}
+
+// A packet of an open flow under the identity that other agents know.
+TEST_F(other_identity, packet_of_an_open_flow_is_delivered)
+{
+    call(1);
+    effects.delivered.clear();
+    handle(packet_arrived{header_for_former(1, packet_role::continues),
+                          {},
+                          answer_need::required});
+    EXPECT_EQ(effects.delivered, std::vector{flow(1)});
+    EXPECT_TRUE(effects.forwards.empty());
+}
+
 TEST(forward_opening, skips_other_incarnations_at_the_same_address)
 {
     packet_header sent;
--- a/packages/agent/test/search_test.cpp
+++ b/packages/agent/test/search_test.cpp
@@ -119,6 +119,52 @@
     EXPECT_EQ(service.resets, 1U);
 }
 
+// An agent that was stopped by SIGTERM leaves its upstream draining. Nothing
+// answers for the upstream until the agent is back, and its caller repeats the
+// packet meanwhile.
+TEST(search, flow_of_a_stopped_agent_waits_for_its_return)
+{
+    for (std::size_t owner = 0; owner < members; ++owner)
+    {
+        searched_service service;
+        service.hold(owner, flow_number);
+        service.set_state(owner, upstream_state::draining);
+        service.unreachable_member = owner;
+        for (int copy = 0; copy < 10; ++copy)
+        {
+            service.send(flow_number);
+            service.pass(until_repeated);
+        }
+        EXPECT_EQ(service.resets, 0U) << owner;
+        service.unreachable_member = members;
+        service.restart(owner, true);
+        service.send(flow_number);
+        service.pass(until_repeated);
+        EXPECT_EQ(service.resets, 0U) << owner;
+        ASSERT_FALSE(service.delivered.empty()) << owner;
+        EXPECT_EQ(service.delivered.back(), owner);
+    }
+}
+
+// It does not return: once its lease has run out, a caller that repeats its
+// packet is reset and does not wait for its own timeout.
+TEST(search, flow_of_a_stopped_agent_is_reset_after_its_lease)
+{
+    searched_service service;
+    service.hold(3, flow_number);
+    service.set_state(3, upstream_state::draining);
+    service.unreachable_member = 3;
+    service.send(flow_number);
+    service.pass(until_repeated);
+    EXPECT_EQ(service.resets, 0U);
+    service.set_state(3, upstream_state::silent);
+    service.send(flow_number);
+    service.pass(until_repeated);
+    service.send(flow_number);
+    EXPECT_EQ(service.resets, 1U);
+    EXPECT_TRUE(service.delivered.empty());
+}
+
 TEST(search, flow_of_another_service_is_not_reset)
 {
     searched_service service;
--- a/packages/agent/test/upstream_tracker_test.cpp
+++ b/packages/agent/test/upstream_tracker_test.cpp
@@ -223,6 +223,62 @@
     EXPECT_EQ(tracker.status()->returns, 0U);
 }
 
+// Without the slots the agent would admit as many requests as the document
+// declares for any upstream.
+TEST(upstream_tracker, found_upstream_announces_its_slots)
+{
+    upstream_tracker tracker(silence_timeout);
+    tracker.found(start, upstream_id("i-1"), false);
+    EXPECT_EQ(tracker.status()->slots, 0U);
+    upstream_announcement told = announcement_with_start("i-1", 1000, 9);
+    told.slots = 3;
+    ASSERT_TRUE(tracker.announce(start + 1s, told));
+    EXPECT_EQ(tracker.status()->slots, 3U);
+    // A late announcement does not change them.
+    told.sequence = 8;
+    told.slots = 5;
+    ASSERT_TRUE(tracker.announce(start + 2s, told));
+    EXPECT_EQ(tracker.status()->slots, 3U);
+}
+
+// The upstream ended while its agent was down, and a late message of it comes
+// first: the agent must not keep it as living.
+TEST(upstream_tracker, late_announcement_before_the_present_one_is_superseded)
+{
+    upstream_tracker tracker(silence_timeout);
+    ASSERT_TRUE(
+        tracker.announce(start, announcement_with_start("i-1", 1000, 90)));
+    ASSERT_TRUE(
+        tracker.announce(start + 1s, announcement_with_start("i-1", 2000, 1)));
+    EXPECT_EQ(tracker.status()->started, incarnation(2000));
+    EXPECT_FALSE(tracker.status()->was_running);
+    EXPECT_FALSE(
+        tracker.announce(start + 2s, announcement_with_start("i-1", 1000, 91)));
+}
+
+// The same where nothing follows: the upstream ends by its silence.
+TEST(upstream_tracker, late_announcement_of_an_ended_upstream_ends_by_silence)
+{
+    upstream_tracker tracker(silence_timeout);
+    tracker.found(start, upstream_id("i-1"), false);
+    ASSERT_TRUE(
+        tracker.announce(start, announcement_with_start("i-1", 1000, 90)));
+    tracker.tick(start + silence_timeout);
+    EXPECT_TRUE(tracker.status()->is_gone);
+}
+
+// Deployments that never report a start: a name of its own stands for each.
+TEST(upstream_tracker, found_upstream_without_a_start_keeps_its_incarnation)
+{
+    upstream_tracker tracker(silence_timeout);
+    tracker.found(start, upstream_id("i-1"), false);
+    ASSERT_TRUE(tracker.announce(start + 1s, announcement("i-1", 40)));
+    EXPECT_FALSE(tracker.status()->started);
+    EXPECT_TRUE(tracker.status()->was_running);
+    EXPECT_EQ(tracker.status()->returns, 0U);
+    EXPECT_EQ(tracker.status()->first_heard, 40U);
+}
+
 // After a power failure of all hosts: the upstream started before its agent,
 // and its first announcements got no answer.
 TEST(upstream_tracker, upstream_with_few_announcements_has_just_started)
--- a/packages/agent/test/work_limit_test.cpp
+++ b/packages/agent/test/work_limit_test.cpp
@@ -202,6 +202,46 @@
     RecordProperty("bounded", std::to_string(score(bounded)));
 }
 
+// An agent that found its upstream running learns its slots from the first
+// announcement. Before, the limits of the document held until it restarted.
+TEST(work_limit, slots_that_are_reported_later_take_effect)
+{
+    agent_settings settings;
+    settings.self = agent_fixture::member(0);
+    settings.work_per_slot = 1;
+    const time_point now{std::chrono::hours(1)};
+    agent core(settings, now);
+    recording_effects effects;
+    auto view = std::make_shared<service_view>();
+    view->declared.id = service_id(5);
+    view->declared.sharing = agent_fixture::warm_sharing();
+    view->declared.limits.slots = 8;
+    view->members = {agent_fixture::member(0)};
+    core.handle(now, view_changed{view}, effects);
+    core.handle(now, work_started{2}, effects);
+    core.handle(now, upstream_start_reported{time_point(), false, false, 2},
+                effects);
+    packet_header opens;
+    opens.service = service_id(5);
+    opens.flow = agent_fixture::flow(1);
+    opens.role = packet_role::opens;
+    opens.current.push_back(agent_fixture::identity(0));
+    const packet_arrived opening{opens, {}, answer_need::required};
+    core.handle(now, opening, effects);
+    EXPECT_EQ(effects.refusals.size(), 1U);
+    EXPECT_TRUE(effects.delivered.empty());
+    // A view declares other limits; the announced slots stay.
+    auto next = std::make_shared<service_view>(*view);
+    next->version = config_version(2);
+    core.handle(now, view_changed{next}, effects);
+    core.handle(now, upstream_start_reported{}, effects);
+    core.handle(now, opening, effects);
+    EXPECT_EQ(effects.refusals.size(), 2U);
+    core.handle(now, work_ended{1, true}, effects);
+    core.handle(now, opening, effects);
+    EXPECT_EQ(effects.delivered.size(), 1U);
+}
+
 TEST(work_limit, defers_callers_that_will_retransmit)
 {
     agent_settings settings;
--- a/packages/daemon/src/agent/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent/agent_loop_upstream.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent_loop.hpp"
 #include "agent/agent_report.hpp"
+#include "crowlink/model/unreported_start.hpp"
 #include "process/process_identity.hpp"
 
 #include <algorithm>
@@ -16,13 +17,9 @@
 // As many upstreams in a row as may still have to be announced as gone.
 constexpr std::size_t records_kept = 16;
 
-// Where upstreams don't tell their start, the name is new with each life, and
-// all lives have this one.
-constexpr std::uint64_t untold_start = 1;
-
 incarnation incarnation_of(const tracked_upstream& life)
 {
-    return life.started.value_or(incarnation(untold_start));
+    return life.started.value_or(incarnation(unreported_start));
 }
 
 // Whether the upstream beside this agent holds nothing of before.
@@ -113,6 +110,12 @@
     m_settings.self = m_self;
     m_settings.slots = next.slots;
     m_core.emplace(m_settings, m_now);
+    if (m_left)
+    {
+        // The process stops: its successor must find the record draining, not
+        // ready, which would attract new flows to a closed port.
+        handle(leave_requested{});
+    }
     if (next.was_running)
     {
         handle(upstream_survived{next.has_just_started()});
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -304,7 +304,7 @@
             state = wanted->second.state;
             weight = wanted->second.weight;
             if (announces_itself &&
-                each.record().started != wanted->second.started)
+                each.given_start() != wanted->second.started)
             {
                 send(each.restart(now, wanted->second));
             }
--- a/packages/membership/include/crowlink/membership/announcer.hpp
+++ b/packages/membership/include/crowlink/membership/announcer.hpp
@@ -40,7 +40,8 @@
                                         std::uint32_t weight);
 
     // Announces the record under another incarnation from now on: its agent has
-    // learned the upstream's start.
+    // learned the upstream's start. Answers to earlier announcements no longer
+    // count.
     std::vector<membership_send> restart(time_point now,
                                          const upstream_record& record);
 
@@ -65,14 +66,25 @@
     // announcer_settings.
     bool raises_incarnation() const { return m_settings.raises_incarnation; }
 
+    // The start as the agent last gave it; the record's own is later where the
+    // observers hold one that they would never replace by this one.
+    incarnation given_start() const { return m_given_start; }
+
     // The observer that the record is announced to at present.
     const host_id& home() const;
 
 private:
+    // Sequences begin with the wall clock in milliseconds.
+    static constexpr std::uint64_t first_sequence_step = 1000;
+
     std::vector<membership_send> announce(time_point now);
     std::vector<membership_send> renew(time_point now);
     std::vector<membership_send>
     handle_answer(time_point now, const wire::announcement_answer& in);
+    std::vector<membership_send>
+    handle_older(time_point now, const wire::announcement_answer& in);
+    std::vector<membership_send>
+    handle_older_start(time_point now, const wire::announcement_answer& in);
     void fail_over(time_point now);
     void choose_next_home(time_point now);
     duration jittered(duration time);
@@ -81,6 +93,7 @@
 
     announcer_settings m_settings;
     upstream_record m_record;
+    incarnation m_given_start;
     seeded_random m_random;
     std::vector<host_id> m_order;
     std::size_t m_home = 0;
@@ -92,6 +105,10 @@
     bool m_superseded = false;
     bool m_forbidden = false;
     bool m_waiting_answer = false;
+    // The observers hold a later incarnation than the reported one.
+    bool m_is_start_refused = false;
+    // Added to a sequence that is refused as older; doubled each time.
+    std::uint64_t m_sequence_step = first_sequence_step;
     // The home holds the lease, but fewer than half of its region's observers
     // hear it.
     bool m_is_home_isolated = false;
--- a/packages/membership/include/crowlink/membership/announcer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/announcer_settings.hpp
@@ -26,10 +26,10 @@
     // Backoff between rounds over all observers, doubled up to the limit.
     duration backoff_first = std::chrono::milliseconds(500);
     duration backoff_limit = std::chrono::seconds(8);
-    // Whether an announcement that observers refuse as older is repeated with a
-    // later incarnation. Not for an upstream that reports its own start: its
-    // agent identifies it by that start alone, and packets and questions under
-    // any other one would miss it.
+    // Whether an announcement that observers refuse as older is at once
+    // repeated with a later incarnation. Not for an upstream that reports its
+    // own start: its agent identifies it by that start alone, and peers'
+    // messages under any other one miss it.
     bool raises_incarnation = true;
     // After a fail-over the preferred observer is tried again after this time.
     duration return_after = std::chrono::minutes(10);
--- a/packages/membership/src/announcer.cpp
+++ b/packages/membership/src/announcer.cpp
@@ -1,5 +1,6 @@
 #include "crowlink/membership/announcer.hpp"
 
+#include "crowlink/model/unreported_start.hpp"
 #include "member_codec.hpp"
 #include "observer_order.hpp"
 
@@ -32,6 +33,7 @@
                      std::uint64_t seed, time_point now)
     : m_settings(std::move(settings))
     , m_record(std::move(first))
+    , m_given_start(m_record.started)
     , m_random(seed)
     , m_backoff(m_settings.backoff_first)
 {
@@ -104,21 +106,7 @@
         ++m_record.sequence;
         return announce(now);
     case wire::ANNOUNCEMENT_OLDER:
-        if (!m_settings.raises_incarnation)
-        {
-            // Waits until the upstream reports its start.
-            m_accepted = false;
-            m_next = now + jittered(m_settings.backoff_limit);
-            return {};
-        }
-        if (m_ever_accepted)
-        {
-            m_superseded = true;
-            return {};
-        }
-        // The wall clock was set back since the last start.
-        m_record.started = incarnation(in.newest_started() + 1);
-        return announce(now);
+        return handle_older(now, in);
     case wire::ANNOUNCEMENT_FORBIDDEN:
         m_accepted = false;
         m_next = now + jittered(m_settings.backoff_limit);
@@ -128,11 +116,67 @@
     }
     m_accepted = true;
     m_ever_accepted = true;
+    m_is_start_refused = false;
+    m_sequence_step = first_sequence_step;
     m_backoff = m_settings.backoff_first;
     m_next = now + jittered(m_settings.renewal_interval);
     return {};
 }
 
+std::vector<membership_send>
+announcer::handle_older(time_point now, const wire::announcement_answer& in)
+{
+    if (!m_settings.raises_incarnation)
+    {
+        return handle_older_start(now, in);
+    }
+    if (m_ever_accepted)
+    {
+        m_superseded = true;
+        return {};
+    }
+    // The wall clock was set back since the last start.
+    m_record.started = incarnation(in.newest_started() + 1);
+    return announce(now);
+}
+
+// The record is that of an upstream, whose incarnation is its own start.
+std::vector<membership_send>
+announcer::handle_older_start(time_point now,
+                              const wire::announcement_answer& in)
+{
+    m_accepted = false;
+    const bool is_unreported = m_record.started.value() == unreported_start;
+    if (!m_ever_accepted && in.newest_started() == m_record.started.value())
+    {
+        // The wall clock was set back since an earlier agent of this upstream
+        // announced it. The answer does not name the sequence to exceed.
+        m_record.sequence += m_sequence_step;
+        m_sequence_step *= 2;
+        return announce(now);
+    }
+    if (m_ever_accepted || is_unreported ||
+        m_record.state == upstream_state::gone)
+    {
+        // Waits until the upstream reports its start.
+        m_next = now + jittered(m_settings.backoff_limit);
+        return {};
+    }
+    if (!m_is_start_refused)
+    {
+        // The start may be that of an ended incarnation, whose last message
+        // came late: the present one announces itself within this time.
+        m_is_start_refused = true;
+        m_next = now + jittered(m_settings.renewal_interval);
+        return {};
+    }
+    // The clock of the upstream's host was set back, or an agent of an earlier
+    // release raised the incarnation: without this the upstream would get no
+    // flow for as long as observers remember the later one.
+    m_record.started = incarnation(in.newest_started() + 1);
+    return announce(now);
+}
+
 std::vector<membership_send> announcer::tick(time_point now)
 {
     const bool ended = m_accepted && m_record.state == upstream_state::gone;
@@ -180,8 +224,11 @@
     const std::uint64_t next = m_record.sequence + 1;
     m_record = record;
     m_record.sequence = std::max(record.sequence, next);
+    m_given_start = record.started;
     m_ever_accepted = false;
     m_superseded = false;
+    m_is_start_refused = false;
+    m_sequence_step = first_sequence_step;
     m_attempts = 0;
     if (m_order.empty())
     {
