--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "crowlink/agent/cold_start_limiter.hpp"
+#include "crowlink/agent/load_units.hpp"
 #include "crowlink/agent/peer_loads.hpp"
 #include "crowlink/agent/progress_monitor.hpp"
+#include "crowlink/agent/service_time_estimator.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/model/service.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace crowlink::internal
 {
@@ -24,6 +27,7 @@
         : m_work_per_slot(work_per_slot)
         , m_announced_slots(slots)
         , m_progress(stall_after, started)
+        , m_relative_time(equal_time)
     {
     }
 
@@ -37,6 +41,21 @@
     void started(std::uint32_t weight) { m_work += weight; }
     void ended(time_point now, std::uint32_t weight, bool completed);
 
+    // The requests at the upstream, counted from the arrival of their data, and
+    // those that have completed since the last call.
+    void note_requests(time_point now, std::uint64_t running,
+                       std::uint32_t completed);
+    // How long one request occupies a slot; empty without enough evidence.
+    std::optional<duration> service_time(time_point now) const
+    {
+        return m_service_time.mean(now);
+    }
+    // The service time relative to that of the peers, as of the latest
+    // assessment; 1000 is equal, or unknown.
+    std::uint32_t relative_time_permille() const { return m_relative_time; }
+    // Whether the terms of a route to this service are known.
+    bool has_terms() const { return m_has_terms; }
+
     progress_monitor& progress() { return m_progress; }
     const progress_monitor& progress() const { return m_progress; }
     const sharing_policy& sharing() const { return m_sharing; }
@@ -78,6 +97,7 @@
 
 private:
     std::uint32_t share(time_point now) const;
+    std::uint32_t assess_relative_time(time_point now) const;
 
     std::uint32_t m_work_per_slot;
     std::uint32_t m_announced_slots;
@@ -85,10 +105,13 @@
     sharing_policy m_sharing;
     std::uint32_t m_weight = 100;
     bool m_draining = false;
+    bool m_has_terms = false;
     std::uint64_t m_work = 0;
     cold_start_limiter m_cold;
     progress_monitor m_progress;
     peer_loads m_peers;
+    service_time_estimator m_service_time;
+    std::uint32_t m_relative_time;
     time_point m_now{};
     time_point m_shed_until{};
     time_point m_next_trial{};
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -19,6 +19,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -79,6 +80,16 @@
     {
         return m_admission.load(m_flows.open_count());
     }
+    // How long a request occupies a slot; empty while unknown.
+    std::optional<duration> service_time(time_point now) const
+    {
+        return m_admission.service_time(now);
+    }
+    // That time relative to the peers'; 1000 is equal, or unknown.
+    std::uint32_t relative_time_permille() const
+    {
+        return m_admission.relative_time_permille();
+    }
     // Whether the upstream is judged stalled and takes no new flow.
     bool sheds(time_point now) const;
     upstream_tag tag() const { return m_tag; }
@@ -248,6 +259,7 @@
     void on(time_point now, const leave_requested& event);
     void on(time_point now, const work_started& event);
     void on(time_point now, const work_ended& event);
+    void on(time_point now, const requests_counted& event);
     void on(time_point now, const tick& event);
     void receive(time_point now, const endpoint& from,
                  const redirect_notice& message);
@@ -263,7 +275,7 @@
                          const candidate& rival, const owned_flow& owned);
     void set_state(upstream_state state);
     void assess(time_point now);
-    void send_loads();
+    void send_loads(time_point now);
     void request_shedding(time_point now);
     const candidate* coordinator(candidate_chain& chain) const;
     void send_batch();
--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -129,6 +129,15 @@
     bool completed = true;
 };
 
+// The requests at the upstream, counted from the arrival of their data and not
+// from the opening of their flow, and those that have completed since the last
+// such event.
+struct requests_counted
+{
+    std::uint64_t running = 0;
+    std::uint32_t completed = 0;
+};
+
 // Time has passed; sent every 50 to 250 ms.
 struct tick
 {
--- a/packages/agent/include/crowlink/agent/load_notice.hpp
+++ b/packages/agent/include/crowlink/agent/load_notice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/base/time.hpp"
 #include "crowlink/forwarding/candidate.hpp"
 
 #include <compare>
@@ -18,6 +19,9 @@
     upstream_tag sender = 0;
     // In millionths of the upstream's capacity.
     std::uint32_t load = 0;
+    // The mean service time of the sender's upstream; zero if unknown, as from
+    // an agent of an earlier release.
+    duration service_time{};
 
     friend auto operator<=>(const load_notice&, const load_notice&) = default;
 };
--- a/packages/agent/include/crowlink/agent/peer_loads.hpp
+++ b/packages/agent/include/crowlink/agent/peer_loads.hpp
@@ -18,16 +18,23 @@
 public:
     static constexpr std::size_t slots = 64;
 
-    void note(time_point now, upstream_tag peer, std::uint32_t load);
+    // A service time of zero is unknown.
+    void note(time_point now, upstream_tag peer, std::uint32_t load,
+              duration service_time = duration::zero());
 
     // The mean of the peers' recent loads; empty without a recent one.
     std::optional<std::uint32_t> mean(time_point now) const;
 
+    // The mean of the peers' known service times; empty with fewer than two
+    // recent ones, since a single peer may be the one that is slow.
+    std::optional<duration> mean_service_time(time_point now) const;
+
 private:
     struct sample
     {
         upstream_tag peer = 0;
         std::uint32_t load = 0;
+        duration service_time{};
         time_point until{};
     };
 
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -19,6 +19,12 @@
 // When the goal is continuity, a head whose load exceeds the mean by up to this
 // much keeps the flow.
 constexpr std::uint32_t continuity_excess_percent = 10;
+// Within this range the service times of equal upstreams under mixed load
+// differ by chance. Relative times outside of it are bounded.
+constexpr std::int64_t max_chance_below = 800;
+constexpr std::int64_t max_chance_above = 1250;
+constexpr std::int64_t least_relative_time = equal_time / 8;
+constexpr std::int64_t greatest_relative_time = equal_time * 8;
 
 std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
 {
@@ -34,6 +40,10 @@
     {
         m_limits.slots = m_announced_slots;
     }
+    m_service_time.set_slots(m_limits.slots);
+    m_has_terms = std::any_of(declared.shares.begin(), declared.shares.end(),
+                              [](const address_share& share)
+                              { return share.terms.has_value(); });
     m_cold.set_limit(declared.limits.cold_flows_per_second);
     m_sharing = declared.sharing;
     m_weight = std::max(weight, 1U);
@@ -45,6 +55,7 @@
     {
         m_announced_slots = slots;
         m_limits.slots = slots;
+        m_service_time.set_slots(slots);
     }
 }
 
@@ -61,13 +72,43 @@
 {
     m_now = now;
     m_progress.assess(now, m_work > 0, m_sharing.cold_start);
+    m_relative_time = assess_relative_time(now);
+}
+
+void admission::note_requests(time_point now, std::uint64_t running,
+                              std::uint32_t completed)
+{
+    for (std::uint32_t i = 0; i < completed; ++i)
+    {
+        m_service_time.note_completed(now);
+    }
+    m_service_time.note_running(now, running);
+}
+
+std::uint32_t admission::assess_relative_time(time_point now) const
+{
+    const auto own = m_service_time.mean(now);
+    const auto peers = m_peers.mean_service_time(now);
+    if (!m_has_terms || !own || !peers)
+    {
+        return equal_time;
+    }
+    const std::int64_t relative =
+        *own * equal_time / std::max(*peers, duration(1));
+    if (relative >= max_chance_below && relative <= max_chance_above)
+    {
+        return equal_time;
+    }
+    return static_cast<std::uint32_t>(
+        std::clamp(relative, least_relative_time, greatest_relative_time));
 }
 
 std::uint32_t admission::load(std::size_t flows) const
 {
+    const std::uint64_t work =
+        millionths(m_work, m_limits.slots) * m_relative_time / equal_time;
     const std::uint64_t used =
-        std::max({millionths(flows, m_limits.connections),
-                  millionths(m_work, m_limits.slots),
+        std::max({millionths(flows, m_limits.connections), work,
                   std::uint64_t{m_cold.used(m_now)}});
     const std::uint64_t capacity =
         static_cast<std::uint64_t>(m_weight) * share(m_now) / default_weight;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -219,6 +219,11 @@
     m_admission.ended(now, event.weight, event.completed);
 }
 
+void agent::on(time_point now, const requests_counted& event)
+{
+    m_admission.note_requests(now, event.running, event.completed);
+}
+
 void agent::on(time_point now, const tick&)
 {
     if (!m_announced)
@@ -272,7 +277,7 @@
     {
         request_shedding(now);
     }
-    send_loads();
+    send_loads(now);
 }
 
 const candidate* agent::coordinator(candidate_chain& chain) const
@@ -301,7 +306,7 @@
     }
 }
 
-void agent::send_loads()
+void agent::send_loads(time_point now)
 {
     if (m_members.view() == nullptr || m_admission.is_draining())
     {
@@ -309,6 +314,10 @@
     }
     const auto& members = m_members.view()->members;
     const std::uint32_t own = load();
+    const duration service_time =
+        m_admission.has_terms()
+            ? m_admission.service_time(now).value_or(duration::zero())
+            : duration::zero();
     std::size_t told = 0;
     for (std::size_t i = 0; i < members.size() && told < peers_per_assessment;
          ++i)
@@ -321,7 +330,7 @@
         }
         send(peer.agent,
              load_notice{m_record.service, tag_of(peer.id, peer.started), m_tag,
-                         own});
+                         own, service_time});
         ++m_counts.loads_sent;
         ++told;
     }
@@ -329,7 +338,8 @@
 
 void agent::receive(time_point now, const endpoint&, const load_notice& message)
 {
-    m_admission.peers().note(now, message.sender, message.load);
+    m_admission.peers().note(now, message.sender, message.load,
+                             message.service_time);
 }
 
 void agent::receive(time_point now, const endpoint&,
--- a/packages/agent/src/service_time_estimator.cpp
+++ b/packages/agent/src/service_time_estimator.cpp
@@ -13,8 +13,8 @@
 // coefficient of variation of 0.65, as for a mix of commands and uploads, the
 // standard error of the mean is 8%.
 constexpr double remembered_completions = 32;
-// The sum after 8 completions, of which the first count slightly less.
-constexpr double min_completions = 7;
+// Reached with 8 completions, whose decayed sum is 6.96.
+constexpr double min_completions = 6.9;
 // How long it takes an idle upstream's evidence to decay to 1/e.
 constexpr double idle_memory_seconds = 10;
 // Bounds the growth during a stall, so that the estimate recovers within about
@@ -71,7 +71,7 @@
     m_evidence = at(now);
     m_updated = std::max(m_updated, now);
     m_evidence.busy_seconds *= kept;
-    m_evidence.completions = m_evidence.completions * kept + 1;
+    m_evidence.completions = (m_evidence.completions + 1) * kept;
     m_evidence.busy_at_completion = m_evidence.busy_seconds;
 }
 
--- a/packages/agent/test/service_time_estimator_test.cpp
+++ b/packages/agent/test/service_time_estimator_test.cpp
@@ -141,7 +141,7 @@
         estimator.note_running(now, 0);
     }
     ASSERT_TRUE(estimator.mean(now));
-    EXPECT_NEAR(milliseconds(*estimator.mean(now)), 20, 1);
+    EXPECT_NEAR(milliseconds(*estimator.mean(now)), 20, 0.001);
 }
 
 // Without the busy time of requests that have not ended, a stalled upstream
--- a/packages/daemon/src/agent/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -315,6 +315,9 @@
         totals.flows = m_core->flows();
         totals.redirects = m_core->redirects();
         totals.load = m_core->load();
+        totals.service_time =
+            m_core->service_time(m_now).value_or(duration::zero());
+        totals.relative_time_permille = m_core->relative_time_permille();
         totals.counts = m_core->counts();
     }
     totals.undecodable = m_undecodable;
--- a/packages/daemon/src/agent/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent/agent_loop_upstream.cpp
@@ -182,6 +182,7 @@
     {
         handle(work_ended{1, false});
     }
+    handle(requests_counted{done.running, done.requests_completed});
 }
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -41,6 +41,12 @@
     add("flows", totals.flows);
     add("redirects", totals.redirects);
     add("load_millionths", totals.load);
+    add("service_time_us",
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                totals.service_time)
+                .count()));
+    add("relative_time_permille", totals.relative_time_permille);
     add("packets_delivered_total", counts.delivered);
     add("packets_answered_total", counts.answered);
     add("flows_admitted_total", counts.admitted);
--- a/packages/daemon/src/agent/agent_report.hpp
+++ b/packages/daemon/src/agent/agent_report.hpp
@@ -5,6 +5,7 @@
 #include "crowlink/agent/flow_decision.hpp"
 #include "crowlink/base/log_line.hpp"
 #include "crowlink/base/metrics.hpp"
+#include "crowlink/base/time.hpp"
 #include "crowlink/model/upstream_record.hpp"
 #include "crowlink/requests/admission_effects.hpp"
 
@@ -20,6 +21,10 @@
     std::size_t redirects = 0;
     // In millionths of what the upstream can take.
     std::uint32_t load = 0;
+    // The mean time that a request occupies a slot, zero while unknown, and its
+    // ratio to that of the peers.
+    duration service_time{};
+    std::uint32_t relative_time_permille = 0;
     agent_counts counts;
     // Datagrams that were no message of ours, that the kernel did not take,
     // and payloads that did not reach the upstream.
--- a/packages/daemon/src/agent/flow_delivery.cpp
+++ b/packages/daemon/src/agent/flow_delivery.cpp
@@ -87,6 +87,11 @@
         note_request(flow, known, packet->data);
     }
     known.has_request = known.has_request || is_request;
+    if (is_request && !known.is_running && ends_request(*packet))
+    {
+        known.is_running = true;
+        ++m_running;
+    }
     if ((packet->flags.opens || is_request) && m_owed_since == time_point())
     {
         m_owed_since = m_now;
@@ -122,6 +127,14 @@
     return is_new;
 }
 
+// A sender fills each packet but the last, so that the transfer of a large body
+// is not counted as time at the upstream. A request that fills its last packet
+// too is not counted at all, one of 1,200.
+bool flow_delivery::ends_request(const platform::wire_packet& packet)
+{
+    return packet.data.size() < platform::wire_packet::most_data_bytes;
+}
+
 // Zero where no header belongs to what is delivered.
 std::uint32_t flow_delivery::remember()
 {
@@ -157,6 +170,12 @@
     flow.request.clear();
     --m_at_work;
     ++(completed ? m_work.completed : m_work.given_up);
+    if (flow.is_running)
+    {
+        flow.is_running = false;
+        --m_running;
+        m_work.requests_completed += completed ? 1 : 0;
+    }
 }
 
 void flow_delivery::answer(const flow_key& flow, payload_view payload)
@@ -346,6 +365,7 @@
             }
         }
     }
+    m_work.running = m_running;
     return std::exchange(m_work, {});
 }
 
--- a/packages/daemon/src/agent/flow_delivery.hpp
+++ b/packages/daemon/src/agent/flow_delivery.hpp
@@ -51,6 +51,10 @@
     std::uint32_t started = 0;
     std::uint32_t completed = 0;
     std::uint32_t given_up = 0;
+    // The requests that are at the upstream now, from the arrival of their
+    // data, and those of them that completed.
+    std::uint32_t running = 0;
+    std::uint32_t requests_completed = 0;
 };
 
 // Delivers packets of the users' platform to an upstream on this host, and
@@ -109,6 +113,8 @@
         bool is_busy = false;
         // The request itself has come, not just the connection.
         bool has_request = false;
+        // All of the request's data has come: the upstream can run it.
+        bool is_running = false;
         time_point since{};
         std::uint32_t acknowledged = 0;
         // Behind the last of the caller's data that came; what lies before it
@@ -134,6 +140,8 @@
     // Whether the packet carries data that has not come before; notes it.
     static bool brings_data(activity& known,
                             const platform::wire_packet& packet);
+    // Whether the packet is the last of a request's data.
+    static bool ends_request(const platform::wire_packet& packet);
     void end_work(activity& flow, bool completed);
     void note_request(const flow_key& flow, activity& known, payload_view data);
     void note_answer(const flow_key& flow, activity& known, payload_view data);
@@ -152,6 +160,8 @@
     work_change m_work;
     // Requests that are at the upstream now.
     std::uint32_t m_at_work = 0;
+    // Those of them whose data has arrived.
+    std::uint32_t m_running = 0;
     std::vector<passing_request> m_requests;
     latency_histogram m_answer_times;
     time_point m_next_sweep{};
--- a/packages/daemon/src/agent/peer_codec.cpp
+++ b/packages/daemon/src/agent/peer_codec.cpp
@@ -51,6 +51,14 @@
     return true;
 }
 
+std::uint32_t to_us(duration value)
+{
+    const auto whole =
+        std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(whole, 0, UINT32_MAX));
+}
+
 std::uint32_t to_ms(duration value)
 {
     const auto whole =
@@ -106,6 +114,7 @@
     body.set_receiver(value.receiver);
     body.set_sender(value.sender);
     body.set_load(value.load);
+    body.set_service_time_us(to_us(value.service_time));
 }
 
 void write(const shed_request& value, messages::PeerMessage& out)
@@ -265,9 +274,10 @@
     case messages::PeerMessage::kRedirect:
         return read(in.redirect());
     case messages::PeerMessage::kLoad:
-        return load_notice{service_id(in.load().service()),
-                           in.load().receiver(), in.load().sender(),
-                           in.load().load()};
+        return load_notice{
+            service_id(in.load().service()), in.load().receiver(),
+            in.load().sender(), in.load().load(),
+            std::chrono::microseconds(in.load().service_time_us())};
     case messages::PeerMessage::kShedRequest:
         return read(in.shed_request());
     case messages::PeerMessage::kShedGrant:
--- a/packages/daemon/test/flow_delivery_test.cpp
+++ b/packages/daemon/test/flow_delivery_test.cpp
@@ -17,15 +17,16 @@
 
 // A caller's packet: only the fields that a delivery reads.
 std::vector<std::uint8_t> packet(std::uint8_t flags, std::uint8_t sequence,
-                                 std::uint8_t size)
+                                 std::uint16_t size)
 {
     constexpr std::size_t sequence_end = 4;
-    constexpr std::size_t size_end = 30;
+    constexpr std::size_t size_start = 29;
     std::vector<std::uint8_t> bytes(platform::wire_packet::header_bytes +
                                     std::size_t{size});
     bytes[0] = flags;
     bytes[sequence_end] = sequence;
-    bytes[size_end] = size;
+    bytes[size_start] = static_cast<std::uint8_t>(size >> 8U);
+    bytes[size_start + 1] = static_cast<std::uint8_t>(size);
     return bytes;
 }
 
@@ -92,6 +93,53 @@
     EXPECT_EQ(m_core.take_work(start + after).given_up, 1U);
 }
 
+// Counted from the opening packet, the service time would contain the round
+// trip to the caller.
+TEST_F(delivery, a_request_runs_from_the_arrival_of_its_data)
+{
+    EXPECT_TRUE(m_core.deliver(flow, packet(opens, 1, 0)));
+    EXPECT_EQ(m_core.take_work(time_point()).running, 0U);
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, 10)));
+    EXPECT_EQ(m_core.take_work(time_point()).running, 1U);
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, 10)));
+    EXPECT_EQ(m_core.take_work(time_point()).running, 1U);
+    m_core.answer_came(flow);
+    const work_change done = m_core.take_work(time_point());
+    EXPECT_EQ(done.running, 0U);
+    EXPECT_EQ(done.requests_completed, 1U);
+    EXPECT_EQ(m_core.take_work(time_point()).requests_completed, 0U);
+}
+
+// An upload over a slow link takes seconds, of which the upstream works
+// milliseconds.
+TEST_F(delivery, a_large_request_runs_from_the_arrival_of_its_last_packet)
+{
+    constexpr std::uint16_t full = platform::wire_packet::most_data_bytes;
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, full)));
+    const work_change sending = m_core.take_work(time_point());
+    EXPECT_EQ(sending.started, 1U);
+    EXPECT_EQ(sending.running, 0U);
+    std::vector<std::uint8_t> last = packet(acknowledges, 0, 10);
+    last[3] = (full + 2) >> 8U;
+    last[4] = (full + 2) & 0xffU;
+    EXPECT_TRUE(m_core.deliver(flow, last));
+    EXPECT_EQ(m_core.take_work(time_point()).running, 1U);
+    m_core.answer_came(flow);
+    EXPECT_EQ(m_core.take_work(time_point()).requests_completed, 1U);
+}
+
+// What ends without an answer says nothing about the service time.
+TEST_F(delivery, a_request_that_is_given_up_has_not_completed)
+{
+    EXPECT_TRUE(m_core.deliver(flow, packet(opens, 1, 0)));
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, 10)));
+    m_core.close(flow);
+    const work_change done = m_core.take_work(time_point());
+    EXPECT_EQ(done.running, 0U);
+    EXPECT_EQ(done.requests_completed, 0U);
+    EXPECT_EQ(done.given_up, 1U);
+}
+
 } // namespace
 
 } // namespace crowlink::internal
--- a/packages/daemon/test/peer_codec_test.cpp
+++ b/packages/daemon/test/peer_codec_test.cpp
@@ -42,13 +42,15 @@
         const auto state = static_cast<ownership>(answer.flows.size() % 3);
         answer.flows.push_back(stated_ownership{stable_hash(each), state});
     }
-    return {redirect,
-            short_one,
-            load_notice{service_id(1), 2, 3, 4},
-            shed_request{service_id(2), 6, agent},
-            shed_grant{service_id(3), 7, std::chrono::seconds(2)},
-            question,
-            answer};
+    return {
+        redirect,
+        short_one,
+        load_notice{service_id(1), 2, 3, 4},
+        load_notice{service_id(1), 2, 3, 4, std::chrono::microseconds(33'000)},
+        shed_request{service_id(2), 6, agent},
+        shed_grant{service_id(3), 7, std::chrono::seconds(2)},
+        question,
+        answer};
 }
 
 TEST(peer_codec, gives_back_what_was_written)
@@ -61,6 +63,21 @@
     }
 }
 
+// An agent of an earlier release neither writes nor knows the service time: the
+// bytes without it are as before, and with it they only grow by a field.
+TEST(peer_codec, reads_a_load_without_a_service_time)
+{
+    const std::string before("\x12\x0e\x08\x01\x15\x03\x00\x00\x00\x18\x04"
+                             "\x25\x02\x00\x00\x00",
+                             16);
+    const load_notice unknown{service_id(1), 2, 3, 4};
+    EXPECT_EQ(decode_peer_message(bytes_of(before)), peer_message(unknown));
+    EXPECT_EQ(encode_peer_message(unknown), before);
+    load_notice known = unknown;
+    known.service_time = std::chrono::milliseconds(33);
+    EXPECT_EQ(encode_peer_message(known).size(), before.size() + 4);
+}
+
 TEST(peer_codec, refuses_more_flows_than_a_notice_holds)
 {
     redirect_notice large = std::get<redirect_notice>(examples().front());
