--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -91,7 +91,7 @@
     m_counts.forwarded_bytes += size;
     const candidate& head =
         header.current.empty() ? header.previous[0] : header.current[0];
-    return routed_packet{head.agent, size};
+    return routed_packet{head.agent, size, hash, found.terms};
 }
 
 std::optional<caller_answer>
--- a/packages/daemon/src/balancer/balancer_role.cpp
+++ b/packages/daemon/src/balancer/balancer_role.cpp
@@ -72,12 +72,18 @@
     {
         m_listening[at] = sockets->callers[at].local();
     }
+    // The threads share the link equally.
+    const auto link =
+        settings.host.link_mbps
+            ? std::optional(*settings.host.link_mbps / own.threads)
+            : std::nullopt;
     if (own.mode == port_mode::plain_datagrams)
     {
         m_datagram_threads.push_back(
             std::make_unique<balancer_thread<datagram_port>>(
                 datagram_port(), std::move(sockets->callers),
-                std::move(sockets->tunnel), keys, m_sets, log, settings.log));
+                std::move(sockets->tunnel), keys, m_sets, log, settings.log,
+                link));
         return {};
     }
     if (own.mode == port_mode::flow_packets)
@@ -86,13 +92,13 @@
             std::make_unique<balancer_thread<platform::flow_packet_port>>(
                 platform::flow_packet_port(m_listening.front()),
                 std::move(sockets->callers), std::move(sockets->tunnel), keys,
-                m_sets, log, settings.log));
+                m_sets, log, settings.log, link));
         return {};
     }
     m_ip_threads.push_back(std::make_unique<balancer_thread<ip_in_udp_port>>(
         ip_in_udp_port(m_listening.front(), own.gateway),
         std::move(sockets->callers), std::move(sockets->tunnel), keys, m_sets,
-        log, settings.log));
+        log, settings.log, link));
     return {};
 }
 
--- a/packages/daemon/src/balancer/balancer_thread.cpp
+++ b/packages/daemon/src/balancer/balancer_thread.cpp
@@ -4,6 +4,7 @@
 #include "crowlink/packet/ip_in_udp_port.hpp"
 #include "crowlink/platform/flow_packet_port.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -30,7 +31,8 @@
                                        std::vector<udp_socket> callers,
                                        udp_socket tunnel, const key_ring& keys,
                                        const set_slot& sets, log_sink& log,
-                                       const log_settings& logging)
+                                       const log_settings& logging,
+                                       std::optional<double> link_mbps)
     : m_port(std::move(port))
     , m_callers(std::move(callers))
     , m_tunnel(std::move(tunnel))
@@ -40,6 +42,10 @@
     , m_limit(logging.decisions_per_second)
     , m_buffer(datagram_batch::default_size)
 {
+    if (link_mbps)
+    {
+        m_egress.emplace(*link_mbps);
+    }
     m_poller.add(m_stop.handle(), stop_token);
     m_poller.add(m_tunnel.handle(), tunnel_token);
     publish_report();
@@ -79,9 +85,10 @@
         {
             start_listening();
         }
-        const auto ready =
-            m_poller.wait(m_listens ? report_interval : start_poll);
+        const auto ready = m_poller.wait(longest_wait());
         m_now = m_clock.now();
+        // What waits goes before what arrives now.
+        send_due();
         for (const poller::token token : ready)
         {
             if (token == tunnel_token)
@@ -100,6 +107,19 @@
     }
 }
 
+template <caller_port Port>
+duration balancer_thread<Port>::longest_wait() const
+{
+    const duration longest =
+        m_listens ? duration(report_interval) : duration(start_poll);
+    if (!m_egress || m_egress->next_send() == time_point::max())
+    {
+        return longest;
+    }
+    const duration until = m_egress->next_send() - m_clock.now();
+    return std::clamp(until, duration::zero(), longest);
+}
+
 template <caller_port Port>
 void balancer_thread<Port>::take_from_callers(const udp_socket& socket)
 {
@@ -135,7 +155,7 @@
     const auto routed = m_path.route(set, *packet, m_to_agents.next());
     if (routed)
     {
-        m_to_agents.commit(routed->size, routed->destination);
+        send_or_queue(*packet, *routed);
     }
     else
     {
@@ -144,6 +164,54 @@
     log_route(set, packet->flow);
 }
 
+// The encoded packet is in the next buffer of the batch.
+template <caller_port Port>
+void balancer_thread<Port>::send_or_queue(const caller_packet& packet,
+                                          const routed_packet& routed)
+{
+    egress_verdict verdict = egress_verdict::send_now;
+    if (m_egress)
+    {
+        const bool may_be_refused = Port::refuses_by_flow &&
+                                    packet.role == packet_role::opens &&
+                                    !packet.is_repeated;
+        verdict = m_egress->offer(
+            m_now, egress_offer{routed.flow_hash, routed.terms, packet.role,
+                                may_be_refused, packet.finishes, packet.payload,
+                                routed.destination,
+                                m_to_agents.next().first(routed.size)});
+    }
+    if (verdict == egress_verdict::send_now)
+    {
+        m_to_agents.commit(routed.size, routed.destination);
+    }
+    else if (verdict == egress_verdict::refused)
+    {
+        refuse_unopened(packet);
+        log_early_refusal(packet.flow);
+    }
+}
+
+template <caller_port Port>
+void balancer_thread<Port>::send_due()
+{
+    if (!m_egress || m_egress->next_send() > m_now)
+    {
+        return;
+    }
+    while (const auto packet = m_egress->take(m_now))
+    {
+        std::copy(packet->bytes.begin(), packet->bytes.end(),
+                  m_to_agents.next().begin());
+        m_to_agents.commit(packet->bytes.size(), packet->destination);
+        if (m_to_agents.full())
+        {
+            m_unsent += m_tunnel.send(m_to_agents).dropped;
+        }
+    }
+    m_unsent += m_tunnel.send(m_to_agents).dropped;
+}
+
 // A connection that nothing can take is refused at once, where the port needs
 // no more than the flow to say so: it has surely not run.
 template <caller_port Port>
@@ -187,6 +255,10 @@
     }
     const auto& notice = std::get<notice_datagram>(value);
     log_notice(notice);
+    if (m_egress)
+    {
+        m_egress->note_ended(stable_hash(notice.flow));
+    }
     send_to_caller(m_port.refuse(
         refusal{notice.flow, notice.sequence, notice.acknowledgement},
         m_buffer));
@@ -223,6 +295,18 @@
     }
 }
 
+template <caller_port Port>
+void balancer_thread<Port>::log_early_refusal(const flow_key& flow)
+{
+    if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+    {
+        m_log.write(log_line(log_level::info, "refused")
+                        .field("flow", flow.to_string())
+                        .field("verdict", to_string(verdict::not_run))
+                        .field("reason", "link_full"));
+    }
+}
+
 template <caller_port Port>
 void balancer_thread<Port>::log_notice(const notice_datagram& notice)
 {
@@ -248,6 +332,10 @@
     }
     const auto next = std::make_shared<metrics>();
     add_to(*next, m_path.counts());
+    if (m_egress)
+    {
+        add_to(*next, m_egress->counts());
+    }
     for (std::size_t at = 0; at < m_packet_drops.size(); ++at)
     {
         const auto reason = static_cast<packet_drop>(at);
--- a/packages/daemon/src/balancer/balancer_thread.hpp
+++ b/packages/daemon/src/balancer/balancer_thread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crowlink/balancer/egress_scheduler.hpp"
 #include "crowlink/balancer/traffic_path.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/packet/caller_port.hpp"
@@ -14,6 +15,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -30,11 +32,12 @@
     using set_slot = snapshot_slot<forwarding_set>;
 
     // The sockets are bound already; `callers` are those that callers' packets
-    // arrive on.
+    // arrive on. Without `link_mbps`, what is sent to agents is not paced.
     balancer_thread(Port port, std::vector<udp_socket> callers,
                     udp_socket tunnel, const key_ring& keys,
                     const set_slot& sets, log_sink& log,
-                    const log_settings& logging);
+                    const log_settings& logging,
+                    std::optional<double> link_mbps);
     balancer_thread(const balancer_thread&) = delete;
     balancer_thread& operator=(const balancer_thread&) = delete;
     // Stops after the batch under way.
@@ -50,10 +53,15 @@
     void take_from_agents();
     void route(const forwarding_set& set, const udp_socket& socket,
                std::size_t index);
+    void send_or_queue(const caller_packet& packet,
+                       const routed_packet& routed);
+    void send_due();
+    duration longest_wait() const;
     void answer(const caller_answer& value);
     void
     send_to_caller(const tl::expected<outgoing_datagram, packet_drop>& answer);
     void log_route(const forwarding_set& set, const flow_key& flow);
+    void log_early_refusal(const flow_key& flow);
     void log_notice(const notice_datagram& notice);
     void publish_report();
 
@@ -66,6 +74,7 @@
     decision_limit m_limit;
     datagram_batch m_received;
     datagram_batch m_to_agents;
+    std::optional<egress_scheduler> m_egress;
     std::vector<std::uint8_t> m_buffer;
     poller m_poller;
     wake_event m_stop;
--- a/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/model/route_terms.hpp"
 
 #include <boost/container/small_vector.hpp>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace crowlink::internal
 {
@@ -48,6 +50,10 @@
     bool is_expired() const { return m_absent_updates > max_absent_updates; }
     const share_list& current() const { return m_current; }
 
+    // The terms of the address, or null.
+    const route_terms* terms() const { return m_terms ? &*m_terms : nullptr; }
+    void set_terms(const route_terms& terms) { m_terms = terms; }
+
     // Copies the history of the preceding state of the address, and adds that
     // state to it.
     void inherit_history(const address_shares& before);
@@ -63,6 +69,7 @@
     // Former shares, most recent first.
     boost::container::small_vector<share_list, 0> m_former;
     std::uint32_t m_absent_updates = 0;
+    std::optional<route_terms> m_terms;
 };
 
 } // namespace crowlink::internal
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -227,6 +227,9 @@
     // The view of an unchanged share keeps its older version, so that versions
     // do not show which shares are current: while views arrive, an address has
     // the shares of all services that name it.
+    std::unordered_map<internal::service_address, config_version,
+                       internal::address_hash>
+        newest_terms;
     for (const auto& tables : m_services)
     {
         const service& declared = tables->view->declared;
@@ -234,8 +237,21 @@
         {
             const internal::service_address key{share.address,
                                                 declared.protocol};
-            (*index)[key].add(
-                internal::weighted_service{declared.id, share.weight});
+            internal::address_shares& shares = (*index)[key];
+            shares.add(internal::weighted_service{declared.id, share.weight});
+            if (!share.terms)
+            {
+                continue;
+            }
+            // All shares of an address have the terms of its route. While the
+            // views of a change arrive one by one, the newest are right.
+            const config_version version = tables->view->version;
+            const auto [entry, added] = newest_terms.emplace(key, version);
+            if (added || entry->second < version)
+            {
+                entry->second = version;
+                shares.set_terms(*share.terms);
+            }
         }
     }
     for (const auto& [key, before] : prior)
@@ -271,7 +287,8 @@
     }
     const service_id former = found->second.choose_former(flow_hash);
     return flow_tables{tables_of(found->second.choose(flow_hash)),
-                       former == service_id() ? nullptr : tables_of(former)};
+                       former == service_id() ? nullptr : tables_of(former),
+                       found->second.terms()};
 }
 
 const table_pair* forwarding_set::tables_at(transport protocol,
--- a/packages/packet/include/crowlink/packet/caller_packet.hpp
+++ b/packages/packet/include/crowlink/packet/caller_packet.hpp
@@ -17,6 +17,11 @@
     // What the upstream is to get: a UDP service's datagram, or for TCP the
     // whole IP packet. A view into the received bytes.
     std::span<const std::uint8_t> payload;
+    // Whether it is a copy of an opening packet: an earlier one may have opened
+    // the flow already.
+    bool is_repeated = false;
+    // Whether the caller sends no more data.
+    bool finishes = false;
 };
 
 } // namespace crowlink
