--- a/packages/balancer/include/crowlink/balancer/bulk_admission.hpp
+++ b/packages/balancer/include/crowlink/balancer/bulk_admission.hpp
@@ -26,6 +26,7 @@
     // Whether a new flow would need longer than the aim at this rate. One flow
     // is always admitted.
     bool is_full(time_point now, duration aim, double bytes_per_second);
+    bool knows(std::uint64_t flow) const { return m_flows.count(flow) > 0; }
     // A flow opens; has no effect on a flow that is known.
     void open(time_point now, std::uint64_t flow);
     // A packet of the flow was sent.
--- a/packages/balancer/include/crowlink/balancer/egress_scheduler.hpp
+++ b/packages/balancer/include/crowlink/balancer/egress_scheduler.hpp
@@ -59,7 +59,8 @@
     bulk_admission m_bulk_flows;
     // Of all but bulk flows.
     rate_meter m_other_rate;
-    // Sends of the first level since the last one of the second.
+    // Sends of the first level since the last one of the second, while both
+    // wait.
     std::uint32_t m_small_in_row = 0;
     egress_counts m_counts;
 };
--- a/packages/balancer/src/egress_scheduler.cpp
+++ b/packages/balancer/src/egress_scheduler.cpp
@@ -68,7 +68,9 @@
     const bool is_bulk = traits_of(packet.terms->requests).has_large_body;
     if (is_bulk && opens)
     {
-        if (packet.may_be_refused &&
+        // The network may repeat the opening packet of a flow that was
+        // admitted.
+        if (packet.may_be_refused && !m_bulk_flows.knows(packet.flow) &&
             m_bulk_flows.is_full(now, packet.terms->aim, bulk_rate(now)))
         {
             ++m_counts.refused_flows;
@@ -180,7 +182,7 @@
 {
     const bool is_bulk = m_small.empty() ||
                          (!m_bulk.empty() && m_small_in_row >= small_per_bulk);
-    m_small_in_row = is_bulk ? 0 : m_small_in_row + 1;
+    m_small_in_row = is_bulk || m_bulk.empty() ? 0 : m_small_in_row + 1;
     return is_bulk;
 }
 
--- a/packages/forwarding/test/forwarding_set_test.cpp
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -234,5 +234,44 @@
     EXPECT_EQ(found.former->service, service_id(1));
 }
 
+service_view shared_view(std::uint32_t id, std::uint64_t version,
+                         const std::optional<route_terms>& terms)
+{
+    service_view view = sample::view(id, 2);
+    view.version = config_version(version);
+    view.declared.shares = {
+        address_share{*endpoint::parse("198.51.100.9:443"), 1, terms}};
+    return view;
+}
+
+std::optional<route_terms> terms_at(const set_pointer& set)
+{
+    const flow_key flow{*endpoint::parse("192.0.2.1:4000"),
+                        *endpoint::parse("198.51.100.9:443"), transport::udp};
+    const route_terms* terms = set->tables_of(flow, stable_hash(flow)).terms;
+    return terms == nullptr ? std::nullopt : std::optional(*terms);
+}
+
+// The views of a change arrive one by one; one from a control host of an
+// earlier release has no terms.
+TEST(forwarding_set, the_newest_view_tells_the_terms_of_an_address)
+{
+    const route_terms first{request_class::upload, std::chrono::seconds(4),
+                            std::chrono::milliseconds(800), 2};
+    route_terms second = first;
+    second.aim = std::chrono::milliseconds(500);
+    set_pointer set =
+        with(forwarding_set::empty(), shared_view(1, 1, std::nullopt));
+    EXPECT_EQ(terms_at(set), std::nullopt);
+    set = with(set, shared_view(2, 2, first));
+    EXPECT_EQ(terms_at(set), first);
+    set = with(set, shared_view(1, 3, second));
+    EXPECT_EQ(terms_at(set), second);
+    set = with(set, shared_view(2, 4, std::nullopt));
+    EXPECT_EQ(terms_at(set), second);
+    set = without(set, 1, 5);
+    EXPECT_EQ(terms_at(set), std::nullopt);
+}
+
 } // namespace
 } // namespace crowlink
