--- a/packages/agent/include/crowlink/agent.hpp
+++ b/packages/agent/include/crowlink/agent.hpp
@@ -15,6 +15,7 @@
 //   shed_notice.hpp            permission to take no new flow
 //   flow_refusal.hpp           why a caller is refused or reset
 //   flow_decision.hpp          one decision, for the log
+//   opening_counts.hpp         what became of opening packets
 //   forward_opening.hpp        forwards opening packets that came by mistake
 //   upstream_tracker.hpp       the state of the upstream beside the agent
 //   upstream_announcement.hpp  what an upstream announces periodically
@@ -28,6 +29,16 @@
 //   chain_walk.hpp               positions in a packet's two chains
 //   admission.hpp                whether a new flow is admitted
 //   cold_start_limiter.hpp       the rate limit of a cold upstream
+//   service_time_estimator.hpp   how long requests occupy a slot
+//   unreported_starts.hpp        openings that are not in the work yet
+//   completion_estimate.hpp      when a request would be completed
+//   opening_deadline.hpp         until when a caller waits
+//   held_opening.hpp             an opening packet that waits for room
+//   opening_queue.hpp            which of them start, and in which order
+//   hold_plan.hpp                what becomes of each
+//   opening_verdict.hpp          what becomes of a new one
+//   level_turns.hpp              turns of priority levels
+//   host_fairness.hpp            turns of entry hosts
 //   progress_monitor.hpp         the warm-up and health of the upstream
 //   peer_loads.hpp               the loads of peers
 //   shed_coordinator.hpp         which upstreams may shed
@@ -48,6 +59,7 @@
 #include "crowlink/agent/flow_refusal.hpp"
 #include "crowlink/agent/forward_opening.hpp"
 #include "crowlink/agent/load_notice.hpp"
+#include "crowlink/agent/opening_counts.hpp"
 #include "crowlink/agent/peer_message.hpp"
 #include "crowlink/agent/redirect_notice.hpp"
 #include "crowlink/agent/shed_notice.hpp"
--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -1,13 +1,17 @@
 #pragma once
 
 #include "crowlink/agent/cold_start_limiter.hpp"
+#include "crowlink/agent/completion_estimate.hpp"
 #include "crowlink/agent/peer_loads.hpp"
 #include "crowlink/agent/progress_monitor.hpp"
+#include "crowlink/agent/service_time_estimator.hpp"
+#include "crowlink/agent/unreported_starts.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/model/service.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace crowlink::internal
 {
@@ -34,7 +38,7 @@
     bool is_draining() const { return m_draining; }
     void permit_shedding(time_point until) { m_shed_until = until; }
 
-    void started(std::uint32_t weight) { m_work += weight; }
+    void started(time_point now, std::uint32_t weight);
     void ended(time_point now, std::uint32_t weight, bool completed);
 
     progress_monitor& progress() { return m_progress; }
@@ -74,10 +78,32 @@
     // Records that a flow was admitted.
     void admitted(time_point now);
 
+    // The queue of opening packets, for flows whose terms are known.
+    //
+    // Whether the slots limit what is at the upstream.
+    bool limits_work() const { return m_work_per_slot > 0; }
+    // Whether new flows are taken at all, at once or later.
+    bool takes_new_flows(time_point now) const;
+    // Whether the upstream has room for one more flow now: a request for each
+    // slot and one that covers the round trip of the next handshake. Without an
+    // estimate of the service time, the limit of all other flows.
+    bool has_window(time_point now, std::size_t flows);
+    // Whether a request would get a slot at once.
+    bool has_free_slot(time_point now);
+    // An opening packet was delivered; its work is reported later.
+    void opened(time_point now) { m_unreported.opened(now); }
+    void set_held(std::size_t held) { m_held = held; }
+    completion_estimate completion(time_point now);
+    std::optional<duration> service_time(time_point now) const
+    {
+        return m_service_time.mean(now);
+    }
+
     const target_limits& limits() const { return m_limits; }
 
 private:
     std::uint32_t share(time_point now) const;
+    std::uint64_t running(time_point now);
 
     std::uint32_t m_work_per_slot;
     std::uint32_t m_announced_slots;
@@ -86,6 +112,10 @@
     std::uint32_t m_weight = 100;
     bool m_draining = false;
     std::uint64_t m_work = 0;
+    // Opening packets that wait in the agent.
+    std::uint64_t m_held = 0;
+    unreported_starts m_unreported;
+    service_time_estimator m_service_time;
     cold_start_limiter m_cold;
     progress_monitor m_progress;
     peer_loads m_peers;
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -8,7 +8,11 @@
 #include "crowlink/agent/deadline_queue.hpp"
 #include "crowlink/agent/effect_queue.hpp"
 #include "crowlink/agent/flow_table.hpp"
+#include "crowlink/agent/held_opening.hpp"
 #include "crowlink/agent/member_tables.hpp"
+#include "crowlink/agent/opening_counts.hpp"
+#include "crowlink/agent/opening_queue.hpp"
+#include "crowlink/agent/opening_verdict.hpp"
 #include "crowlink/agent/owner_search.hpp"
 #include "crowlink/agent/redirect_batch.hpp"
 #include "crowlink/agent/redirect_table.hpp"
@@ -16,9 +20,12 @@
 #include "crowlink/agent/returned_flows.hpp"
 #include "crowlink/agent/shed_coordinator.hpp"
 #include "crowlink/agent/silent_member_query.hpp"
+#include "crowlink/base/latency_histogram.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -42,8 +49,7 @@
     void handle(time_point now, const Event& event, Effects& effects)
     {
         on(now, event);
-        m_effects.flush(effects);
-        m_ended_searches.clear();
+        flush(effects);
     }
 
     template <agent_effects Effects>
@@ -55,8 +61,7 @@
             effects.deliver(event.header.flow, event.payload);
             return;
         }
-        m_effects.flush(effects);
-        m_ended_searches.clear();
+        flush(effects);
     }
 
     template <agent_effects Effects>
@@ -84,6 +89,18 @@
     upstream_tag tag() const { return m_tag; }
     const upstream_record& record() const { return m_record; }
     const agent_counts& counts() const { return m_counts; }
+    // Opening packets that wait for room at the upstream.
+    std::size_t held() const { return m_openings.size(); }
+    // By priority.
+    const std::map<std::uint32_t, opening_counts>& openings() const
+    {
+        return m_opening_counts;
+    }
+    // How long opening packets were held.
+    const latency_histogram& held_times() const { return m_held_times; }
+    // The header of a held packet that the present effects start or pass on;
+    // null for other flows.
+    const packet_header* released_header(const flow_key& flow) const;
 
 private:
     enum class route : std::uint8_t
@@ -100,6 +117,14 @@
         done,
     };
 
+    template <agent_effects Effects>
+    void flush(Effects& effects)
+    {
+        m_effects.flush(effects);
+        m_ended_searches.clear();
+        m_released.clear();
+    }
+
     // Packets.
     route route_of(time_point now, const packet_arrived& event);
     static bool reuses_closed_flow(const internal::flow_entry& entry,
@@ -185,8 +210,10 @@
                 const packet_arrived& event);
     void place(time_point now, const packet_header& header,
                const packet_arrived& event);
-    void place_elsewhere(time_point now, packet_header header,
-                         const packet_arrived& event);
+    std::optional<candidate> place_elsewhere(time_point now,
+                                             packet_header header,
+                                             const packet_arrived& event,
+                                             std::string_view reason);
     void refuse(time_point now, const packet_header& header,
                 const packet_arrived& event);
     void accept_flow(time_point now, const packet_header& header,
@@ -201,6 +228,37 @@
     std::size_t next_usable(const packet_header& header,
                             std::size_t from) const;
 
+    // Held opening packets.
+    const route_terms* queue_terms(time_point now,
+                                   const packet_header& header) const;
+    bool takes_openings(time_point now) const;
+    bool can_open(time_point now, const packet_header& header);
+    internal::opening_verdict judge_opening(time_point now,
+                                            const packet_header& header,
+                                            const packet_arrived& event,
+                                            const route_terms& terms);
+    void evaluate_opening(time_point now, packet_header header,
+                          const packet_arrived& event,
+                          const route_terms& terms);
+    void settle_opening(time_point now, const packet_header& header,
+                        const packet_arrived& event, const route_terms& terms,
+                        std::string_view reason);
+    void refuse_opening(const internal::held_opening& opening,
+                        payload_view payload,
+                        const internal::planned_opening& planned,
+                        time_point now);
+    void advance_openings(time_point now);
+    void start_held(time_point now, const flow_key& flow);
+    const internal::held_opening& release(time_point now,
+                                          internal::held_opening opening);
+    void pass_on_openings(time_point now);
+    bool take_for_held(const packet_arrived& event);
+    void drop_held(const flow_key& flow, std::string_view reason);
+    void held_changed();
+    void decide_opening(flow_action action, const packet_header& header,
+                        std::string_view reason, duration expected,
+                        duration limit);
+
     // Flows.
     const endpoint* answered(time_point now, const upstream_answered& event);
     void note_caller_packet(time_point now, internal::flow_entry& entry,
@@ -293,6 +351,12 @@
     // Searches that ended with the current event; its effects refer to their
     // payloads.
     std::vector<internal::searched_flow> m_ended_searches;
+    internal::opening_queue m_openings;
+    // Held packets that the current event started, refused or passed on; its
+    // effects refer to their payloads.
+    std::vector<internal::held_opening> m_released;
+    std::map<std::uint32_t, opening_counts> m_opening_counts;
+    latency_histogram m_held_times;
     agent_counts m_counts;
 
     // The generation of tables that redirects are checked against, and the
--- a/packages/agent/include/crowlink/agent/agent_events.hpp
+++ b/packages/agent/include/crowlink/agent/agent_events.hpp
@@ -42,6 +42,9 @@
     // The packet's offset in the caller's byte stream: retransmissions of a
     // packet have the same sequence.
     std::uint32_t sequence = 0;
+    // Of an opening packet: 0 for the first one, 1 and 2 for the copies that
+    // the caller sent 200 and 600 ms after it.
+    std::uint32_t copy = 0;
 };
 
 // The upstream sent a packet to the caller of a flow.
--- a/packages/agent/include/crowlink/agent/cold_start_limiter.hpp
+++ b/packages/agent/include/crowlink/agent/cold_start_limiter.hpp
@@ -33,6 +33,8 @@
     {
         return allows(now + time);
     }
+    // How long until a flow is allowed that `ahead` others precede.
+    duration wait(time_point now, std::uint64_t ahead) const;
     void admitted(time_point now);
 
     // How much of the limit is used, in millionths.
--- a/packages/agent/include/crowlink/agent/flow_decision.hpp
+++ b/packages/agent/include/crowlink/agent/flow_decision.hpp
@@ -22,6 +22,8 @@
     refused,
     // Neither admitted nor refused: the caller retransmits by itself.
     deferred,
+    // Waits in the agent for room at the upstream.
+    held,
     reset,
     closed,
     yielded,
@@ -46,6 +48,8 @@
         return "refused";
     case flow_action::deferred:
         return "deferred";
+    case flow_action::held:
+        return "held";
     case flow_action::reset:
         return "reset";
     case flow_action::closed:
@@ -74,6 +78,12 @@
     std::uint32_t load = 0;
     // One word; static storage.
     std::string_view reason;
+    // For openings that were held, or refused because they could not be served
+    // in time: when the request would be completed, by when it had to be, and
+    // how many packets are held. No limit for other decisions.
+    std::uint32_t expected_ms = 0;
+    std::uint32_t limit_ms = 0;
+    std::uint32_t held = 0;
 
     friend auto operator<=>(const flow_decision&,
                             const flow_decision&) = default;
--- a/packages/agent/include/crowlink/agent/flow_refusal.hpp
+++ b/packages/agent/include/crowlink/agent/flow_refusal.hpp
@@ -25,6 +25,10 @@
     silent,
     // Another agent owned the flow for longer.
     duplicate,
+    // The request could not be completed while its caller waits.
+    too_late,
+    // The queue of opening packets is full.
+    queue_full,
 };
 
 constexpr std::string_view to_string(refusal_reason reason)
@@ -43,6 +47,10 @@
         return "silent";
     case refusal_reason::duplicate:
         return "duplicate";
+    case refusal_reason::too_late:
+        return "too_late";
+    case refusal_reason::queue_full:
+        return "queue_full";
     }
     return "unknown";
 }
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -19,6 +19,8 @@
 // When the goal is continuity, a head whose load exceeds the mean by up to this
 // much keeps the flow.
 constexpr std::uint32_t continuity_excess_percent = 10;
+// One runs and one covers the round trip of the next handshake.
+constexpr std::uint32_t window_per_slot = 2;
 
 std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
 {
@@ -34,6 +36,7 @@
     {
         m_limits.slots = m_announced_slots;
     }
+    m_service_time.set_slots(m_limits.slots);
     m_cold.set_limit(declared.limits.cold_flows_per_second);
     m_sharing = declared.sharing;
     m_weight = std::max(weight, 1U);
@@ -45,16 +48,26 @@
     {
         m_announced_slots = slots;
         m_limits.slots = slots;
+        m_service_time.set_slots(slots);
     }
 }
 
+void admission::started(time_point now, std::uint32_t weight)
+{
+    m_work += weight;
+    m_unreported.reported();
+    m_service_time.note_running(now, m_work);
+}
+
 void admission::ended(time_point now, std::uint32_t weight, bool completed)
 {
     m_work -= std::min<std::uint64_t>(m_work, weight);
     if (completed)
     {
         m_progress.progressed(now);
+        m_service_time.note_completed(now);
     }
+    m_service_time.note_running(now, m_work);
 }
 
 void admission::assess(time_point now)
@@ -67,7 +80,7 @@
 {
     const std::uint64_t used =
         std::max({millionths(flows, m_limits.connections),
-                  millionths(m_work, m_limits.slots),
+                  millionths(m_work + m_held, m_limits.slots),
                   std::uint64_t{m_cold.used(m_now)}});
     const std::uint64_t capacity =
         static_cast<std::uint64_t>(m_weight) * share(m_now) / default_weight;
@@ -115,6 +128,36 @@
     return !is_shedding(now) || now >= m_next_trial;
 }
 
+bool admission::takes_new_flows(time_point now) const
+{
+    return !m_draining && (!is_shedding(now) || now >= m_next_trial);
+}
+
+std::uint64_t admission::running(time_point now)
+{
+    return m_work + m_unreported.count(now);
+}
+
+bool admission::has_window(time_point now, std::size_t flows)
+{
+    const std::uint32_t per_slot =
+        service_time(now) ? std::min(window_per_slot, m_work_per_slot)
+                          : m_work_per_slot;
+    return flows < m_limits.connections && m_cold.allows(now) &&
+           running(now) < std::uint64_t{per_slot} * m_limits.slots;
+}
+
+bool admission::has_free_slot(time_point now)
+{
+    return running(now) < m_limits.slots;
+}
+
+completion_estimate admission::completion(time_point now)
+{
+    return completion_estimate(now, m_cold, running(now), m_limits.slots,
+                               service_time(now).value_or(duration::zero()));
+}
+
 bool admission::wants_trial(time_point now) const
 {
     return is_shedding(now) && now >= m_next_trial;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -60,7 +60,7 @@
     const packet_arrived again{header, event.payload};
     if (header.role == packet_role::opens)
     {
-        place_elsewhere(now, header, again);
+        (void)place_elsewhere(now, header, again, "returned_by_upstream");
     }
     else if (header.role == packet_role::continues)
     {
@@ -108,7 +108,7 @@
     send_batch();
 }
 
-void agent::on(time_point, const upstream_failed&)
+void agent::on(time_point now, const upstream_failed&)
 {
     ++m_counts.upstream_failed;
     while (const internal::flow_entry* entry = m_flows.least_recent())
@@ -120,6 +120,7 @@
     // The agent stays in this state until it restarts.
     m_leaving = true;
     m_admission.set_draining(true);
+    advance_openings(now);
     set_state(upstream_state::gone);
 }
 
@@ -200,23 +201,28 @@
         m_flows.rewind();
     }
     restart_silent_queries(now);
+    advance_openings(now);
+    send_batch();
 }
 
-void agent::on(time_point, const leave_requested&)
+void agent::on(time_point now, const leave_requested&)
 {
     m_leaving = true;
     m_admission.set_draining(true);
+    advance_openings(now);
     set_state(upstream_state::draining);
 }
 
-void agent::on(time_point, const work_started& event)
+void agent::on(time_point now, const work_started& event)
 {
-    m_admission.started(event.weight);
+    m_admission.started(now, event.weight);
 }
 
 void agent::on(time_point now, const work_ended& event)
 {
     m_admission.ended(now, event.weight, event.completed);
+    advance_openings(now);
+    send_batch();
 }
 
 void agent::on(time_point now, const tick&)
@@ -245,6 +251,7 @@
     {
         assess(now);
     }
+    advance_openings(now);
     send_batch();
 }
 
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -36,6 +36,12 @@
 void agent::evaluate_admission(time_point now, packet_header header,
                                const packet_arrived& event)
 {
+    const route_terms* terms = queue_terms(now, header);
+    if (terms != nullptr)
+    {
+        evaluate_opening(now, header, event, *terms);
+        return;
+    }
     const std::size_t flows = m_flows.open_count();
     if (m_admission.can_admit(now, flows))
     {
@@ -77,12 +83,20 @@
 void agent::choose(time_point now, packet_header header,
                    const packet_arrived& event)
 {
+    const route_terms* terms = queue_terms(now, header);
     if (header.best == packet_header::no_position)
     {
-        refuse(now, header, event);
+        terms == nullptr
+            ? refuse(now, header, event)
+            : settle_opening(now, header, event, *terms, "no_candidate");
         return;
     }
     const candidate chosen = *internal::candidate_at(header, header.best);
+    if (chosen == m_self && terms != nullptr)
+    {
+        settle_opening(now, header, event, *terms, "least_load");
+        return;
+    }
     if (chosen == m_self)
     {
         accept_flow(now, header, event, flow_action::admitted, "least_load");
@@ -109,6 +123,12 @@
         start_search(now, header, event);
         return;
     }
+    const route_terms* terms = queue_terms(now, header);
+    if (terms != nullptr)
+    {
+        settle_opening(now, header, event, *terms, "least_load");
+        return;
+    }
     if (!m_admission.can_admit(now, m_flows.open_count()))
     {
         refuse(now, header, event);
@@ -118,9 +138,12 @@
 }
 
 // Tries the other candidates once each, in order after the one that returned
-// the packet first; `best` holds that one's position.
-void agent::place_elsewhere(time_point now, packet_header header,
-                            const packet_arrived& event)
+// the packet first; `best` holds that one's position. Returns the candidate
+// that gets the packet; empty if it was refused.
+std::optional<candidate> agent::place_elsewhere(time_point now,
+                                                packet_header header,
+                                                const packet_arrived& event,
+                                                std::string_view reason)
 {
     const std::size_t count = header.current.size();
     const std::size_t own = internal::position_of(header, m_self);
@@ -129,7 +152,7 @@
     if (own >= count)
     {
         refuse(now, header, event);
-        return;
+        return std::nullopt;
     }
     if (is_first || header.best == header.position)
     {
@@ -144,12 +167,13 @@
     if (next == header.best || next == own)
     {
         refuse(now, header, event);
-        return;
+        return std::nullopt;
     }
     header.pass = packet_pass::place;
     header.position = static_cast<std::uint8_t>(next);
     ++m_counts.handed_off;
-    forward(header, event, flow_action::handed_off, "returned_by_upstream");
+    forward(header, event, flow_action::handed_off, reason);
+    return header.current[next];
 }
 
 void agent::refuse(time_point now, const packet_header& header,
@@ -160,7 +184,8 @@
                                       : refusal_reason::full;
     // Work ends within milliseconds, so that a retransmission may be admitted;
     // a refusal would only make the caller return with a new flow.
-    if (event.will_retransmit && m_admission.has_room_soon(now))
+    if (event.will_retransmit && queue_terms(now, header) == nullptr &&
+        m_admission.has_room_soon(now))
     {
         ++m_counts.deferred;
         m_redirects.erase(header.flow);
@@ -190,6 +215,10 @@
     {
         m_admission.admitted(now);
     }
+    if (queue_terms(now, header) != nullptr)
+    {
+        m_admission.opened(now);
+    }
     note_caller_packet(now, entry, event.need);
     m_effects.add(internal::deliver_effect{header.flow, event.payload});
     decide(how, header.flow, header.table, m_self, reason);
--- a/packages/agent/src/agent_packets.cpp
+++ b/packages/agent/src/agent_packets.cpp
@@ -18,11 +18,15 @@
     }
     internal::flow_entry* entry = m_flows.find(event.header.flow);
     if (entry != nullptr && reuses_closed_flow(*entry, event) &&
-        !m_admission.can_admit(now, m_flows.open_count()))
+        !can_open(now, event.header))
     {
         end_flow(event.header.flow, "no_room");
         entry = nullptr;
     }
+    if (entry == nullptr && take_for_held(event))
+    {
+        return route::elsewhere;
+    }
     if (entry == nullptr)
     {
         find_or_place(now, event);
@@ -71,7 +75,7 @@
     (void)internal::replace_former_incarnation(header, m_self);
     return route_of(now, packet_arrived{header, event.payload, event.need,
                                         event.finishes, event.will_retransmit,
-                                        event.sequence});
+                                        event.sequence, event.copy});
 }
 
 // Forwards an opening packet that arrived here by mistake to the next
@@ -133,6 +137,10 @@
     if (reuses_closed_flow(entry, event))
     {
         m_admission.admitted(now);
+        if (queue_terms(now, event.header) != nullptr)
+        {
+            m_admission.opened(now);
+        }
         reopen(entry);
     }
     const bool unchecked = entry.checked != m_check;
--- a/packages/agent/src/agent_redirects.cpp
+++ b/packages/agent/src/agent_redirects.cpp
@@ -266,6 +266,7 @@
             owned.flow, refusal_reason::duplicate});
         end_flow(owned.flow, "yielded");
     }
+    drop_held(owned.flow, "owned_elsewhere");
     const internal::redirect_entry* known = m_redirects.find(owned.flow, now);
     const bool differs = known != nullptr && !known->is_hint() &&
                          known->to != message.owner &&
--- a/packages/agent/src/agent_silent.cpp
+++ b/packages/agent/src/agent_silent.cpp
@@ -105,6 +105,10 @@
         m_effects.add(internal::deliver_effect{header.flow, event.payload});
         return;
     }
+    if (m_openings.find(header.flow) != nullptr)
+    {
+        return;
+    }
     if (has_owner && follow_redirect(now, event, *known))
     {
         return;
--- a/packages/agent/src/cold_start_limiter.cpp
+++ b/packages/agent/src/cold_start_limiter.cpp
@@ -16,6 +16,28 @@
     return now >= m_history_unknown_until && recent(now) < m_limit;
 }
 
+duration cold_start_limiter::wait(time_point now, std::uint64_t ahead) const
+{
+    if (!is_limiting(now))
+    {
+        return duration::zero();
+    }
+    // Each flow makes room for the next one a window later.
+    const std::size_t used = recent(now);
+    const std::size_t unused = m_limit > used ? m_limit - used : 0;
+    time_point at = std::max(now, m_history_unknown_until);
+    if (ahead >= unused)
+    {
+        const std::uint64_t later = ahead - unused;
+        const auto rounds = static_cast<duration::rep>(later / m_limit);
+        const std::size_t index = later % m_limit;
+        const time_point freed =
+            index < used ? m_admitted[m_admitted.size() - used + index] : now;
+        at = std::max(at, freed + window * (rounds + 1));
+    }
+    return std::min(at, m_cold_until) - now;
+}
+
 void cold_start_limiter::admitted(time_point now)
 {
     if (m_limit == 0)
--- /dev/null
+++ b/packages/agent/src/completion_estimate.cpp
@@ -0,0 +1,17 @@
+#include "crowlink/agent/completion_estimate.hpp"
+
+#include <algorithm>
+
+namespace crowlink::internal
+{
+
+duration completion_estimate::with_ahead(std::uint64_t ahead) const
+{
+    const auto position = static_cast<duration::rep>(m_running + ahead + 1);
+    const duration by_work =
+        std::max(m_service_time, m_service_time * position /
+                                     static_cast<duration::rep>(m_slots));
+    return std::max(by_work, m_cold.wait(m_now, ahead) + m_service_time);
+}
+
+} // namespace crowlink::internal
--- a/packages/agent/test/work_limit_test.cpp
+++ b/packages/agent/test/work_limit_test.cpp
@@ -125,7 +125,7 @@
         else if (m_queue.size() < upstream_queue)
         {
             m_queue.push_back(next);
-            m_admission.started(1);
+            m_admission.started(next.at, 1);
         }
         else
         {
@@ -137,7 +137,7 @@
     void run(const event& next)
     {
         ++m_running;
-        m_admission.started(1);
+        m_admission.started(next.at, 1);
         event end = next;
         end.at = next.at + run_time;
         end.ends = true;
--- a/packages/daemon/src/agent/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -171,7 +171,7 @@
             m_delivery.handling(&packet->header);
             handle(packet_arrived{packet->header, packet->payload, nature->need,
                                   nature->finishes, nature->comes_again,
-                                  nature->sequence});
+                                  nature->sequence, nature->copy});
             m_delivery.handling(nullptr);
         }
         else
@@ -316,6 +316,8 @@
         totals.redirects = m_core->redirects();
         totals.load = m_core->load();
         totals.counts = m_core->counts();
+        totals.held = m_core->held();
+        totals.openings = m_core->openings();
     }
     totals.undecodable = m_undecodable;
     totals.handed_on = m_handed_on;
@@ -327,6 +329,12 @@
         m_delivery.answer_times().write_to(
             report, "crowlink_agent_answer_milliseconds",
             fmt::format("upstream=\"{}\"", m_self.id.value()));
+        if (m_core)
+        {
+            m_core->held_times().write_to(
+                report, "crowlink_agent_held_milliseconds",
+                fmt::format("upstream=\"{}\"", m_self.id.value()));
+        }
     }
     m_gauges.report.publish(std::make_shared<const metrics>(std::move(report)));
 }
--- a/packages/daemon/src/agent/agent_loop_effects.hpp
+++ b/packages/daemon/src/agent/agent_loop_effects.hpp
@@ -22,6 +22,20 @@
         m_stage.take_from_caller(m_now, flow, payload);
         return;
     }
+    if constexpr (has_flow_packets)
+    {
+        // A held packet starts in another event than that of its arrival; its
+        // header is needed if the upstream returns it.
+        const packet_header* header =
+            m_core ? m_core->released_header(flow) : nullptr;
+        if (header != nullptr)
+        {
+            m_delivery.handling(header);
+            m_undelivered += m_delivery.deliver(flow, payload) ? 0 : 1;
+            m_delivery.handling(nullptr);
+            return;
+        }
+    }
     m_undelivered += m_delivery.deliver(flow, payload) ? 0 : 1;
 }
 
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -3,6 +3,7 @@
 #include "crowlink/requests/answer_reason.hpp"
 
 #include <fmt/format.h>
+#include <utility>
 
 namespace crowlink::internal
 {
@@ -75,6 +76,26 @@
     add("packets_before_upstream_known_total", totals.handed_on);
     add("datagrams_unsent_total", totals.unsent);
     add("payloads_undelivered_total", totals.undelivered);
+    add("openings_held", totals.held);
+    for (const auto& [priority, openings] : totals.openings)
+    {
+        const auto add_by_priority =
+            [&out, &self, level = priority](std::string_view name,
+                                            std::string_view more,
+                                            std::uint64_t value)
+        {
+            out.count(fmt::format("crowlink_agent_openings_{}_total{{"
+                                  "upstream=\"{}\",priority=\"{}\"{}}}",
+                                  name, self.id.value(), level, more),
+                      value);
+        };
+        add_by_priority("held", "", openings.held);
+        add_by_priority("started", "", openings.started);
+        add_by_priority("refused", ",reason=\"too_late\"",
+                        openings.refused_too_late);
+        add_by_priority("refused", ",reason=\"queue_full\"",
+                        openings.refused_queue_full);
+    }
     return out;
 }
 
@@ -113,15 +134,23 @@
 
 log_line to_log_line(const upstream_record& self, const flow_decision& decision)
 {
-    return log_line(level_of(decision.action), "placement")
-        .field("upstream", self.id.value())
-        .field("action", to_string(decision.action))
-        .field("service", decision.service.value())
-        .field("flow", decision.flow.to_string())
-        .field("table", decision.table)
-        .field("chosen", decision.chosen.agent.to_string())
-        .field("load", decision.load)
-        .field("reason", decision.reason);
+    log_line line = log_line(level_of(decision.action), "placement")
+                        .field("upstream", self.id.value())
+                        .field("action", to_string(decision.action))
+                        .field("service", decision.service.value())
+                        .field("flow", decision.flow.to_string())
+                        .field("table", decision.table)
+                        .field("chosen", decision.chosen.agent.to_string())
+                        .field("load", decision.load)
+                        .field("reason", decision.reason);
+    if (decision.limit_ms > 0 || decision.expected_ms > 0)
+    {
+        line = std::move(line)
+                   .field("expected_ms", decision.expected_ms)
+                   .field("limit_ms", decision.limit_ms)
+                   .field("held", decision.held);
+    }
+    return line;
 }
 
 log_line to_log_line(const upstream_record& self,
--- a/packages/daemon/src/agent/agent_report.hpp
+++ b/packages/daemon/src/agent/agent_report.hpp
@@ -3,12 +3,14 @@
 #include "agent/passing_request.hpp"
 #include "crowlink/agent/agent_counts.hpp"
 #include "crowlink/agent/flow_decision.hpp"
+#include "crowlink/agent/opening_counts.hpp"
 #include "crowlink/base/log_line.hpp"
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/model/upstream_record.hpp"
 #include "crowlink/requests/admission_effects.hpp"
 
 #include <cstdint>
+#include <map>
 
 namespace crowlink::internal
 {
@@ -21,6 +23,9 @@
     // In millionths of what the upstream can take.
     std::uint32_t load = 0;
     agent_counts counts;
+    // Opening packets that wait, and what became of them by priority.
+    std::size_t held = 0;
+    std::map<std::uint32_t, opening_counts> openings;
     // Datagrams that were no message of ours, that the kernel did not take,
     // and payloads that did not reach the upstream.
     std::uint64_t undecodable = 0;
--- a/packages/daemon/src/agent/caller_notice.cpp
+++ b/packages/daemon/src/agent/caller_notice.cpp
@@ -11,6 +11,8 @@
     switch (reason)
     {
     case refusal_reason::full:
+    case refusal_reason::too_late:
+    case refusal_reason::queue_full:
         return notice_reason::overloaded;
     case refusal_reason::leaving:
         return notice_reason::unavailable;
--- a/packages/daemon/src/agent/flow_delivery.cpp
+++ b/packages/daemon/src/agent/flow_delivery.cpp
@@ -58,7 +58,8 @@
         packet->flags.opens && packet->acknowledgement < last_opening_copy;
     return packet_nature{wants_answer ? answer_need::required
                                       : answer_need::none,
-                         packet->flags.finishes, comes_again, packet->sequence};
+                         packet->flags.finishes, comes_again, packet->sequence,
+                         packet->flags.opens ? packet->acknowledgement : 0};
 }
 
 bool flow_delivery::deliver(const flow_key& flow, payload_view payload)
--- a/packages/daemon/src/agent/flow_delivery.hpp
+++ b/packages/daemon/src/agent/flow_delivery.hpp
@@ -29,6 +29,8 @@
     bool finishes = false;
     bool comes_again = false;
     std::uint32_t sequence = 0;
+    // Of an opening packet; see packet_arrived.
+    std::uint32_t copy = 0;
 };
 
 // Something that came from the upstream.
