--- a/packages/agent/include/crowlink/agent/opening_deadline.hpp
+++ b/packages/agent/include/crowlink/agent/opening_deadline.hpp
@@ -13,6 +13,11 @@
 {
     // For its response to be within the aim of the route.
     time_point aim{};
+    // By when a packet must be expected to be answered to be held as one in
+    // time. Half of the aim is left for urgent packets that come later and
+    // start before it, and for earlier attempts of the caller, which this
+    // packet does not show.
+    time_point entry{};
     // For its caller not to have given up.
     time_point last{};
 
--- a/packages/agent/src/agent_opening_queue.cpp
+++ b/packages/agent/src/agent_opening_queue.cpp
@@ -138,19 +138,20 @@
                            const packet_arrived& event,
                            const route_terms& terms, std::string_view reason)
 {
-    if (!takes_openings(now))
+    const opening_verdict verdict = judge_opening(now, header, event, terms);
+    const bool takes = takes_openings(now);
+    if (takes && verdict.starts)
     {
-        refuse(now, header, event);
+        accept_flow(now, header, event, flow_action::admitted, reason);
         return;
     }
-    const opening_verdict verdict = judge_opening(now, header, event, terms);
-    if (verdict.starts)
+    if (!takes || m_admission.is_shedding(now))
     {
-        accept_flow(now, header, event, flow_action::admitted, reason);
+        refuse(now, header, event);
         return;
     }
     held_opening opening = make_held(now, header, event, terms);
-    if (m_admission.is_shedding(now) || !internal::is_held(verdict.outcome))
+    if (!internal::is_held(verdict.outcome))
     {
         refuse_opening(opening, event.payload,
                        internal::planned_opening{&opening, verdict.outcome,
@@ -262,6 +263,7 @@
     for (held_opening& each : all)
     {
         const held_opening& opening = release(now, std::move(each));
+        ++m_opening_counts[opening.priority].passed_on;
         const packet_header header = opening.header;
         const auto to =
             place_elsewhere(now, header, event_of(opening), "held_by_leaving");
--- a/packages/agent/src/opening_deadline.cpp
+++ b/packages/agent/src/opening_deadline.cpp
@@ -26,7 +26,8 @@
     const std::size_t known =
         std::min<std::size_t>(copy, copy_times.size() - 1);
     const time_point base = now - copy_times.at(known) - path_allowance;
-    return opening_deadline{base + terms.aim,
+    const time_point aim = base + terms.aim;
+    return opening_deadline{aim, std::min(aim, now + terms.aim / 2),
                             base + std::min(terms.timeout, opening_timeout)};
 }
 
--- a/packages/agent/src/opening_queue.cpp
+++ b/packages/agent/src/opening_queue.cpp
@@ -78,7 +78,9 @@
         const held_opening& each = *list.back();
         list.pop_back();
         const duration expected = estimate.with_ahead(planned.size());
-        if (now + expected <= each.deadline.aim && fits(each))
+        const time_point limit =
+            &each == added ? each.deadline.entry : each.deadline.aim;
+        if (now + expected <= limit && fits(each))
         {
             turns.started(waiting, level);
             put(each, hold_outcome::in_time, expected);
@@ -92,12 +94,13 @@
             std::erase(waiting, level);
         }
     }
+    const bool any_in_time = !planned.empty();
     hold_plan refused;
     for (const held_opening* each : not_in_time)
     {
         const duration expected = estimate.with_ahead(planned.size());
         const bool is_in_reach = now + expected <= each->deadline.last &&
-                                 now < each->since + each->aim;
+                                 now < each->since + each->aim && !any_in_time;
         if (is_in_reach && fits(*each))
         {
             put(*each, hold_outcome::late, expected);
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -91,6 +91,7 @@
         };
         add_by_priority("held", "", openings.held);
         add_by_priority("started", "", openings.started);
+        add_by_priority("passed_on", "", openings.passed_on);
         add_by_priority("refused", ",reason=\"too_late\"",
                         openings.refused_too_late);
         add_by_priority("refused", ",reason=\"queue_full\"",
