--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -25,6 +25,8 @@
 constexpr std::int64_t max_chance_above = 1250;
 constexpr std::int64_t least_relative_time = equal_time / 8;
 constexpr std::int64_t greatest_relative_time = equal_time * 8;
+// One runs and one covers the round trip of the next handshake.
+constexpr std::uint32_t window_per_slot = 2;
 
 std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
 {
@@ -59,6 +61,12 @@
     }
 }
 
+void admission::started(std::uint32_t weight)
+{
+    m_work += weight;
+    m_unreported.reported();
+}
+
 void admission::ended(time_point now, std::uint32_t weight, bool completed)
 {
     m_work -= std::min<std::uint64_t>(m_work, weight);
@@ -105,8 +113,8 @@
 
 std::uint32_t admission::load(std::size_t flows) const
 {
-    const std::uint64_t work =
-        millionths(m_work, m_limits.slots) * m_relative_time / equal_time;
+    const std::uint64_t work = millionths(m_work + m_held, m_limits.slots) *
+                               m_relative_time / equal_time;
     const std::uint64_t used =
         std::max({millionths(flows, m_limits.connections), work,
                   std::uint64_t{m_cold.used(m_now)}});
@@ -156,6 +164,36 @@
     return !is_shedding(now) || now >= m_next_trial;
 }
 
+bool admission::takes_new_flows(time_point now) const
+{
+    return !m_draining && (!is_shedding(now) || now >= m_next_trial);
+}
+
+std::uint64_t admission::running(time_point now)
+{
+    return m_work + m_unreported.count(now);
+}
+
+bool admission::has_window(time_point now, std::size_t flows)
+{
+    const std::uint32_t per_slot =
+        service_time(now) ? std::min(window_per_slot, m_work_per_slot)
+                          : m_work_per_slot;
+    return flows < m_limits.connections && m_cold.allows(now) &&
+           running(now) < std::uint64_t{per_slot} * m_limits.slots;
+}
+
+bool admission::has_free_slot(time_point now)
+{
+    return running(now) < m_limits.slots;
+}
+
+completion_estimate admission::completion(time_point now)
+{
+    return completion_estimate(now, m_cold, running(now), m_limits.slots,
+                               service_time(now).value_or(duration::zero()));
+}
+
 bool admission::wants_trial(time_point now) const
 {
     return is_shedding(now) && now >= m_next_trial;
--- a/packages/daemon/src/agent/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -171,7 +171,7 @@
             m_delivery.handling(&packet->header);
             handle(packet_arrived{packet->header, packet->payload, nature->need,
                                   nature->finishes, nature->comes_again,
-                                  nature->sequence});
+                                  nature->sequence, nature->copy});
             m_delivery.handling(nullptr);
         }
         else
@@ -319,6 +319,8 @@
             m_core->service_time(m_now).value_or(duration::zero());
         totals.relative_time_permille = m_core->relative_time_permille();
         totals.counts = m_core->counts();
+        totals.held = m_core->held();
+        totals.openings = m_core->openings();
     }
     totals.undecodable = m_undecodable;
     totals.handed_on = m_handed_on;
@@ -330,6 +332,12 @@
         m_delivery.answer_times().write_to(
             report, "crowlink_agent_answer_milliseconds",
             fmt::format("upstream=\"{}\"", m_self.id.value()));
+        if (m_core)
+        {
+            m_core->held_times().write_to(
+                report, "crowlink_agent_held_milliseconds",
+                fmt::format("upstream=\"{}\"", m_self.id.value()));
+        }
     }
     m_gauges.report.publish(std::make_shared<const metrics>(std::move(report)));
 }
--- a/packages/daemon/src/agent/agent_report.hpp
+++ b/packages/daemon/src/agent/agent_report.hpp
@@ -3,6 +3,7 @@
 #include "agent/passing_request.hpp"
 #include "crowlink/agent/agent_counts.hpp"
 #include "crowlink/agent/flow_decision.hpp"
+#include "crowlink/agent/opening_counts.hpp"
 #include "crowlink/base/log_line.hpp"
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/base/time.hpp"
@@ -10,6 +11,7 @@
 #include "crowlink/requests/admission_effects.hpp"
 
 #include <cstdint>
+#include <map>
 
 namespace crowlink::internal
 {
@@ -26,6 +28,9 @@
     duration service_time{};
     std::uint32_t relative_time_permille = 0;
     agent_counts counts;
+    // Opening packets that wait, and what became of them by priority.
+    std::size_t held = 0;
+    std::map<std::uint32_t, opening_counts> openings;
     // Datagrams that were no message of ours, that the kernel did not take,
     // and payloads that did not reach the upstream.
     std::uint64_t undecodable = 0;
--- a/packages/daemon/src/agent/flow_delivery.cpp
+++ b/packages/daemon/src/agent/flow_delivery.cpp
@@ -60,7 +60,8 @@
         packet->flags.opens && packet->acknowledgement < last_opening_copy;
     return packet_nature{wants_answer ? answer_need::required
                                       : answer_need::none,
-                         packet->flags.finishes, comes_again, packet->sequence};
+                         packet->flags.finishes, comes_again, packet->sequence,
+                         packet->flags.opens ? packet->acknowledgement : 0};
 }
 
 bool flow_delivery::deliver(const flow_key& flow, payload_view payload)
@@ -76,8 +77,14 @@
     // What comes again is no new work: the upstream answers it from what it
     // has, perhaps with nothing.
     const bool is_request = brings_data(known, *packet);
+    const bool is_whole = is_request && ends_request(*packet);
     const bool is_opening = packet->flags.opens && is_new;
-    if ((is_opening || is_request) && !known.is_busy)
+    if (is_request && !is_whole && !known.is_running)
+    {
+        // A body that is still on its way keeps no slot busy.
+        stop_counting(known);
+    }
+    if ((is_opening || is_whole) && !known.is_busy)
     {
         known.is_busy = true;
         known.since = m_now;
@@ -89,7 +96,7 @@
         note_request(flow, known, packet->data);
     }
     known.has_request = known.has_request || is_request;
-    if (is_request && !known.is_running && ends_request(*packet))
+    if (is_whole && !known.is_running)
     {
         known.is_running = true;
         ++m_running;
@@ -161,15 +168,25 @@
     m_flows.erase(found);
 }
 
+void flow_delivery::stop_counting(activity& flow)
+{
+    if (flow.is_busy)
+    {
+        flow.is_busy = false;
+        --m_at_work;
+        ++m_work.given_up;
+    }
+}
+
 void flow_delivery::end_work(activity& flow, bool completed)
 {
+    flow.has_request = false;
+    flow.request.clear();
     if (!flow.is_busy)
     {
         return;
     }
     flow.is_busy = false;
-    flow.has_request = false;
-    flow.request.clear();
     --m_at_work;
     ++(completed ? m_work.completed : m_work.given_up);
     if (flow.is_running)
--- a/packages/daemon/src/agent/flow_delivery.hpp
+++ b/packages/daemon/src/agent/flow_delivery.hpp
@@ -29,6 +29,8 @@
     bool finishes = false;
     bool comes_again = false;
     std::uint32_t sequence = 0;
+    // Of an opening packet; see packet_arrived.
+    std::uint32_t copy = 0;
 };
 
 // Something that came from the upstream.
@@ -142,6 +144,8 @@
                             const platform::wire_packet& packet);
     // Whether the packet is the last of a request's data.
     static bool ends_request(const platform::wire_packet& packet);
+    // The connection no longer counts as work, while its request goes on.
+    void stop_counting(activity& flow);
     void end_work(activity& flow, bool completed);
     void note_request(const flow_key& flow, activity& known, payload_view data);
     void note_answer(const flow_key& flow, activity& known, payload_view data);
--- a/packages/daemon/test/flow_delivery_test.cpp
+++ b/packages/daemon/test/flow_delivery_test.cpp
@@ -146,6 +146,28 @@
 }
 
 // What ends without an answer says nothing about the service time.
+// Uploads reach an upstream through slow links: counted as work while their
+// bodies arrive, a few of them would keep every slot busy that is free.
+TEST_F(delivery, body_on_its_way_is_no_work)
+{
+    constexpr std::uint16_t whole = 1200;
+    const time_point start{std::chrono::hours(1)};
+    (void)m_core.take_work(start);
+    EXPECT_TRUE(m_core.deliver(flow, packet(opens, 1, 0)));
+    EXPECT_TRUE(m_core.deliver(flow, packet(acknowledges, 2, whole)));
+    const work_change arriving = m_core.take_work(start);
+    EXPECT_EQ(arriving.started, 1U);
+    EXPECT_EQ(arriving.given_up, 1U);
+    // The last packet of the body, 1,200 bytes later.
+    auto last = packet(acknowledges, 0, 10);
+    last[3] = 4;
+    last[4] = 178;
+    EXPECT_TRUE(m_core.deliver(flow, last));
+    EXPECT_EQ(m_core.take_work(start).started, 1U);
+    m_core.answer_came(flow);
+    EXPECT_EQ(m_core.take_work(start).completed, 1U);
+}
+
 TEST_F(delivery, a_request_that_is_given_up_has_not_completed)
 {
     EXPECT_TRUE(m_core.deliver(flow, packet(opens, 1, 0)));
