--- a/packages/balancer/test/egress_scheduler_test.cpp
+++ b/packages/balancer/test/egress_scheduler_test.cpp
@@ -362,6 +362,45 @@
     }
 }
 
+// Bytes of an upload with packets waiting at all times that are sent in a
+// second, beside so many bytes in each millisecond without terms.
+std::size_t upload_bytes_beside(std::size_t plain_bytes)
+{
+    test_egress egress;
+    egress.use_burst();
+    std::size_t sent = 0;
+    for (int step = 0; step < 1000; ++step)
+    {
+        egress.advance(milliseconds(1));
+        EXPECT_EQ(egress.offer(1, nullptr, plain_bytes),
+                  egress_verdict::send_now);
+        for (std::uint64_t flow = 2; flow < 6; ++flow)
+        {
+            if (egress.offer(flow, &upload_terms, 1000) ==
+                egress_verdict::send_now)
+            {
+                sent += 1000;
+            }
+        }
+        while (const auto packet = egress.scheduler().take(egress.now()))
+        {
+            sent += packet->bytes.size();
+        }
+    }
+    return sent;
+}
+
+// Both count towards the link, which is paced at 900,000 bytes a second.
+TEST(egress_scheduler, packets_without_terms_take_from_the_pace)
+{
+    EXPECT_NEAR(static_cast<double>(upload_bytes_beside(300)), 600e3, 30e3);
+}
+
+TEST(egress_scheduler, packets_without_terms_leave_half_of_the_pace)
+{
+    EXPECT_NEAR(static_cast<double>(upload_bytes_beside(5000)), 450e3, 30e3);
+}
+
 TEST(egress_scheduler, tiny_and_huge_figures_still_send)
 {
     for (const double figure : {0.0, 1e-9, 1e6})
@@ -499,6 +538,30 @@
     EXPECT_NEAR(static_cast<double>(large), static_cast<double>(small), 3000.0);
 }
 
+TEST(fair_queue, the_longest_flow_loses_its_newest_packet)
+{
+    fair_queue queue(5000);
+    for (std::size_t size = 1001; size <= 1004; ++size)
+    {
+        EXPECT_EQ(queue.push(packet_of(1, size)), 0U);
+    }
+    EXPECT_EQ(queue.push(packet_of(2, 900)), 0U);
+    EXPECT_EQ(queue.push(packet_of(3, 900)), 1U);
+    std::vector<std::size_t> of_longest;
+    std::size_t others = 0;
+    while (!queue.empty())
+    {
+        const egress_packet packet = queue.pop();
+        if (packet.flow == 1)
+        {
+            of_longest.push_back(packet.bytes.size());
+        }
+        others += packet.flow == 1 ? 0 : 1;
+    }
+    EXPECT_EQ(of_longest, (std::vector<std::size_t>{1001, 1002, 1003}));
+    EXPECT_EQ(others, 2U);
+}
+
 TEST(fair_queue, bytes_and_flows_are_bounded_and_add_up)
 {
     fair_queue queue(100'000);
