--- a/bench/forwarding/path_bench.cpp
+++ b/bench/forwarding/path_bench.cpp
@@ -194,6 +194,30 @@
 }
 BENCHMARK(all_together)->ArgsProduct({{today, target}, {3, 7}, {64, 1400}});
 
+// What the egress scheduler adds on an idle host: to a packet of a class with
+// a small or a large body, or of a route without terms.
+void offer_on_idle_host(benchmark::State& state)
+{
+    const route_terms terms{state.range(0) == 2 ? request_class::upload
+                                                : request_class::safe};
+    const bytes packet(1400);
+    egress_offer offer;
+    offer.terms = state.range(0) == 0 ? nullptr : &terms;
+    offer.role = packet_role::continues;
+    offer.payload = packet;
+    offer.bytes = packet;
+    egress_scheduler scheduler(5.0);
+    time_point now{};
+    std::uint64_t next = 0;
+    for (auto _ : state)
+    {
+        now += std::chrono::milliseconds(3);
+        offer.flow = next++ % 64;
+        benchmark::DoNotOptimize(scheduler.offer(now, offer));
+    }
+}
+BENCHMARK(offer_on_idle_host)->Arg(0)->Arg(1)->Arg(2);
+
 // One service with many members; the first argument is how many chains the
 // traffic thread remembers.
 void all_together_many_members(benchmark::State& state)
