--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -17,7 +17,7 @@
 import shutil
 import sys
 import tempfile
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import schedule
@@ -26,6 +26,8 @@
 
 BUILD = Path("build/release")
 MOST_SHOWN = 20
+# Where a schedule strikes one of them.
+PACKET_AGENTS = 3
 
 log = logging.getLogger("soak")
 
@@ -74,12 +76,12 @@
 async def play(settings: Settings, arguments: argparse.Namespace, task: Task) -> bool:
     """Whether everything held."""
     folder = Path(tempfile.mkdtemp(prefix="crowlink-soak-"))
+    events = schedule.read(task.file) if task.file else []
+    if any(event.target.startswith("packet-") for event in events):
+        settings = replace(settings, packet_agents=PACKET_AGENTS)
     run = Run(settings, folder, task.number)
-    events = (
-        schedule.read(task.file)
-        if task.file
-        else schedule.drawn(task.seed, run.hosts, arguments.duration)
-    )
+    if not task.file:
+        events = schedule.drawn(task.seed, run.hosts, arguments.duration)
     violations = await run.play(events)
     log.info("%s: %s", task.name, "broken" if violations else "holds")
     for violation in violations[:MOST_SHOWN]:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 
+RESET = re.compile(r"^reset (?P<rest>.*)")
 MOVED = re.compile(r"^moved (?P<rest>.*)")
 UNANSWERED = re.compile(r"^unanswered (?P<rest>.*)")
 CALLERS_END = re.compile(r"^flows=\d+ .*wrong_service=(?P<wrong>\d+)")
@@ -38,6 +39,8 @@
             self._broken("a flow stays with its upstream", process, line)
         elif match := UNANSWERED.match(line):
             self._broken("a request is answered", process, line)
+        elif match := RESET.match(line):
+            self._broken("an open flow is not reset", process, line)
         elif match := CALLERS_END.match(line):
             if int(match["wrong"]) > 0:
                 self._broken("no other service answers", process, line)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -6,6 +6,7 @@
 import json
 import os
 import subprocess
+import sys
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -20,7 +21,14 @@
 ELECTION_MS = 300
 # Ports of a run's own loopback address; links take those from FIRST_LINK on.
 PEER, NODE, HTTP, TUNNEL, LISTEN, UPSTREAM = 3001, 3002, 3003, 3004, 3005, 3006
+OUTBOUND, ANNOUNCEMENTS = 3007, 3008
 SERVICE, GATEWAY, FIRST_LINK = 4001, 4100, 10001
+# Callers of flow packets, balancers and agents take them at one port.
+PACKETS = TUNNEL
+PACKET_SERVICE, PACKET_ADDRESS = "packets", "198.18.0.1:443"
+# What `number_of_service` makes of that name.
+PACKET_SERVICE_NUMBER = 1797228155
+PACKET_HOSTS = Path(__file__).with_name("packet_hosts.py")
 
 
 @dataclass(frozen=True)
@@ -34,6 +42,8 @@
     balancers: int = 3
     agents: int = 6
     log_level: str = "info"
+    # Agents whose upstreams announce themselves; a balancer stands before them.
+    packet_agents: int = 0
 
 
 def _names(role: str, count: int) -> tuple[str, ...]:
@@ -53,6 +63,8 @@
             _names("control", settings.controls),
             _names("balancer", settings.balancers),
             _names("agent", settings.agents),
+            _names("packet-agent", settings.packet_agents)
+            + ("packet-balancer-1", "packet-callers-1"),
         )
         self.links: list[Link] = []
         self.processes: dict[str, Process] = {}
@@ -73,6 +85,10 @@
         self.links.append(Link(client, server, listen, target))
         return listen
 
+    @property
+    def has_packet_hosts(self) -> bool:
+        return self._settings.packet_agents > 0
+
     def links_between(self, client: str, server: str) -> list[Link]:
         return [
             each
@@ -103,6 +119,7 @@
             self._add(name, self._balancer_settings(name))
         for name in self.hosts.agents:
             self._add(name, self._agent_settings(name))
+        self._add_packet_hosts()
         self._add_fabric()
         for link in self.links:
             await link.start()
@@ -199,6 +216,59 @@
             "agents": [agent],
         }
 
+    def _add_packet_hosts(self) -> None:
+        if self._settings.packet_agents == 0:
+            return
+        balancer = {
+            "mode": "flow_packets",
+            "listen": [str(self._address("packet-balancer-1", PACKETS))],
+            "tunnel": str(self._address("packet-balancer-1", LISTEN)),
+        }
+        self._add_node("packet-balancer-1", {"balancer": balancer})
+        for name in _names("packet-agent", self._settings.packet_agents):
+            listen = str(self._address(name, UPSTREAM))
+            announcements = str(self._address(name, ANNOUNCEMENTS))
+            agent = {
+                "delivery": "flow_packets",
+                "service_name": PACKET_SERVICE,
+                "upstream_address": listen,
+                "tunnel": str(self._address(name, PACKETS)),
+                "drain_seconds": 0,
+                "flow_packets": {
+                    "outbound": str(self._address(name, OUTBOUND)),
+                    "announcements": announcements,
+                    "health_path": "/health",
+                },
+            }
+            self._add_node(name, {"agents": [agent]})
+            self._add_packet_program(
+                f"upstream-{name}",
+                ("upstream", f"upstream-{name}", listen, announcements),
+                PACKET_SERVICE,
+            )
+
+    def _add_node(self, name: str, role: dict) -> None:
+        endpoints = self._control_endpoints(name)
+        self._add(
+            name, {**self._host(name), "control_endpoints": endpoints, **role}
+        )
+
+    def _add_packet_program(self, name: str, words: tuple, *rest: str) -> None:
+        command = [sys.executable, str(PACKET_HOSTS), *words, *rest]
+        self.processes[name] = Process(name, command, self._log)
+
+    def packet_callers(
+        self, flows: int, messages: int, gap_ms: int, tries: int
+    ) -> Process:
+        """A program of callers, not yet started; it ends by itself."""
+        numbers = [str(e) for e in (flows, messages, gap_ms, tries)]
+        command = [
+            sys.executable, str(PACKET_HOSTS), "callers",
+            str(self._address("packet-callers-1", PACKETS)), PACKET_ADDRESS,
+            *numbers, str(self._address("packet-balancer-1", PACKETS)),
+        ]  # fmt: skip
+        return Process("packet-callers", command, self._log)
+
     def _add_upstream(self, agent: str) -> None:
         name = f"upstream-{agent}"
         command = [
@@ -245,7 +315,14 @@
                     "protocol": "udp",
                     "addresses": [str(self.service)],
                     "cold_start_s": 0,
-                }
+                },
+                {
+                    "id": PACKET_SERVICE_NUMBER,
+                    "name": PACKET_SERVICE,
+                    "protocol": "tcp",
+                    "addresses": [PACKET_ADDRESS],
+                    "cold_start_s": 0,
+                },
             ],
         }
         file = self._folder / "services.jsonc"
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,7 +9,7 @@
 from checks import Checker, Violation
 from deployment import Deployment, Settings
 from faults import Injector
-from process import RunLog
+from process import Process, RunLog
 from schedule import Event, Hosts, written
 
 LONG_FLOWS = 48
@@ -61,13 +61,25 @@
             "long", LONG_FLOWS, messages, LONG_GAP_MS, TRIES
         )
         await long_flows.start()
+        packet_flows = await self._call_packet_hosts(messages)
         ending = asyncio.Event()
         new_flows = asyncio.ensure_future(self._call_new_flows(ending))
         await Injector(self._system, self._log).play(events)
         await long_flows.finished()
+        if packet_flows is not None:
+            await packet_flows.finished()
         ending.set()
         await new_flows
 
+    async def _call_packet_hosts(self, messages: int) -> Process | None:
+        if not self._system.has_packet_hosts:
+            return None
+        callers = self._system.packet_callers(
+            LONG_FLOWS, messages, LONG_GAP_MS, TRIES
+        )
+        await callers.start()
+        return callers
+
     async def _call_new_flows(self, ending: asyncio.Event) -> None:
         """Opens short flows, one batch after the other."""
         batch = 0
@@ -92,4 +104,5 @@
         statuses = await self._system.stop(signal.SIGTERM, LONGEST_STOP_S)
         self._log.close()
         for name in sum(vars(self.hosts).values(), ()):
-            self._checker.ended(name, statuses[name])
+            if name in statuses:
+                self._checker.ended(name, statuses[name])
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -57,6 +57,9 @@
     control: tuple[str, ...]
     balancers: tuple[str, ...]
     agents: tuple[str, ...]
+    # Those of the service whose upstreams announce themselves, with a host of
+    # callers; no seed draws them.
+    packets: tuple[str, ...] = ()
 
 
 # Faults of control last up to twice the time after which leases that nobody
--- a/bench/soak/test/test_checks.py
+++ b/bench/soak/test/test_checks.py
@@ -27,6 +27,12 @@
         line = "unanswered from=127.0.0.1:4 message=3 upstream=a answered_by="
         self.assertEqual(promises(("long", line)), ["a request is answered"])
 
+    def test_a_reset_of_an_open_flow_is_a_violation(self) -> None:
+        line = "reset from=127.0.0.1:4 message=3 upstream=a answered_by="
+        self.assertEqual(
+            promises(("packets", line)), ["an open flow is not reset"]
+        )
+
     def test_an_answer_of_another_service_is_a_violation(self) -> None:
         line = "flows=2 answered=3 sent=3 resent=0 wrong_service={} moved=0"
         self.assertEqual(promises(("long", line.format(0))), [])
--- a/packages/membership/test/announcer_test.cpp
+++ b/packages/membership/test/announcer_test.cpp
@@ -154,15 +154,15 @@
 
     std::vector<membership_send> refuse(std::uint64_t newest)
     {
-        return core.handle(
-            now, core.home(),
-            answer(core.record(), wire::ANNOUNCEMENT_OLDER, newest));
+        return m_core.handle(
+            m_now, m_core.home(),
+            answer(m_core.record(), wire::ANNOUNCEMENT_OLDER, newest));
     }
 
     void accept()
     {
-        core.handle(now, core.home(),
-                    answer(core.record(), wire::ANNOUNCEMENT_ACCEPTED));
+        m_core.handle(m_now, m_core.home(),
+                      answer(m_core.record(), wire::ANNOUNCEMENT_ACCEPTED));
     }
 
     static wire::member sent_record(const std::vector<membership_send>& sends)
@@ -171,26 +171,27 @@
                              : sends.front().message.announce().record();
     }
 
-    time_point now = start;
-    announcer core{upstream_settings(),
-                   record_of(incarnation(unreported_start), 10), 1, start};
+    time_point m_now = start;
+    announcer m_core{upstream_settings(),
+                     record_of(incarnation(unreported_start), 10), 1, start};
 };
 
 // Nodes would know the upstream by a tag that its agent does not have, and its
 // open flows would be reset.
 TEST_F(restarted_announcer, unreported_start_is_never_raised)
 {
-    next_send(core, now);
+    next_send(m_core, m_now);
     for (int refused = 0; refused < 5; ++refused)
     {
         EXPECT_TRUE(refuse(running).empty());
-        EXPECT_EQ(core.record().started.value(), unreported_start);
-        EXPECT_FALSE(core.accepted());
-        EXPECT_FALSE(core.superseded());
-        const time_point refused_at = now;
-        const auto again = next_send(core, now);
+        EXPECT_EQ(m_core.record().started.value(), unreported_start);
+        EXPECT_FALSE(m_core.accepted());
+        EXPECT_FALSE(m_core.superseded());
+        const time_point refused_at = m_now;
+        const auto again = next_send(m_core, m_now);
         EXPECT_EQ(sent_record(again).started(), unreported_start);
-        EXPECT_LE(now - refused_at, upstream_settings().backoff_limit + tenth);
+        EXPECT_LE(m_now - refused_at,
+                  upstream_settings().backoff_limit + tenth);
     }
 }
 
@@ -198,46 +199,50 @@
 // when the lease of its earlier agent runs out.
 TEST_F(restarted_announcer, reported_start_is_announced_at_once)
 {
-    next_send(core, now);
+    next_send(m_core, m_now);
     refuse(running);
-    const auto sends = core.restart(now, record_of(incarnation(running), 20));
+    const auto sends =
+        m_core.restart(m_now, record_of(incarnation(running), 20));
     EXPECT_EQ(sent_record(sends).started(), running);
     EXPECT_EQ(sent_record(sends).sequence(), 20U);
-    EXPECT_EQ(core.given_start(), incarnation(running));
+    EXPECT_EQ(m_core.given_start(), incarnation(running));
     accept();
-    EXPECT_TRUE(core.accepted());
-    EXPECT_TRUE(next_send(core, now)[0].message.has_renew());
+    EXPECT_TRUE(m_core.accepted());
+    EXPECT_TRUE(next_send(m_core, m_now)[0].message.has_renew());
 }
 
 // An answer to the first announcement must not count for the second one.
 TEST_F(restarted_announcer, late_answer_to_the_announcement_before_is_ignored)
 {
-    next_send(core, now);
-    const upstream_record before = core.record();
-    core.restart(now, record_of(incarnation(running), 20));
-    EXPECT_TRUE(core.handle(now, core.home(),
+    next_send(m_core, m_now);
+    const upstream_record before = m_core.record();
+    m_core.restart(m_now, record_of(incarnation(running), 20));
+    EXPECT_TRUE(m_core
+                    .handle(m_now, m_core.home(),
                             answer(before, wire::ANNOUNCEMENT_OLDER, running))
                     .empty());
-    core.handle(now, core.home(), answer(before, wire::ANNOUNCEMENT_ACCEPTED));
-    EXPECT_FALSE(core.accepted());
-    EXPECT_EQ(core.record().started, incarnation(running));
+    m_core.handle(m_now, m_core.home(),
+                  answer(before, wire::ANNOUNCEMENT_ACCEPTED));
+    EXPECT_FALSE(m_core.accepted());
+    EXPECT_EQ(m_core.record().started, incarnation(running));
     accept();
-    EXPECT_TRUE(core.accepted());
+    EXPECT_TRUE(m_core.accepted());
 }
 
 // The second announcement has its own tries at the home before the fail-over,
 // and a sequence that observers take for newer.
 TEST_F(restarted_announcer, unanswered_announcement_is_followed_by_a_newer_one)
 {
-    const auto first = next_send(core, now);
-    next_send(core, now);
-    const auto sends = core.restart(now, record_of(incarnation(running), 3));
+    const auto first = next_send(m_core, m_now);
+    next_send(m_core, m_now);
+    const auto sends =
+        m_core.restart(m_now, record_of(incarnation(running), 3));
     ASSERT_EQ(sends.size(), 1U);
     EXPECT_EQ(sends[0].to, first[0].to);
     EXPECT_EQ(sent_record(sends).sequence(), 11U);
-    EXPECT_EQ(next_send(core, now)[0].to, first[0].to);
+    EXPECT_EQ(next_send(m_core, m_now)[0].to, first[0].to);
     // Control is away: other observers are tried, with the reported start.
-    const auto elsewhere = next_send(core, now);
+    const auto elsewhere = next_send(m_core, m_now);
     EXPECT_NE(elsewhere[0].to, first[0].to);
     EXPECT_EQ(sent_record(elsewhere).started(), running);
 }
@@ -245,22 +250,23 @@
 // Its agent announced the upstream as gone, and the observers accepted that.
 TEST_F(restarted_announcer, announces_again_after_an_accepted_end)
 {
-    core.change(now, upstream_state::gone, 100);
+    m_core.change(m_now, upstream_state::gone, 100);
     accept();
-    ASSERT_TRUE(next_send(core, now).empty());
-    const auto sends = core.restart(now, record_of(incarnation(running), 20));
+    ASSERT_TRUE(next_send(m_core, m_now).empty());
+    const auto sends =
+        m_core.restart(m_now, record_of(incarnation(running), 20));
     EXPECT_EQ(sent_record(sends).state(), 0U);
     accept();
-    EXPECT_TRUE(next_send(core, now)[0].message.has_renew());
+    EXPECT_TRUE(next_send(m_core, m_now)[0].message.has_renew());
 }
 
 TEST_F(restarted_announcer, knows_no_observer_yet)
 {
     announcer lone(announcer_settings{{}, region_id("r")},
-                   record_of(incarnation(unreported_start)), 1, now);
-    EXPECT_TRUE(lone.restart(now, record_of(incarnation(running))).empty());
+                   record_of(incarnation(unreported_start)), 1, m_now);
+    EXPECT_TRUE(lone.restart(m_now, record_of(incarnation(running))).empty());
     lone.set_observers(settings().observers);
-    EXPECT_EQ(sent_record(lone.tick(now)).started(), running);
+    EXPECT_EQ(sent_record(lone.tick(m_now)).started(), running);
 }
 
 // The clock of the agent's host was set back by an hour, so that the sequence,
@@ -268,8 +274,8 @@
 TEST_F(restarted_announcer, sequence_exceeds_that_of_the_earlier_agent)
 {
     constexpr std::uint64_t held = 3'600'000;
-    next_send(core, now);
-    auto sends = core.restart(now, record_of(incarnation(running), 20));
+    next_send(m_core, m_now);
+    auto sends = m_core.restart(m_now, record_of(incarnation(running), 20));
     int rounds = 0;
     while (sent_record(sends).sequence() <= held && rounds < 20)
     {
@@ -280,39 +286,40 @@
     }
     EXPECT_LT(rounds, 20);
     accept();
-    EXPECT_TRUE(core.accepted());
+    EXPECT_TRUE(m_core.accepted());
 }
 
 // An agent of an earlier release raised the incarnation. Without an end to the
 // refusals the upstream would be lost for the life of a tombstone.
 TEST_F(restarted_announcer, reported_start_that_is_refused_twice_is_raised)
 {
-    next_send(core, now);
-    core.restart(now, record_of(incarnation(running), 20));
+    next_send(m_core, m_now);
+    m_core.restart(m_now, record_of(incarnation(running), 20));
     EXPECT_TRUE(refuse(running + 1).empty());
-    const time_point refused_at = now;
-    EXPECT_EQ(sent_record(next_send(core, now)).started(), running);
-    EXPECT_LE(now - refused_at, settings().renewal_interval + tenth);
+    const time_point refused_at = m_now;
+    EXPECT_EQ(sent_record(next_send(m_core, m_now)).started(), running);
+    EXPECT_LE(m_now - refused_at, settings().renewal_interval + tenth);
     EXPECT_EQ(sent_record(refuse(running + 1)).started(), running + 2);
-    EXPECT_EQ(core.given_start(), incarnation(running));
+    EXPECT_EQ(m_core.given_start(), incarnation(running));
     accept();
-    EXPECT_TRUE(core.accepted());
+    EXPECT_TRUE(m_core.accepted());
     // The upstream's next life is again known by its own start.
-    EXPECT_EQ(
-        sent_record(core.restart(now, record_of(incarnation(9000)))).started(),
-        9000U);
+    EXPECT_EQ(sent_record(m_core.restart(m_now, record_of(incarnation(9000))))
+                  .started(),
+              9000U);
 }
 
 // A late message of an ended incarnation must not replace the present one.
 TEST_F(restarted_announcer, present_incarnation_follows_a_refused_one)
 {
-    next_send(core, now);
-    core.restart(now, record_of(incarnation(running - 1000), 20));
+    next_send(m_core, m_now);
+    m_core.restart(m_now, record_of(incarnation(running - 1000), 20));
     EXPECT_TRUE(refuse(running).empty());
-    const auto sends = core.restart(now, record_of(incarnation(running), 30));
+    const auto sends =
+        m_core.restart(m_now, record_of(incarnation(running), 30));
     EXPECT_EQ(sent_record(sends).started(), running);
     accept();
-    EXPECT_TRUE(core.accepted());
+    EXPECT_TRUE(m_core.accepted());
 }
 
 // An end is no reason to replace what another agent announced.
@@ -320,12 +327,12 @@
 {
     upstream_record ended = record_of(incarnation(running), 20);
     ended.state = upstream_state::gone;
-    next_send(core, now);
-    core.restart(now, ended);
+    next_send(m_core, m_now);
+    m_core.restart(m_now, ended);
     for (int refused = 0; refused < 3; ++refused)
     {
         EXPECT_TRUE(refuse(running + 1).empty());
-        EXPECT_EQ(sent_record(next_send(core, now)).started(), running);
+        EXPECT_EQ(sent_record(next_send(m_core, m_now)).started(), running);
     }
 }
 
