--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -54,6 +54,9 @@
     bool lists(time_point now, const flow_key& flow,
                const candidate& member) const;
 
+    // Whether the view lists this incarnation as ready, so that tables name it.
+    bool is_ready(upstream_tag tag) const;
+
     // All members except the given one and those that have ended or are silent.
     std::vector<candidate> others(upstream_tag excluded) const;
     // The members that control no longer hears.
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -113,9 +113,13 @@
         return ownership::owned;
     }
     const bool any_is_possible = now < m_may_hold_until;
+    // The tables of an agent that restarted do not name its upstream while its
+    // record is still the one that the stopped agent left, so that they exclude
+    // nothing.
     const bool is_possible =
         any_is_possible ||
-        (now < m_adopt_old_until && m_members.lists(now, flow, m_self));
+        (now < m_adopt_old_until &&
+         (!m_members.is_ready(m_tag) || m_members.lists(now, flow, m_self)));
     return is_possible && !m_returned.holds(flow) ? ownership::possible
                                                   : ownership::none;
 }
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -186,6 +186,16 @@
                        { return now < past.until && has_it(*past.table); });
 }
 
+bool member_tables::is_ready(upstream_tag tag) const
+{
+    return m_view &&
+           std::any_of(m_view->members.begin(), m_view->members.end(),
+                       [tag](const upstream_record& member) {
+                           return member.state == upstream_state::ready &&
+                                  tag_of(member) == tag;
+                       });
+}
+
 std::vector<candidate> member_tables::others(upstream_tag excluded) const
 {
     std::vector<candidate> found;
--- a/packages/agent/test/search_test.cpp
+++ b/packages/agent/test/search_test.cpp
@@ -146,6 +146,26 @@
     }
 }
 
+// The upstream had just started when its agent restarted. Until the agent is
+// announced again, no table names it: a denial for that reason would reset a
+// flow that the upstream serves.
+TEST(search, flow_of_a_young_upstream_is_found_before_it_is_announced_again)
+{
+    for (std::size_t owner = 0; owner < members; ++owner)
+    {
+        searched_service service;
+        service.hold(owner, flow_number);
+        service.set_state(owner, upstream_state::draining);
+        // Past the settling time: no walk visits it.
+        service.pass(std::chrono::seconds(11));
+        service.restart(owner, true, true);
+        service.pass(std::chrono::seconds(5));
+        service.send(flow_number);
+        EXPECT_EQ(service.resets, 0U) << owner;
+        EXPECT_EQ(service.delivered, std::vector{owner});
+    }
+}
+
 // It does not return: once its lease has run out, a caller that repeats its
 // packet is reset and does not wait for its own timeout.
 TEST(search, flow_of_a_stopped_agent_is_reset_after_its_lease)
