--- a/packages/balancer/test/egress_scheduler_test.cpp
+++ b/packages/balancer/test/egress_scheduler_test.cpp
@@ -17,7 +17,6 @@
 
 // 0.9 of it are 900 bytes a millisecond.
 constexpr double link_mbps = 8.0;
-constexpr std::size_t burst_bytes = 18'000;
 
 const route_terms upload_terms{request_class::upload, milliseconds(4000),
                                milliseconds(800), 2};
--- a/packages/balancer/test/link_simulation.hpp
+++ b/packages/balancer/test/link_simulation.hpp
@@ -51,12 +51,12 @@
     // Puts a scheduler in front of the link; `figure` is what it is told.
     void schedule(double figure_mbps) { m_scheduler.emplace(figure_mbps); }
     // The host restarts at this time and loses its queues.
-    void restart_at(double seconds, double figure_mbps);
+    void restart_at(double time, double figure_mbps);
     // The host does not run in a part of every period.
     void throttle(double period, double stopped);
     // Adds a kind of request that arrives from one time to another.
     std::size_t add(const request_load& load, double from, double until);
-    void run(double seconds);
+    void run(double until);
 
     const caller_results& results(std::size_t kind) const
     {
