--- a/packages/balancer/include/crowlink/balancer.hpp
+++ b/packages/balancer/include/crowlink/balancer.hpp
@@ -7,6 +7,8 @@
 //   balancer.hpp          control plane: builds a new set from changed views
 //   caller_answer.hpp     an answer or notice to send to a caller
 //   chain_cache.hpp       caches chains of services with many members
+//   host_capacity.hpp     an entry host and the capacity of its link
+//   rotation_policy.hpp   whether this host takes part in the rotation
 //   route_decision.hpp    a routing decision, for logs and `explain`
 //   route_drop.hpp        the reason why a packet was not forwarded
 //   routed_packet.hpp     an encoded packet and its destination agent
@@ -17,6 +19,8 @@
 #include "crowlink/balancer/balancer.hpp"
 #include "crowlink/balancer/caller_answer.hpp"
 #include "crowlink/balancer/chain_cache.hpp"
+#include "crowlink/balancer/host_capacity.hpp"
+#include "crowlink/balancer/rotation_policy.hpp"
 #include "crowlink/balancer/route_decision.hpp"
 #include "crowlink/balancer/route_drop.hpp"
 #include "crowlink/balancer/routed_packet.hpp"
