--- a/packages/settings/src/object_reader.cpp
+++ b/packages/settings/src/object_reader.cpp
@@ -124,6 +124,23 @@
     return found->get<std::uint32_t>();
 }
 
+std::optional<double> object_reader::optional_decimal(std::string_view name,
+                                                      double least, double most)
+{
+    const json* found = find(name);
+    if (found == nullptr)
+    {
+        return std::nullopt;
+    }
+    if (!found->is_number() || found->get<double>() < least ||
+        found->get<double>() > most)
+    {
+        report(name, *found, fmt::format("a number, {} to {}", least, most));
+        return std::nullopt;
+    }
+    return found->get<double>();
+}
+
 endpoint object_reader::address(std::string_view name)
 {
     const json* found = find(name);
--- a/packages/settings/src/object_reader.hpp
+++ b/packages/settings/src/object_reader.hpp
@@ -43,6 +43,9 @@
                          std::uint32_t most);
     std::uint32_t number(std::string_view name, std::uint32_t least,
                          std::uint32_t most, std::uint32_t otherwise);
+    // Any number between the two; empty if the field is missing.
+    std::optional<double> optional_decimal(std::string_view name, double least,
+                                           double most);
     // A field that is refused yields a loopback address without a port, which
     // no rule across fields refuses once more.
     endpoint address(std::string_view name);
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -24,6 +24,10 @@
 constexpr std::uint32_t most_election_ms = 60'000;
 // Five voters bear two losses.
 constexpr std::uint32_t most_losses_borne = 2;
+constexpr double least_link_mbps = 0.1;
+constexpr double most_link_mbps = 1'000'000.0;
+constexpr double least_cpu_share = 0.001;
+constexpr double most_cpu_share = 1024.0;
 constexpr std::size_t public_key_length = 40;
 constexpr std::size_t most_packet_keys = 2;
 
@@ -118,6 +122,10 @@
     }
     host.place = place_id(reader.text("place"));
     host.region = region_id(reader.text("region"));
+    host.link_mbps =
+        reader.optional_decimal("link_mbps", least_link_mbps, most_link_mbps);
+    host.cpu_share =
+        reader.optional_decimal("cpu_share", least_cpu_share, most_cpu_share);
     return host;
 }
 
--- a/packages/settings/test/settings_test.cpp
+++ b/packages/settings/test/settings_test.cpp
@@ -76,6 +76,30 @@
                       "allowed: \"key_value\" or \"json\""));
 }
 
+TEST(settings, reads_what_a_host_may_use)
+{
+    const settings_result without = parse_settings(valid_node, "f");
+    ASSERT_TRUE(without);
+    EXPECT_FALSE(without->host.link_mbps);
+    EXPECT_FALSE(without->host.cpu_share);
+    const auto with = [](const std::string& fields)
+    {
+        return parse_settings(replaced(valid_node, "\"region\": \"ncr\"",
+                                       "\"region\": \"ncr\", " + fields),
+                              "f");
+    };
+    const settings_result found = with(R"("link_mbps": 2.9, "cpu_share": 1)");
+    ASSERT_TRUE(found) << to_string(found.error().front());
+    EXPECT_DOUBLE_EQ(*found->host.link_mbps, 2.9);
+    EXPECT_DOUBLE_EQ(*found->host.cpu_share, 1.0);
+    EXPECT_TRUE(names(with(R"("link_mbps": 0)"), "f: /host/link_mbps",
+                      "found 0; allowed: a number, 0.1 to"));
+    EXPECT_TRUE(names(with(R"("link_mbps": "5")"), "f: /host/link_mbps",
+                      "allowed: a number"));
+    EXPECT_TRUE(names(with(R"("cpu_share": -1)"), "f: /host/cpu_share",
+                      "allowed: a number"));
+}
+
 TEST(settings, refuses_a_host_name_with_a_slash)
 {
     const std::string text = replaced(valid_node, "entry-1", "entry/1");
