--- a/packages/membership/include/crowlink/membership/balancer_record.hpp
+++ b/packages/membership/include/crowlink/membership/balancer_record.hpp
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace crowlink
 {
@@ -21,6 +22,8 @@
     endpoint answers;
     place_id where;
     upstream_state state = upstream_state::ready;
+    // The capacity of its link, see link_weight.
+    std::uint32_t weight = 100;
 
     friend auto operator<=>(const balancer_record&,
                             const balancer_record&) = default;
@@ -39,6 +42,10 @@
     return id.value() >= first_balancer_group;
 }
 
+// The weight that a balancer announces: the capacity of its link in Mbit/s,
+// rounded, 1 to 1,000. An unknown capacity yields the default weight, 100.
+std::uint32_t link_weight(std::optional<double> mbps);
+
 // Converts a balancer to a member of its data centre's group. Leases,
 // distribution and repair treat balancers and upstreams alike.
 upstream_record to_member(const balancer_record& record);
--- a/packages/membership/include/crowlink/membership/interest.hpp
+++ b/packages/membership/include/crowlink/membership/interest.hpp
@@ -17,6 +17,9 @@
     std::vector<service_id> services;
     // Data centres whose balancers the node subscribes to, sorted.
     std::vector<place_id> balancers_in;
+    // Data centres whose balancers the node learns without having them in its
+    // views: their changes then do not remake any view.
+    std::vector<place_id> unlisted_balancers_in;
 
     friend auto operator<=>(const interest&, const interest&) = default;
 };
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -89,6 +89,14 @@
     std::vector<lost_member> take_lost() { return std::exchange(m_lost, {}); }
 
     std::optional<service_view> view(service_id id) const;
+
+    // Whether views list the balancers that are known.
+    void set_lists_balancers(bool lists) { m_lists_balancers = lists; }
+    // The living balancers of a data centre, sorted by name.
+    std::vector<upstream_record> balancers(const place_id& where) const;
+    // Changes whenever a balancer's record or its data centre's state does.
+    std::uint64_t balancers_revision() const { return m_balancers_revision; }
+
     const std::map<service_id, subscribed_service>& services() const
     {
         return m_services;
@@ -108,6 +116,7 @@
     const std::set<place_id>& evacuated() const { return m_evacuated; }
 
 private:
+    bool is_living(const upstream_record& balancer) const;
     bool replace_places(std::set<place_id>& held, std::set<place_id> next);
     void replace_hash(const record_key& key, subscribed_record& held);
     void mark_changed(service_id service);
@@ -125,6 +134,8 @@
     std::uint64_t m_evacuations_revision = 0;
     std::set<place_id> m_evacuated;
     std::set<service_id> m_changed;
+    bool m_lists_balancers = true;
+    std::uint64_t m_balancers_revision = 0;
     std::vector<lost_member> m_lost;
     digest_table m_digests;
     std::size_t m_living = 0;
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -4,6 +4,8 @@
 #include "crowlink/membership/membership_host.hpp"
 #include "crowlink/membership/membership_send.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace crowlink
@@ -17,6 +19,15 @@
     return service_id((hash & ~end_mark) | first_balancer_group);
 }
 
+std::uint32_t link_weight(std::optional<double> mbps)
+{
+    constexpr double least = 1;
+    constexpr double most = 1000;
+    return mbps ? static_cast<std::uint32_t>(
+                      std::round(std::clamp(*mbps, least, most)))
+                : balancer_record().weight;
+}
+
 upstream_record to_member(const balancer_record& record)
 {
     upstream_record out;
@@ -27,6 +38,7 @@
     out.agent = record.answers;
     out.where = record.where;
     out.state = record.state;
+    out.weight = record.weight;
     return out;
 }
 
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -295,7 +295,7 @@
     }
 }
 
-// A change of a balancer affects every view that this node holds.
+// A change of a balancer affects every view that lists it.
 void subscribed_state::mark_changed(service_id service)
 {
     if (!is_balancer_group(service))
@@ -303,6 +303,11 @@
         m_changed.insert(service);
         return;
     }
+    ++m_balancers_revision;
+    if (!m_lists_balancers)
+    {
+        return;
+    }
     for (const auto& each : m_services)
     {
         m_changed.insert(each.first);
@@ -348,13 +353,16 @@
         }
         out.members.push_back(std::move(record));
     }
+    if (!m_lists_balancers)
+    {
+        return out;
+    }
     const record_key groups{service_id(first_balancer_group), upstream_id()};
     for (auto each = m_records.lower_bound(groups); each != m_records.end();
          ++each)
     {
         const upstream_record& record = each->second.record;
-        if (record.state == upstream_state::ready &&
-            m_lost_places.count(record.where) == 0)
+        if (is_living(record))
         {
             out.balancers.push_back(record.agent);
         }
@@ -363,4 +371,28 @@
     return out;
 }
 
+bool subscribed_state::is_living(const upstream_record& balancer) const
+{
+    return balancer.state == upstream_state::ready &&
+           m_lost_places.count(balancer.where) == 0;
+}
+
+std::vector<upstream_record>
+subscribed_state::balancers(const place_id& where) const
+{
+    const service_id group = balancer_group(where);
+    std::vector<upstream_record> out;
+    auto each = m_records.lower_bound(record_key{group, upstream_id()});
+    for (; each != m_records.end() && each->first.service == group; ++each)
+    {
+        const upstream_record& record = each->second.record;
+        // Two data centres may share a group.
+        if (record.where == where && is_living(record))
+        {
+            out.push_back(record);
+        }
+    }
+    return out;
+}
+
 } // namespace crowlink::internal
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -41,6 +41,11 @@
     {
         m_subscribed.insert(balancer_group(where));
     }
+    for (const place_id& where : m_settings.wants.unlisted_balancers_in)
+    {
+        m_subscribed.insert(balancer_group(where));
+    }
+    m_state.set_lists_balancers(!m_settings.wants.balancers_in.empty());
     std::uniform_int_distribution<duration::rep> spread(
         0, m_settings.start_spread.count());
     m_next = now + duration(spread(m_random));
--- a/packages/membership/test/convergence_test.cpp
+++ b/packages/membership/test/convergence_test.cpp
@@ -70,6 +70,10 @@
     cluster.add_node("n1", all, "south");
     cluster.add_node("n2", own, "north");
     cluster.add_node("n3", own, "south");
+    interest entry;
+    entry.all_services = true;
+    entry.unlisted_balancers_in = {place_id("p0")};
+    cluster.add_node("n4", entry, "north");
 }
 
 void change_document(fake_cluster& cluster, const action& what)
