--- a/packages/daemon/src/balancer/balancer_role.cpp
+++ b/packages/daemon/src/balancer/balancer_role.cpp
@@ -1,5 +1,7 @@
 #include "balancer/balancer_role.hpp"
 
+#include "control/balancer_announcement.hpp"
+
 #include <utility>
 
 namespace crowlink::internal
@@ -41,10 +43,14 @@
 balancer_role::open(const daemon_settings& settings, const key_ring& keys,
                     log_sink& log)
 {
-    std::unique_ptr<balancer_role> made(new balancer_role());
+    std::unique_ptr<balancer_role> made(new balancer_role(log));
     // The first thread may let the kernel choose ports; the others share them.
     made->m_listening = settings.balancer->listen;
     made->m_tunnel = settings.balancer->tunnel;
+    if (shares_rotation(settings))
+    {
+        made->m_rotation.emplace(settings.host.name);
+    }
     for (std::uint32_t at = 0; at < settings.balancer->threads; ++at)
     {
         const result<void> opened = made->open_thread(settings, keys, log);
@@ -98,6 +104,7 @@
 
 void balancer_role::advance(time_point now, blackboard& board)
 {
+    advance_rotation(now, board);
     if (!m_views.changed(board.views))
     {
         return;
@@ -129,6 +136,28 @@
     }
 }
 
+void balancer_role::advance_rotation(time_point now, const blackboard& board)
+{
+    if (!m_rotation)
+    {
+        return;
+    }
+    if (m_entry_hosts.changed(board.entry_hosts))
+    {
+        m_rotation->set_hosts(now, board.entry_hosts.get());
+    }
+    m_rotation->tick(now, board.is_control_current.get());
+    const bool is_in = m_rotation->is_ready();
+    if (m_is_in_rotation.exchange(is_in) != is_in)
+    {
+        m_log.write(
+            log_line(log_level::info, "rotation")
+                .field("ready", is_in)
+                .field("hosts", board.entry_hosts.get().size())
+                .field("control_current", board.is_control_current.get()));
+    }
+}
+
 std::vector<metrics_slot::pointer> balancer_role::reports() const
 {
     std::vector<metrics_slot::pointer> all;
--- a/packages/daemon/src/control/blackboard.hpp
+++ b/packages/daemon/src/control/blackboard.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/board_value.hpp"
+#include "crowlink/balancer/host_capacity.hpp"
 #include "crowlink/base/ids.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/forwarding/forwarding_set.hpp"
@@ -84,6 +85,10 @@
     // Written by the node controller.
     board_value<service_views> views;
     board_value<config_version> node_version;
+    // The living entry hosts of the own data centre and whether control's word
+    // on them is current; only where balancers share the rotation.
+    board_value<std::vector<host_capacity>> entry_hosts;
+    board_value<bool> is_control_current;
     // Written by the agent controller.
     board_value<wanted_records> wanted;
     // Written by the balancer controller.
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -1,6 +1,6 @@
 #include "control/control_thread.hpp"
 
-#include "crowlink/membership/balancer_record.hpp"
+#include "control/balancer_announcement.hpp"
 #include "process/process_identity.hpp"
 
 namespace crowlink::internal
@@ -16,17 +16,6 @@
 constexpr std::chrono::milliseconds node_tick(50);
 constexpr std::chrono::milliseconds metrics_interval(500);
 
-balancer_record to_record(const daemon_settings& settings,
-                          const balancer_role& balancer)
-{
-    balancer_record record;
-    record.id = settings.host.name;
-    record.started = fresh_incarnation();
-    record.answers = balancer.tunnel();
-    record.where = settings.host.place;
-    return record;
-}
-
 } // namespace
 
 control_thread::control_thread(std::unique_ptr<control_links> links,
@@ -103,10 +92,10 @@
     std::vector<upstream_record> records;
     if (m_balancer != nullptr)
     {
-        // Agents of flow packets answer callers by themselves.
-        if (settings.balancer->mode != port_mode::flow_packets)
+        const auto own = announced_balancer(settings, m_balancer->tunnel());
+        if (own)
         {
-            records.push_back(to_member(to_record(settings, *m_balancer)));
+            records.push_back(to_member(*own));
         }
     }
     for (const std::unique_ptr<agent_role>& agent : m_agents)
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -1,5 +1,6 @@
 #include "control/node_controller.hpp"
 
+#include "control/balancer_announcement.hpp"
 #include "control/lease_scale.hpp"
 
 #include "crowlink/membership/balancer_record.hpp"
@@ -14,6 +15,11 @@
 namespace
 {
 
+// The failure of a single publisher, which the subscriber replaces within this
+// time, does not make control stale.
+constexpr duration failover_time = subscriber_settings().silence_timeout +
+                                   subscriber_settings().answer_timeout;
+
 std::vector<observer_info> control_hosts(const daemon_settings& settings)
 {
     std::vector<observer_info> hosts;
@@ -44,10 +50,19 @@
             std::unique(wants.services.begin(), wants.services.end()),
             wants.services.end());
     }
-    if (!settings.agents.empty())
+    // Agents of flow packets answer callers by themselves. Balancers announce
+    // themselves there too, for each other, and not as return addresses.
+    const bool answers_through_balancers = std::any_of(
+        settings.agents.begin(), settings.agents.end(),
+        [](const agent_role_settings& agent) { return !agent.flow_packets; });
+    if (answers_through_balancers)
     {
         wants.balancers_in.push_back(settings.host.place);
     }
+    if (shares_rotation(settings))
+    {
+        wants.unlisted_balancers_in.push_back(settings.host.place);
+    }
     return wants;
 }
 
@@ -99,6 +114,8 @@
     , m_announcing(to_announcer(settings))
     , m_seed(seed)
     , m_where(settings.host.place)
+    , m_shares_rotation(shares_rotation(settings))
+    , m_longest_age(lease_scale(settings)(failover_time))
 {
     for (upstream_record& record : records)
     {
@@ -162,6 +179,39 @@
     take(m_subscriber.tick(now), board);
     m_beliefs.tell(m_subscriber, m_announcers);
     board.node_version.set(m_subscriber.applied_version());
+    if (m_shares_rotation)
+    {
+        publish_entry_hosts(now, board);
+    }
+}
+
+void node_controller::publish_entry_hosts(time_point now, blackboard& board)
+{
+    board.is_control_current.set(is_current(now));
+    const std::uint64_t revision = m_subscriber.state().balancers_revision();
+    if (m_balancers_revision == revision)
+    {
+        return;
+    }
+    m_balancers_revision = revision;
+    std::vector<host_capacity> hosts;
+    for (const upstream_record& each : m_subscriber.state().balancers(m_where))
+    {
+        hosts.push_back(host_capacity{host_id(each.id.value()), each.weight});
+    }
+    board.entry_hosts.set(std::move(hosts));
+}
+
+// A publisher that can't confirm its document may be cut off from the other
+// control hosts, and with them from the hosts that announce themselves there.
+bool node_controller::is_current(time_point now) const
+{
+    const staleness age = m_subscriber.age(now);
+    const bool is_region_cut =
+        std::any_of(age.regions.begin(), age.regions.end(),
+                    [this](const region_age& each)
+                    { return each.region == m_announcing.region; });
+    return age.document <= m_longest_age && !is_region_cut;
 }
 
 void node_controller::follow_connections(time_point now)
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -39,6 +39,8 @@
 private:
     void send(const std::vector<membership_send>& sends);
     void take(const subscriber_output& out, blackboard& board);
+    void publish_entry_hosts(time_point now, blackboard& board);
+    bool is_current(time_point now) const;
     void change_records(time_point now, const blackboard& board);
     void follow_connections(time_point now);
     void follow_hosts(time_point now, const blackboard& board);
@@ -54,6 +56,10 @@
     announcer_settings m_announcing;
     std::uint64_t m_seed;
     place_id m_where;
+    bool m_shares_rotation;
+    // Control that was not confirmed for longer is stale for the rotation.
+    duration m_longest_age;
+    std::optional<std::uint64_t> m_balancers_revision;
     // The control hosts that control named last.
     std::vector<host_id> m_learned;
     // The control hosts that there is no connection to.
--- a/packages/daemon/src/process/running_daemon.cpp
+++ b/packages/daemon/src/process/running_daemon.cpp
@@ -256,7 +256,8 @@
 
 bool running_daemon::is_ready() const
 {
-    return !m_is_leaving && m_control->is_informed();
+    const bool is_in_rotation = !m_balancer || m_balancer->is_in_rotation();
+    return !m_is_leaving && m_control->is_informed() && is_in_rotation;
 }
 
 void running_daemon::reload(const daemon_settings& fresh)
--- a/packages/daemon/src/process/running_daemon.hpp
+++ b/packages/daemon/src/process/running_daemon.hpp
@@ -54,6 +54,8 @@
     bool has_failed() const { return m_control->has_failed(); }
 
     control_thread& control() { return *m_control; }
+    // What the platform's readiness probe is told.
+    bool is_ready() const;
     // Null without the balancer role.
     const balancer_role* balancing() const { return m_balancer.get(); }
 
@@ -65,7 +67,6 @@
     result<void> open_http();
     result<void> open_platform();
     void find_upstreams();
-    bool is_ready() const;
     void set_phase(stop_phase phase);
     std::size_t flows() const;
     std::string render_metrics() const;
--- a/packages/daemon/test/running_daemon_test.cpp
+++ b/packages/daemon/test/running_daemon_test.cpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace crowlink::internal
 {
@@ -203,6 +205,51 @@
         return std::nullopt;
     }
 
+    // Restarts the daemon with a link of this capacity.
+    void restart_with_link(double mbps)
+    {
+        m_daemon = fail(error_kind::unavailable, "", "ended");
+        m_settings.host.link_mbps = mbps;
+        m_daemon = running_daemon::start(m_settings, m_log);
+    }
+
+    // The entry hosts that the daemon knows.
+    std::vector<host_capacity> entry_hosts()
+    {
+        const auto found =
+            (*m_daemon)->control().ask<std::vector<host_capacity>>(
+                [](control_thread::context& with)
+                { return with.board.entry_hosts.get(); });
+        return found ? *found : std::vector<host_capacity>();
+    }
+
+    // Adds an entry host to those that the daemon knows.
+    void add_entry_host(const host_capacity& added)
+    {
+        (void)(*m_daemon)->control().ask<bool>(
+            [added](control_thread::context& with)
+            {
+                auto hosts = with.board.entry_hosts.get();
+                hosts.push_back(added);
+                with.board.entry_hosts.set(std::move(hosts));
+                return true;
+            });
+    }
+
+    // Whether the readiness probe gets this answer, soon or after a while.
+    bool becomes_ready(bool wanted)
+    {
+        for (int tries = 0; tries < most_tries; ++tries)
+        {
+            if ((*m_daemon)->is_ready() == wanted)
+            {
+                return true;
+            }
+            std::this_thread::sleep_for(patience);
+        }
+        return false;
+    }
+
     std::string m_folder;
     log_sink m_log{stderr, log_format::key_value, log_level::error};
     udp_socket m_upstream = *udp_socket::bind(any_port);
@@ -285,6 +332,35 @@
     EXPECT_EQ(call(known, "two"), "to two");
 }
 
+// The own record goes through control and back; the other host is made up.
+TEST_F(one_daemon, answers_the_readiness_probe_by_the_rotation)
+{
+    restart_with_link(4.8);
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    ASSERT_TRUE(declare_service());
+    ASSERT_TRUE(becomes_ready(true));
+    const std::vector<host_capacity> own{{host_id("h"), 5}};
+    for (int tries = 0; tries < most_tries && entry_hosts() != own; ++tries)
+    {
+        std::this_thread::sleep_for(patience);
+    }
+    ASSERT_EQ(entry_hosts(), own);
+    add_entry_host({host_id("large"), 100});
+    EXPECT_TRUE(becomes_ready(false));
+    add_entry_host({host_id("small"), 5});
+    EXPECT_TRUE(becomes_ready(true));
+}
+
+TEST_F(one_daemon, learns_no_entry_hosts_without_the_setting)
+{
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    ASSERT_TRUE(declare_service());
+    const udp_socket caller = *udp_socket::bind(any_port);
+    ASSERT_EQ(call(caller, "hello"), "to hello");
+    EXPECT_TRUE((*m_daemon)->is_ready());
+    EXPECT_TRUE(entry_hosts().empty());
+}
+
 TEST_F(one_daemon, refuses_a_port_that_is_taken)
 {
     ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
