--- a/packages/balancer/include/crowlink/balancer.hpp
+++ b/packages/balancer/include/crowlink/balancer.hpp
@@ -16,6 +16,8 @@
 //   egress_verdict.hpp    what becomes of a packet that is to be sent
 //   fair_queue.hpp        start-time fair queueing over flows
 //   rate_meter.hpp        the rate of bytes over the last half second
+//   host_capacity.hpp     an entry host and the capacity of its link
+//   rotation_policy.hpp   whether this host takes part in the rotation
 //   route_decision.hpp    a routing decision, for logs and `explain`
 //   route_drop.hpp        the reason why a packet was not forwarded
 //   routed_packet.hpp     an encoded packet and its destination agent
@@ -35,6 +37,8 @@
 #include "crowlink/balancer/egress_verdict.hpp"
 #include "crowlink/balancer/fair_queue.hpp"
 #include "crowlink/balancer/rate_meter.hpp"
+#include "crowlink/balancer/host_capacity.hpp"
+#include "crowlink/balancer/rotation_policy.hpp"
 #include "crowlink/balancer/route_decision.hpp"
 #include "crowlink/balancer/route_drop.hpp"
 #include "crowlink/balancer/routed_packet.hpp"
