--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/agent/cold_start_limiter.hpp"
 #include "crowlink/agent/completion_estimate.hpp"
+#include "crowlink/agent/load_units.hpp"
 #include "crowlink/agent/peer_loads.hpp"
 #include "crowlink/agent/progress_monitor.hpp"
 #include "crowlink/agent/service_time_estimator.hpp"
@@ -28,6 +29,7 @@
         : m_work_per_slot(work_per_slot)
         , m_announced_slots(slots)
         , m_progress(stall_after, started)
+        , m_relative_time(equal_time)
     {
     }
 
@@ -38,9 +40,24 @@
     bool is_draining() const { return m_draining; }
     void permit_shedding(time_point until) { m_shed_until = until; }
 
-    void started(time_point now, std::uint32_t weight);
+    void started(std::uint32_t weight) { m_work += weight; }
     void ended(time_point now, std::uint32_t weight, bool completed);
 
+    // The requests at the upstream, counted from the arrival of their data, and
+    // those that have completed since the last call.
+    void note_requests(time_point now, std::uint64_t running,
+                       std::uint32_t completed);
+    // How long one request occupies a slot; empty without enough evidence.
+    std::optional<duration> service_time(time_point now) const
+    {
+        return m_service_time.mean(now);
+    }
+    // The service time relative to that of the peers, as of the latest
+    // assessment; 1000 is equal, or unknown.
+    std::uint32_t relative_time_permille() const { return m_relative_time; }
+    // Whether the terms of a route to this service are known.
+    bool has_terms() const { return m_has_terms; }
+
     progress_monitor& progress() { return m_progress; }
     const progress_monitor& progress() const { return m_progress; }
     const sharing_policy& sharing() const { return m_sharing; }
@@ -90,20 +107,17 @@
     bool has_window(time_point now, std::size_t flows);
     // Whether a request would get a slot at once.
     bool has_free_slot(time_point now);
-    // An opening packet was delivered; its work is reported later.
+    // An opening packet was delivered; its request comes later.
     void opened(time_point now) { m_unreported.opened(now); }
     void set_held(std::size_t held) { m_held = held; }
     completion_estimate completion(time_point now);
-    std::optional<duration> service_time(time_point now) const
-    {
-        return m_service_time.mean(now);
-    }
 
     const target_limits& limits() const { return m_limits; }
 
 private:
     std::uint32_t share(time_point now) const;
     std::uint64_t running(time_point now);
+    std::uint32_t assess_relative_time(time_point now) const;
 
     std::uint32_t m_work_per_slot;
     std::uint32_t m_announced_slots;
@@ -111,14 +125,18 @@
     sharing_policy m_sharing;
     std::uint32_t m_weight = 100;
     bool m_draining = false;
+    bool m_has_terms = false;
     std::uint64_t m_work = 0;
     // Opening packets that wait in the agent.
     std::uint64_t m_held = 0;
+    // Requests whose data has come.
+    std::uint64_t m_requests = 0;
     unreported_starts m_unreported;
-    service_time_estimator m_service_time;
     cold_start_limiter m_cold;
     progress_monitor m_progress;
     peer_loads m_peers;
+    service_time_estimator m_service_time;
+    std::uint32_t m_relative_time;
     time_point m_now{};
     time_point m_shed_until{};
     time_point m_next_trial{};
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -21,6 +21,12 @@
 constexpr std::uint32_t continuity_excess_percent = 10;
 // One runs and one covers the round trip of the next handshake.
 constexpr std::uint32_t window_per_slot = 2;
+// Within this range the service times of equal upstreams under mixed load
+// differ by chance. Relative times outside of it are bounded.
+constexpr std::int64_t max_chance_below = 800;
+constexpr std::int64_t max_chance_above = 1250;
+constexpr std::int64_t least_relative_time = equal_time / 8;
+constexpr std::int64_t greatest_relative_time = equal_time * 8;
 
 std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
 {
@@ -37,6 +43,9 @@
         m_limits.slots = m_announced_slots;
     }
     m_service_time.set_slots(m_limits.slots);
+    m_has_terms = std::any_of(declared.shares.begin(), declared.shares.end(),
+                              [](const address_share& share)
+                              { return share.terms.has_value(); });
     m_cold.set_limit(declared.limits.cold_flows_per_second);
     m_sharing = declared.sharing;
     m_weight = std::max(weight, 1U);
@@ -52,35 +61,62 @@
     }
 }
 
-void admission::started(time_point now, std::uint32_t weight)
-{
-    m_work += weight;
-    m_unreported.reported();
-    m_service_time.note_running(now, m_work);
-}
-
 void admission::ended(time_point now, std::uint32_t weight, bool completed)
 {
     m_work -= std::min<std::uint64_t>(m_work, weight);
     if (completed)
     {
         m_progress.progressed(now);
-        m_service_time.note_completed(now);
     }
-    m_service_time.note_running(now, m_work);
 }
 
 void admission::assess(time_point now)
 {
     m_now = now;
     m_progress.assess(now, m_work > 0, m_sharing.cold_start);
+    m_relative_time = assess_relative_time(now);
+}
+
+void admission::note_requests(time_point now, std::uint64_t running,
+                              std::uint32_t completed)
+{
+    for (std::uint32_t i = 0; i < completed; ++i)
+    {
+        m_service_time.note_completed(now);
+    }
+    m_service_time.note_running(now, running);
+    const std::uint64_t known = running + completed;
+    for (std::uint64_t arrived = m_requests; arrived < known; ++arrived)
+    {
+        m_unreported.reported();
+    }
+    m_requests = running;
+}
+
+std::uint32_t admission::assess_relative_time(time_point now) const
+{
+    const auto own = m_service_time.mean(now);
+    const auto peers = m_peers.mean_service_time(now);
+    if (!m_has_terms || !own || !peers)
+    {
+        return equal_time;
+    }
+    const std::int64_t relative =
+        *own * equal_time / std::max(*peers, duration(1));
+    if (relative >= max_chance_below && relative <= max_chance_above)
+    {
+        return equal_time;
+    }
+    return static_cast<std::uint32_t>(
+        std::clamp(relative, least_relative_time, greatest_relative_time));
 }
 
 std::uint32_t admission::load(std::size_t flows) const
 {
+    const std::uint64_t work = millionths(m_work + m_held, m_limits.slots) *
+                               m_relative_time / equal_time;
     const std::uint64_t used =
-        std::max({millionths(flows, m_limits.connections),
-                  millionths(m_work + m_held, m_limits.slots),
+        std::max({millionths(flows, m_limits.connections), work,
                   std::uint64_t{m_cold.used(m_now)}});
     const std::uint64_t capacity =
         static_cast<std::uint64_t>(m_weight) * share(m_now) / default_weight;
@@ -135,7 +171,7 @@
 
 std::uint64_t admission::running(time_point now)
 {
-    return m_work + m_unreported.count(now);
+    return m_requests + m_unreported.count(now);
 }
 
 bool admission::has_window(time_point now, std::size_t flows)
@@ -143,7 +179,8 @@
     const std::uint32_t per_slot =
         service_time(now) ? std::min(window_per_slot, m_work_per_slot)
                           : m_work_per_slot;
-    return flows < m_limits.connections && m_cold.allows(now) &&
+    return flows < m_limits.connections && !is_full_of_work() &&
+           m_cold.allows(now) &&
            running(now) < std::uint64_t{per_slot} * m_limits.slots;
 }
 
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -213,9 +213,9 @@
     set_state(upstream_state::draining);
 }
 
-void agent::on(time_point now, const work_started& event)
+void agent::on(time_point, const work_started& event)
 {
-    m_admission.started(now, event.weight);
+    m_admission.started(event.weight);
 }
 
 void agent::on(time_point now, const work_ended& event)
@@ -225,6 +225,13 @@
     send_batch();
 }
 
+void agent::on(time_point now, const requests_counted& event)
+{
+    m_admission.note_requests(now, event.running, event.completed);
+    advance_openings(now);
+    send_batch();
+}
+
 void agent::on(time_point now, const tick&)
 {
     if (!m_announced)
@@ -279,7 +286,7 @@
     {
         request_shedding(now);
     }
-    send_loads();
+    send_loads(now);
 }
 
 const candidate* agent::coordinator(candidate_chain& chain) const
@@ -308,7 +315,7 @@
     }
 }
 
-void agent::send_loads()
+void agent::send_loads(time_point now)
 {
     if (m_members.view() == nullptr || m_admission.is_draining())
     {
@@ -316,6 +323,10 @@
     }
     const auto& members = m_members.view()->members;
     const std::uint32_t own = load();
+    const duration service_time =
+        m_admission.has_terms()
+            ? m_admission.service_time(now).value_or(duration::zero())
+            : duration::zero();
     std::size_t told = 0;
     for (std::size_t i = 0; i < members.size() && told < peers_per_assessment;
          ++i)
@@ -328,7 +339,7 @@
         }
         send(peer.agent,
              load_notice{m_record.service, tag_of(peer.id, peer.started), m_tag,
-                         own});
+                         own, service_time});
         ++m_counts.loads_sent;
         ++told;
     }
@@ -336,7 +347,8 @@
 
 void agent::receive(time_point now, const endpoint&, const load_notice& message)
 {
-    m_admission.peers().note(now, message.sender, message.load);
+    m_admission.peers().note(now, message.sender, message.load,
+                             message.service_time);
 }
 
 void agent::receive(time_point now, const endpoint&,
