--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -40,7 +40,7 @@
     bool is_draining() const { return m_draining; }
     void permit_shedding(time_point until) { m_shed_until = until; }
 
-    void started(std::uint32_t weight);
+    void started(std::uint32_t weight) { m_work += weight; }
     void ended(time_point now, std::uint32_t weight, bool completed);
 
     // The requests at the upstream, counted from the arrival of their data, and
@@ -107,7 +107,7 @@
     bool has_window(time_point now, std::size_t flows);
     // Whether a request would get a slot at once.
     bool has_free_slot(time_point now);
-    // An opening packet was delivered; its work is reported later.
+    // An opening packet was delivered; its request comes later.
     void opened(time_point now) { m_unreported.opened(now); }
     void set_held(std::size_t held) { m_held = held; }
     completion_estimate completion(time_point now);
@@ -116,8 +116,8 @@
 
 private:
     std::uint32_t share(time_point now) const;
-    std::uint32_t assess_relative_time(time_point now) const;
     std::uint64_t running(time_point now);
+    std::uint32_t assess_relative_time(time_point now) const;
 
     std::uint32_t m_work_per_slot;
     std::uint32_t m_announced_slots;
@@ -129,11 +129,13 @@
     std::uint64_t m_work = 0;
     // Opening packets that wait in the agent.
     std::uint64_t m_held = 0;
+    // Requests whose data has come.
+    std::uint64_t m_requests = 0;
     unreported_starts m_unreported;
-    service_time_estimator m_service_time;
     cold_start_limiter m_cold;
     progress_monitor m_progress;
     peer_loads m_peers;
+    service_time_estimator m_service_time;
     std::uint32_t m_relative_time;
     time_point m_now{};
     time_point m_shed_until{};
--- a/packages/agent/include/crowlink/agent/unreported_starts.hpp
+++ b/packages/agent/include/crowlink/agent/unreported_starts.hpp
@@ -8,9 +8,8 @@
 namespace crowlink::internal
 {
 
-// Openings that were delivered to the upstream and are not yet counted in the
-// work that is reported of it, so that several openings of one round do not all
-// find the same room.
+// Openings that were delivered to the upstream and whose requests have not come
+// yet: each is about to take a slot.
 class unreported_starts
 {
 public:
@@ -33,9 +32,10 @@
     }
 
 private:
-    // Work is reported in the round of its delivery. A delivery that causes
-    // none, for example of a malformed packet, must not count forever.
-    static constexpr duration lifetime = std::chrono::milliseconds(200);
+    // A request comes a round trip after its opening, within 10 ms. One whose
+    // data takes longer, such as a large body on a slow link, must not keep
+    // others from the slots that it does not use yet.
+    static constexpr duration lifetime = std::chrono::milliseconds(100);
 
     std::deque<time_point> m_opened;
 };
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -19,14 +19,14 @@
 // When the goal is continuity, a head whose load exceeds the mean by up to this
 // much keeps the flow.
 constexpr std::uint32_t continuity_excess_percent = 10;
+// One runs and one covers the round trip of the next handshake.
+constexpr std::uint32_t window_per_slot = 2;
 // Within this range the service times of equal upstreams under mixed load
 // differ by chance. Relative times outside of it are bounded.
 constexpr std::int64_t max_chance_below = 800;
 constexpr std::int64_t max_chance_above = 1250;
 constexpr std::int64_t least_relative_time = equal_time / 8;
 constexpr std::int64_t greatest_relative_time = equal_time * 8;
-// One runs and one covers the round trip of the next handshake.
-constexpr std::uint32_t window_per_slot = 2;
 
 std::uint64_t millionths(std::uint64_t used, std::uint64_t limit)
 {
@@ -61,12 +61,6 @@
     }
 }
 
-void admission::started(std::uint32_t weight)
-{
-    m_work += weight;
-    m_unreported.reported();
-}
-
 void admission::ended(time_point now, std::uint32_t weight, bool completed)
 {
     m_work -= std::min<std::uint64_t>(m_work, weight);
@@ -91,6 +85,12 @@
         m_service_time.note_completed(now);
     }
     m_service_time.note_running(now, running);
+    const std::uint64_t known = running + completed;
+    for (std::uint64_t arrived = m_requests; arrived < known; ++arrived)
+    {
+        m_unreported.reported();
+    }
+    m_requests = running;
 }
 
 std::uint32_t admission::assess_relative_time(time_point now) const
@@ -171,7 +171,7 @@
 
 std::uint64_t admission::running(time_point now)
 {
-    return m_work + m_unreported.count(now);
+    return m_requests + m_unreported.count(now);
 }
 
 bool admission::has_window(time_point now, std::size_t flows)
@@ -179,7 +179,8 @@
     const std::uint32_t per_slot =
         service_time(now) ? std::min(window_per_slot, m_work_per_slot)
                           : m_work_per_slot;
-    return flows < m_limits.connections && m_cold.allows(now) &&
+    return flows < m_limits.connections && !is_full_of_work() &&
+           m_cold.allows(now) &&
            running(now) < std::uint64_t{per_slot} * m_limits.slots;
 }
 
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -228,6 +228,8 @@
 void agent::on(time_point now, const requests_counted& event)
 {
     m_admission.note_requests(now, event.running, event.completed);
+    advance_openings(now);
+    send_batch();
 }
 
 void agent::on(time_point now, const tick&)
--- a/packages/agent/src/opening_queue.cpp
+++ b/packages/agent/src/opening_queue.cpp
@@ -100,14 +100,15 @@
     {
         const duration expected = estimate.with_ahead(planned.size());
         const bool is_in_reach = now + expected <= each->deadline.last &&
-                                 now < each->since + each->aim && !any_in_time;
-        if (is_in_reach && fits(*each))
+                                 now < each->since + each->aim;
+        if (is_in_reach && !any_in_time && fits(*each))
         {
             put(*each, hold_outcome::late, expected);
             continue;
         }
-        const hold_outcome outcome =
-            is_in_reach ? hold_outcome::queue_full : hold_outcome::too_late;
+        const hold_outcome outcome = is_in_reach && !fits(*each)
+                                         ? hold_outcome::queue_full
+                                         : hold_outcome::too_late;
         refused.push_back(planned_opening{each, outcome, expected});
     }
     planned.insert(planned.end(), refused.begin(), refused.end());
--- a/packages/agent/test/opening_fixture.hpp
+++ b/packages/agent/test/opening_fixture.hpp
@@ -117,6 +117,7 @@
     {
         --running;
         handle(work_ended{1, true});
+        handle(requests_counted{running, 1});
     }
 
     template <class Event>
@@ -128,6 +129,7 @@
         {
             ++running;
             core->handle(now, work_started{1}, effects);
+            core->handle(now, requests_counted{running, 0}, effects);
         }
     }
 
--- a/packages/agent/test/simulated_callers.hpp
+++ b/packages/agent/test/simulated_callers.hpp
@@ -305,6 +305,7 @@
     void arrive(const flow_key& flow)
     {
         m_queue.push_back(flow);
+        handle(requests_counted{++m_requests_running, 0});
         run_next();
     }
 
@@ -337,6 +338,7 @@
             request.took = took;
         }
         end(flow, true);
+        handle(requests_counted{--m_requests_running, 1});
         run_next();
     }
 
@@ -361,6 +363,7 @@
     std::deque<flow_key> m_queue;
     std::vector<std::function<void()>> m_stalled;
     std::uint32_t m_running = 0;
+    std::uint64_t m_requests_running = 0;
     std::size_t m_unreported = 0;
     std::size_t m_next_flow = 0;
     std::size_t m_contradictions = 0;
