--- a/packages/agent/test/held_opening_test.cpp
+++ b/packages/agent/test/held_opening_test.cpp
@@ -162,6 +162,8 @@
     fixture.open(sent, 1);
     ASSERT_EQ(fixture.effects.forwards.size(), 2U);
     EXPECT_EQ(fixture.effects.forwards[1].to, agent_fixture::address(1));
+    // As one that is already placed: that candidate must not compare others.
+    EXPECT_EQ(fixture.effects.forwards[1].header.pass, packet_pass::place);
     EXPECT_TRUE(fixture.effects.delivered.empty());
 }
 
@@ -179,6 +181,21 @@
     EXPECT_TRUE(fixture.effects.delivered.empty());
 }
 
+// An upstream that is known as too slow for any caller would otherwise get no
+// request that shows that it has recovered.
+TEST(held_opening, gets_a_free_slot_whatever_the_service_time_was)
+{
+    opening_fixture fixture;
+    fixture.observe(milliseconds(1600));
+    fixture.open(opening_fixture::flow(1));
+    EXPECT_EQ(fixture.effects.delivered.size(), 1U);
+    fixture.open(opening_fixture::flow(2));
+    EXPECT_EQ(fixture.effects.delivered.size(), 2U);
+    fixture.open(opening_fixture::flow(3));
+    EXPECT_EQ(fixture.effects.delivered.size(), 2U);
+    EXPECT_EQ(fixture.effects.refusals.size(), 1U);
+}
+
 // A copy that reached another agent may be admitted there; the flow must not
 // start here as well.
 TEST(held_opening, is_dropped_when_another_agent_owns_the_flow)
--- a/packages/agent/test/opening_fixture.hpp
+++ b/packages/agent/test/opening_fixture.hpp
@@ -145,12 +145,12 @@
     }
 
     // Lets the agent observe the service time.
-    void observe()
+    void observe(duration each = service_time)
     {
         for (std::uint16_t i = 0; i < 30; ++i)
         {
             open(flow(static_cast<std::uint16_t>(60000 + i)));
-            now += service_time;
+            now += each;
             complete();
         }
         effects = recording_effects();
