--- a/packages/forwarding/test/forwarding_set_test.cpp
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -267,9 +267,13 @@
     EXPECT_EQ(terms_at(set), first);
     set = with(set, shared_view(1, 3, second));
     EXPECT_EQ(terms_at(set), second);
-    set = with(set, shared_view(2, 4, std::nullopt));
+    route_terms third = first;
+    third.aim = std::chrono::milliseconds(600);
+    set = with(set, shared_view(2, 4, third));
+    EXPECT_EQ(terms_at(set), third);
+    set = with(set, shared_view(2, 5, std::nullopt));
     EXPECT_EQ(terms_at(set), second);
-    set = without(set, 1, 5);
+    set = without(set, 1, 6);
     EXPECT_EQ(terms_at(set), std::nullopt);
 }
 
