--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -115,6 +115,7 @@
     const target_limits& limits() const { return m_limits; }
 
 private:
+    std::uint64_t work_load() const;
     std::uint32_t share(time_point now) const;
     std::uint64_t running(time_point now);
     std::uint32_t assess_relative_time(time_point now) const;
