--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -128,8 +128,7 @@
 // service times the load is the work per slot.
 std::uint64_t admission::work_load() const
 {
-    const std::uint64_t completion =
-        (m_work + m_held + 1) * m_relative_time;
+    const std::uint64_t completion = (m_work + m_held + 1) * m_relative_time;
     const std::uint64_t excess =
         completion - std::min<std::uint64_t>(completion, equal_time);
     const std::uint64_t slots = std::max(m_limits.slots, 1U);
