--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -105,6 +105,9 @@
     // slot and one that covers the round trip of the next handshake. Without an
     // estimate of the service time, the limit of all other flows.
     bool has_window(time_point now, std::size_t flows);
+    // Whether neither the work nor the openings without a request yet have
+    // reached the limit of flows without terms.
+    bool has_work_room(time_point now) const;
     // Whether a request would get a slot at once.
     bool has_free_slot(time_point now);
     // An opening packet was delivered; its request comes later.
@@ -117,7 +120,7 @@
 private:
     std::uint64_t work_load() const;
     std::uint32_t share(time_point now) const;
-    std::uint64_t running(time_point now);
+    std::uint64_t running(time_point now) const;
     std::uint32_t assess_relative_time(time_point now) const;
 
     std::uint32_t m_work_per_slot;
--- a/packages/agent/include/crowlink/agent/completion_estimate.hpp
+++ b/packages/agent/include/crowlink/agent/completion_estimate.hpp
@@ -13,6 +13,10 @@
 class completion_estimate
 {
 public:
+    // The requests that are at the upstream for each slot: one runs and one
+    // covers the round trip of the next handshake.
+    static constexpr std::uint32_t window_per_slot = 2;
+
     // `service_time` is the mean that a request occupies a slot; zero where it
     // is not known, so that only the cold-start limit counts.
     completion_estimate(time_point now, const cold_start_limiter& cold,
@@ -28,6 +32,8 @@
 
     // With `ahead` other requests that will start before it.
     duration with_ahead(std::uint64_t ahead) const;
+    // Until the upstream has room for it.
+    duration until_start(std::uint64_t ahead) const;
 
 private:
     time_point m_now;
--- a/packages/agent/include/crowlink/agent/unreported_starts.hpp
+++ b/packages/agent/include/crowlink/agent/unreported_starts.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/base/time.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 
@@ -13,22 +14,28 @@
 class unreported_starts
 {
 public:
-    void opened(time_point now) { m_opened.push_back(now); }
-    void reported()
+    void opened(time_point now)
     {
-        if (!m_opened.empty())
+        while (!m_opened.empty() && has_expired(now, m_opened.front()))
         {
             m_opened.pop_front();
         }
+        m_opened.push_back(now);
     }
-
-    std::size_t count(time_point now)
+    void reported()
     {
-        while (!m_opened.empty() && now - m_opened.front() >= lifetime)
+        if (!m_opened.empty())
         {
             m_opened.pop_front();
         }
-        return m_opened.size();
+    }
+
+    std::size_t count(time_point now) const
+    {
+        const auto first = std::find_if(m_opened.begin(), m_opened.end(),
+                                        [now](time_point each)
+                                        { return !has_expired(now, each); });
+        return static_cast<std::size_t>(m_opened.end() - first);
     }
 
 private:
@@ -37,6 +44,11 @@
     // others from the slots that it does not use yet.
     static constexpr duration lifetime = std::chrono::milliseconds(100);
 
+    static bool has_expired(time_point now, time_point opened)
+    {
+        return now - opened >= lifetime;
+    }
+
     std::deque<time_point> m_opened;
 };
 
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -19,8 +19,6 @@
 // When the goal is continuity, a head whose load exceeds the mean by up to this
 // much keeps the flow.
 constexpr std::uint32_t continuity_excess_percent = 10;
-// One runs and one covers the round trip of the next handshake.
-constexpr std::uint32_t window_per_slot = 2;
 // Within this range the service times of equal upstreams under mixed load
 // differ by chance. Relative times outside of it are bounded.
 constexpr std::int64_t max_chance_below = 800;
@@ -179,7 +177,7 @@
     return !m_draining && (!is_shedding(now) || now >= m_next_trial);
 }
 
-std::uint64_t admission::running(time_point now)
+std::uint64_t admission::running(time_point now) const
 {
     return m_requests + m_unreported.count(now);
 }
@@ -187,13 +185,20 @@
 bool admission::has_window(time_point now, std::size_t flows)
 {
     const std::uint32_t per_slot =
-        service_time(now) ? std::min(window_per_slot, m_work_per_slot)
-                          : m_work_per_slot;
+        service_time(now)
+            ? std::min(completion_estimate::window_per_slot, m_work_per_slot)
+            : m_work_per_slot;
     return flows < m_limits.connections && !is_full_of_work() &&
            m_cold.allows(now) &&
            running(now) < std::uint64_t{per_slot} * m_limits.slots;
 }
 
+bool admission::has_work_room(time_point now) const
+{
+    return !is_full_of_work() &&
+           running(now) < std::uint64_t{m_work_per_slot} * m_limits.slots;
+}
+
 bool admission::has_free_slot(time_point now)
 {
     return running(now) < m_limits.slots;
--- a/packages/agent/src/agent_admission.cpp
+++ b/packages/agent/src/agent_admission.cpp
@@ -215,7 +215,7 @@
     {
         m_admission.admitted(now);
     }
-    if (queue_terms(now, header) != nullptr)
+    if (header.role == packet_role::opens)
     {
         m_admission.opened(now);
     }
--- a/packages/agent/src/agent_opening_queue.cpp
+++ b/packages/agent/src/agent_opening_queue.cpp
@@ -75,7 +75,7 @@
         return nullptr;
     }
     const bool is_unknown =
-        !m_admission.service_time(now) && m_admission.is_full_of_work();
+        !m_admission.service_time(now) && !m_admission.has_work_room(now);
     return is_unknown ? nullptr : &*share->terms;
 }
 
--- a/packages/agent/src/completion_estimate.cpp
+++ b/packages/agent/src/completion_estimate.cpp
@@ -14,4 +14,10 @@
     return std::max(by_work, m_cold.wait(m_now, ahead) + m_service_time);
 }
 
+duration completion_estimate::until_start(std::uint64_t ahead) const
+{
+    const duration at_upstream = m_service_time * window_per_slot;
+    return std::max(with_ahead(ahead) - at_upstream, duration::zero());
+}
+
 } // namespace crowlink::internal
--- a/packages/agent/src/opening_queue.cpp
+++ b/packages/agent/src/opening_queue.cpp
@@ -99,8 +99,11 @@
     for (const held_opening* each : not_in_time)
     {
         const duration expected = estimate.with_ahead(planned.size());
+        // One that can't start within an aim is refused now and not when the
+        // aim has passed.
+        const time_point start = now + estimate.until_start(planned.size());
         const bool is_in_reach = now + expected <= each->deadline.last &&
-                                 now < each->since + each->aim;
+                                 start < each->since + each->aim;
         if (is_in_reach && !any_in_time && fits(*each))
         {
             put(*each, hold_outcome::late, expected);
--- a/packages/balancer/src/bulk_admission.cpp
+++ b/packages/balancer/src/bulk_admission.cpp
@@ -11,8 +11,10 @@
 
 // Callers send again after 1.6 s at most.
 constexpr duration idle_time = std::chrono::milliseconds(1700);
-// Callers give up opening after this.
-constexpr duration opening_time = std::chrono::milliseconds(1400);
+// Data follows an accepted opening after one round trip. Agents refuse openings
+// straight to the caller, which is not seen here: counted longer, those would
+// keep the link busy that is free.
+constexpr duration opening_time = std::chrono::milliseconds(300);
 // Longer than the pause before a first retransmission, 200 ms.
 constexpr duration longest_pause = std::chrono::milliseconds(300);
 // Between two sends of a flow that has more to send; it gets its turn within
@@ -33,6 +35,12 @@
                              double bytes_per_second)
 {
     close_idle(now);
+    if (aim <= duration::zero())
+    {
+        // Nothing can be in time on a route without an aim, and a late answer
+        // still has its value.
+        return false;
+    }
     const auto active = static_cast<double>(active_flows(now));
     const double seconds = std::chrono::duration<double>(aim).count();
     return active > 0.0 &&
--- a/packages/daemon/src/agent/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -280,15 +280,16 @@
 template <class Delivery>
 void agent_loop<Delivery>::advance()
 {
+    // Before the tick, which decides by what is at the upstream.
+    if constexpr (has_flow_packets)
+    {
+        take_work();
+    }
     if (m_now >= m_next_tick)
     {
         m_next_tick = m_now + tick_interval;
         handle(tick{});
     }
-    if constexpr (has_flow_packets)
-    {
-        take_work();
-    }
     m_stage.advance(m_now);
     take_stage_output();
     m_gauges.flows = m_core ? m_core->flows() : 0;
--- a/packages/daemon/src/agent/agent_loop_upstream.cpp
+++ b/packages/daemon/src/agent/agent_loop_upstream.cpp
@@ -173,6 +173,8 @@
         }
     }
     const work_change done = m_delivery.take_work(m_now);
+    // First, since the end of work starts what is held, by these counts.
+    handle(requests_counted{done.running, done.requests_completed});
     for (std::uint32_t i = 0; i < done.started; ++i)
     {
         handle(work_started{1});
@@ -185,7 +187,6 @@
     {
         handle(work_ended{1, false});
     }
-    handle(requests_counted{done.running, done.requests_completed});
 }
 
 } // namespace crowlink::internal
