--- a/packages/daemon/test/running_daemon_test.cpp
+++ b/packages/daemon/test/running_daemon_test.cpp
@@ -1,5 +1,6 @@
 #include "process/running_daemon.hpp"
 
+#include "crowlink/membership/balancer_record.hpp"
 #include "crowlink/requests/message_codec.hpp"
 #include "crowlink/requests/udp_request_client.hpp"
 
@@ -205,12 +206,14 @@
         return std::nullopt;
     }
 
-    // Restarts the daemon with a link of this capacity.
-    void restart_with_link(double mbps)
+    // Restarts the daemon with or without the capacity of its link.
+    void restart(port_mode mode, std::optional<double> link_mbps)
     {
         m_daemon = fail(error_kind::unavailable, "", "ended");
-        m_settings.host.link_mbps = mbps;
-        m_daemon = running_daemon::start(m_settings, m_log);
+        daemon_settings changed = settings();
+        changed.balancer->mode = mode;
+        changed.host.link_mbps = link_mbps;
+        m_daemon = running_daemon::start(changed, m_log);
     }
 
     // The entry hosts that the daemon knows.
@@ -223,6 +226,37 @@
         return found ? *found : std::vector<host_capacity>();
     }
 
+    // The service or balancer group of each record that control holds, once
+    // there are so many.
+    std::vector<service_id> services_of_records(std::size_t awaited)
+    {
+        std::vector<service_id> services;
+        for (int tries = 0; tries < most_tries && services.size() < awaited;
+             ++tries)
+        {
+            std::this_thread::sleep_for(patience);
+            services = services_of_records();
+        }
+        return services;
+    }
+
+    std::vector<service_id> services_of_records()
+    {
+        using answer = std::vector<service_id>;
+        const auto found = (*m_daemon)->control().ask<answer>(
+            [](control_thread::context& with)
+            {
+                answer services;
+                for (const auto& each :
+                     with.membership->core().publishing().state().records())
+                {
+                    services.push_back(each.first.service);
+                }
+                return services;
+            });
+        return found ? *found : answer();
+    }
+
     // Adds an entry host to those that the daemon knows.
     void add_entry_host(const host_capacity& added)
     {
@@ -335,7 +369,7 @@
 // The own record goes through control and back; the other host is made up.
 TEST_F(one_daemon, answers_the_readiness_probe_by_the_rotation)
 {
-    restart_with_link(4.8);
+    restart(port_mode::plain_datagrams, 4.8);
     ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
     ASSERT_TRUE(declare_service());
     ASSERT_TRUE(becomes_ready(true));
@@ -351,6 +385,22 @@
     EXPECT_TRUE(becomes_ready(true));
 }
 
+// Entry hosts of flow packets need a record for the rotation alone.
+TEST_F(one_daemon, announces_an_entry_host_of_flow_packets_with_a_link_alone)
+{
+    restart(port_mode::flow_packets, 4.8);
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    EXPECT_EQ(services_of_records(2),
+              (std::vector<service_id>{service_id(1),
+                                       balancer_group(place_id("p"))}));
+    restart(port_mode::flow_packets, std::nullopt);
+    ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
+    ASSERT_EQ(services_of_records(1), (std::vector<service_id>{service_id(1)}));
+    // Both records would be announced within the same half second.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    EXPECT_EQ(services_of_records(), (std::vector<service_id>{service_id(1)}));
+}
+
 TEST_F(one_daemon, learns_no_entry_hosts_without_the_setting)
 {
     ASSERT_TRUE(m_daemon) << to_string(m_daemon.error());
