--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -210,7 +210,12 @@
     m_leaving = true;
     m_admission.set_draining(true);
     advance_openings(now);
-    set_state(upstream_state::draining);
+    // The agent of an upstream that has ended may stop later: announced as
+    // draining then, the upstream would count as living until its lease ends.
+    if (m_record.state != upstream_state::gone)
+    {
+        set_state(upstream_state::draining);
+    }
 }
 
 void agent::on(time_point, const work_started& event)
--- a/packages/agent/test/drained_upstream_test.cpp
+++ b/packages/agent/test/drained_upstream_test.cpp
@@ -42,6 +42,18 @@
     EXPECT_TRUE(core->owns(flow(1)));
 }
 
+// The hosts of upstreams that were replaced are stopped some seconds later. An
+// upstream that was announced as living again then kept packets of its former
+// flows from being answered for two seconds.
+TEST_F(drained_upstream, that_has_ended_stays_gone_when_its_agent_stops)
+{
+    handle(upstream_failed{});
+    ASSERT_FALSE(effects.announced.empty());
+    EXPECT_EQ(effects.announced.back().state, upstream_state::gone);
+    handle(leave_requested{});
+    EXPECT_EQ(effects.announced.back().state, upstream_state::gone);
+}
+
 // The agent keeps a closed connection for a while, and its caller may reuse the
 // same addresses for another one.
 TEST_F(drained_upstream, does_not_reopen_a_closed_connection)
