--- a/packages/agent/include/crowlink/agent.hpp
+++ b/packages/agent/include/crowlink/agent.hpp
@@ -30,7 +30,7 @@
 //   admission.hpp                whether a new flow is admitted
 //   cold_start_limiter.hpp       the rate limit of a cold upstream
 //   service_time_estimator.hpp   how long requests occupy a slot
-//   unreported_starts.hpp        openings that are not in the work yet
+//   recent_openings.hpp          openings whose requests have not come yet
 //   completion_estimate.hpp      when a request would be completed
 //   opening_deadline.hpp         until when a caller waits
 //   held_opening.hpp             an opening packet that waits for room
--- a/packages/agent/include/crowlink/agent/admission.hpp
+++ b/packages/agent/include/crowlink/agent/admission.hpp
@@ -5,8 +5,8 @@
 #include "crowlink/agent/load_units.hpp"
 #include "crowlink/agent/peer_loads.hpp"
 #include "crowlink/agent/progress_monitor.hpp"
+#include "crowlink/agent/recent_openings.hpp"
 #include "crowlink/agent/service_time_estimator.hpp"
-#include "crowlink/agent/unreported_starts.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/model/service.hpp"
 
@@ -111,7 +111,7 @@
     // Whether a request would get a slot at once.
     bool has_free_slot(time_point now);
     // An opening packet was delivered; its request comes later.
-    void opened(time_point now) { m_unreported.opened(now); }
+    void opened(time_point now) { m_recent_openings.opened(now); }
     void set_held(std::size_t held) { m_held = held; }
     completion_estimate completion(time_point now);
 
@@ -135,7 +135,7 @@
     std::uint64_t m_held = 0;
     // Requests whose data has come.
     std::uint64_t m_requests = 0;
-    unreported_starts m_unreported;
+    recent_openings m_recent_openings;
     cold_start_limiter m_cold;
     progress_monitor m_progress;
     peer_loads m_peers;
--- a/packages/agent/include/crowlink/agent/held_opening.hpp
+++ b/packages/agent/include/crowlink/agent/held_opening.hpp
@@ -14,7 +14,8 @@
 // An opening packet that waits for room at the upstream.
 struct held_opening
 {
-    // The caller's latest copy.
+    // Of the first copy that came; the way to the caller and the payload are
+    // those of the latest one.
     packet_header header;
     std::vector<std::uint8_t> payload;
     std::uint32_t sequence = 0;
--- a/packages/agent/include/crowlink/agent/unreported_starts.hpp
+++ b/packages/agent/include/crowlink/agent/recent_openings.hpp
@@ -11,7 +11,7 @@
 
 // Openings that were delivered to the upstream and whose requests have not come
 // yet: each is about to take a slot.
-class unreported_starts
+class recent_openings
 {
 public:
     void opened(time_point now)
@@ -22,7 +22,8 @@
         }
         m_opened.push_back(now);
     }
-    void reported()
+    // The request of one of them has come.
+    void request_came()
     {
         if (!m_opened.empty())
         {
--- a/packages/agent/src/admission.cpp
+++ b/packages/agent/src/admission.cpp
@@ -86,7 +86,7 @@
     const std::uint64_t known = running + completed;
     for (std::uint64_t arrived = m_requests; arrived < known; ++arrived)
     {
-        m_unreported.reported();
+        m_recent_openings.request_came();
     }
     m_requests = running;
 }
@@ -179,7 +179,7 @@
 
 std::uint64_t admission::running(time_point now) const
 {
-    return m_requests + m_unreported.count(now);
+    return m_requests + m_recent_openings.count(now);
 }
 
 bool admission::has_window(time_point now, std::size_t flows)
--- a/packages/balancer/include/crowlink/balancer.hpp
+++ b/packages/balancer/include/crowlink/balancer.hpp
@@ -15,13 +15,13 @@
 //   egress_scheduler.hpp  paces, orders and bounds what is sent to agents
 //   egress_verdict.hpp    what becomes of a packet that is to be sent
 //   fair_queue.hpp        start-time fair queueing over flows
-//   rate_meter.hpp        the rate of bytes over the last half second
 //   host_capacity.hpp     an entry host and the capacity of its link
+//   link_pacer.hpp        paces bytes at a rate
+//   rate_meter.hpp        the rate of bytes over the last half second
 //   rotation_policy.hpp   whether this host takes part in the rotation
 //   route_decision.hpp    a routing decision, for logs and `explain`
 //   route_drop.hpp        the reason why a packet was not forwarded
 //   routed_packet.hpp     an encoded packet and its destination agent
-//   token_bucket.hpp      paces bytes at a rate
 //   traffic_counts.hpp    the counters of a traffic thread
 //   traffic_path.hpp      data plane: packets to agents, answers to callers
 //   views_changed.hpp     the input of the control plane
@@ -37,12 +37,12 @@
 #include "crowlink/balancer/egress_verdict.hpp"
 #include "crowlink/balancer/fair_queue.hpp"
 #include "crowlink/balancer/host_capacity.hpp"
+#include "crowlink/balancer/link_pacer.hpp"
 #include "crowlink/balancer/rate_meter.hpp"
 #include "crowlink/balancer/rotation_policy.hpp"
 #include "crowlink/balancer/route_decision.hpp"
 #include "crowlink/balancer/route_drop.hpp"
 #include "crowlink/balancer/routed_packet.hpp"
-#include "crowlink/balancer/token_bucket.hpp"
 #include "crowlink/balancer/traffic_counts.hpp"
 #include "crowlink/balancer/traffic_path.hpp"
 #include "crowlink/balancer/views_changed.hpp"
--- a/packages/balancer/include/crowlink/balancer/egress_packet.hpp
+++ b/packages/balancer/include/crowlink/balancer/egress_packet.hpp
@@ -16,9 +16,9 @@
     std::uint64_t flow = 0;
     endpoint destination;
     time_point since{};
-    // Whether it counts towards the bytes of its bulk flow, and ends them.
     // The hash of the caller's own packet.
     std::uint64_t digest = 0;
+    // Whether it counts towards the bytes of its bulk flow, and ends them.
     bool is_bulk = false;
     bool finishes = false;
     std::vector<std::uint8_t> bytes;
--- a/packages/balancer/include/crowlink/balancer/egress_scheduler.hpp
+++ b/packages/balancer/include/crowlink/balancer/egress_scheduler.hpp
@@ -6,8 +6,8 @@
 #include "crowlink/balancer/egress_packet.hpp"
 #include "crowlink/balancer/egress_verdict.hpp"
 #include "crowlink/balancer/fair_queue.hpp"
+#include "crowlink/balancer/link_pacer.hpp"
 #include "crowlink/balancer/rate_meter.hpp"
-#include "crowlink/balancer/token_bucket.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -50,9 +50,9 @@
                    bool is_bulk, bool finishes);
     double bulk_rate(time_point now);
 
-    token_bucket m_pace;
+    link_pacer m_pace;
     // What packets without terms may take from the pace.
-    token_bucket m_unclassified;
+    link_pacer m_unclassified;
     std::size_t m_max_small_bytes;
     std::deque<egress_packet> m_small;
     fair_queue m_bulk;
--- a/packages/balancer/include/crowlink/balancer/token_bucket.hpp
+++ b/packages/balancer/include/crowlink/balancer/link_pacer.hpp
@@ -8,11 +8,11 @@
 // Paces bytes at a rate. A packet may be taken while the balance is positive,
 // even if it is larger than the balance; the debt delays the next one. Hence a
 // packet larger than the bucket still passes.
-class token_bucket
+class link_pacer
 {
 public:
     // `depth` is the longest idle time that is saved for a burst.
-    token_bucket(double bytes_per_second, duration depth);
+    link_pacer(double bytes_per_second, duration depth);
 
     // Adds what has accrued since the last call. While packets wait, a late
     // call still credits half of its delay, even beyond the depth: a host with
--- a/packages/balancer/src/token_bucket.cpp
+++ b/packages/balancer/src/link_pacer.cpp
@@ -1,4 +1,4 @@
-#include "crowlink/balancer/token_bucket.hpp"
+#include "crowlink/balancer/link_pacer.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -13,14 +13,14 @@
 
 } // namespace
 
-token_bucket::token_bucket(double bytes_per_second, duration depth)
+link_pacer::link_pacer(double bytes_per_second, duration depth)
     : m_rate(bytes_per_second)
     , m_depth(bytes_per_second * seconds(depth).count())
     , m_balance(m_depth)
 {
 }
 
-void token_bucket::refill(time_point now, bool is_waiting)
+void link_pacer::refill(time_point now, bool is_waiting)
 {
     if (now <= m_last)
     {
@@ -32,7 +32,7 @@
     m_last = now;
 }
 
-time_point token_bucket::opens_at() const
+time_point link_pacer::opens_at() const
 {
     if (is_open())
     {
--- a/packages/balancer/test/egress_scheduler_test.cpp
+++ b/packages/balancer/test/egress_scheduler_test.cpp
@@ -93,9 +93,9 @@
     std::uint32_t m_number = 0;
 };
 
-TEST(token_bucket, lets_through_the_burst_and_then_the_rate)
+TEST(link_pacer, lets_through_the_burst_and_then_the_rate)
 {
-    token_bucket bucket(1000.0, milliseconds(20));
+    link_pacer bucket(1000.0, milliseconds(20));
     time_point now{};
     std::size_t taken = 0;
     for (int step = 0; step < 10'000; ++step)
@@ -116,9 +116,9 @@
 }
 
 // A balance that never turns positive would make the thread poll in vain.
-TEST(token_bucket, is_open_at_the_time_that_it_names)
+TEST(link_pacer, is_open_at_the_time_that_it_names)
 {
-    token_bucket bucket(562'500.0, milliseconds(20));
+    link_pacer bucket(562'500.0, milliseconds(20));
     time_point now{};
     for (int round = 0; round < 1000; ++round)
     {
--- a/packages/daemon/test/flow_delivery_test.cpp
+++ b/packages/daemon/test/flow_delivery_test.cpp
@@ -147,7 +147,6 @@
     EXPECT_EQ(m_core.take_work(time_point()).requests_completed, 1U);
 }
 
-// What ends without an answer says nothing about the service time.
 // Uploads reach an upstream through slow links: counted as work while their
 // bodies arrive, a few of them would keep every slot busy that is free.
 TEST_F(delivery, body_on_its_way_is_no_work)
@@ -170,6 +169,7 @@
     EXPECT_EQ(m_core.take_work(start).completed, 1U);
 }
 
+// What ends without an answer says nothing about the service time.
 TEST_F(delivery, a_request_that_is_given_up_has_not_completed)
 {
     EXPECT_TRUE(m_core.deliver(flow, packet(opens, 1, 0)));
