--- a/packages/agent/test/simulated_callers.hpp
+++ b/packages/agent/test/simulated_callers.hpp
@@ -327,7 +327,7 @@
     {
         if (m_is_stalled)
         {
-            m_stalled.push_back([this, flow] { finish(flow); });
+            m_stalled.emplace_back([this, flow] { finish(flow); });
             return;
         }
         --m_running;
