--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -17,8 +17,11 @@
 
 // The failure of a single publisher, which the subscriber replaces within this
 // time, does not make control stale.
-constexpr duration failover_time = subscriber_settings().silence_timeout +
-                                   subscriber_settings().answer_timeout;
+duration failover_time()
+{
+    const subscriber_settings defaults;
+    return defaults.silence_timeout + defaults.answer_timeout;
+}
 
 std::vector<observer_info> control_hosts(const daemon_settings& settings)
 {
@@ -115,7 +118,7 @@
     , m_seed(seed)
     , m_where(settings.host.place)
     , m_shares_rotation(shares_rotation(settings))
-    , m_longest_age(lease_scale(settings)(failover_time))
+    , m_longest_age(lease_scale(settings)(failover_time()))
 {
     for (upstream_record& record : records)
     {
