--- a/packages/document/test/reader_test.cpp
+++ b/packages/document/test/reader_test.cpp
@@ -169,10 +169,9 @@
     const endpoint address = *endpoint::parse("198.18.0.1:443");
     const route expected{"x",
                          address,
-                         request_class::non_idempotent,
-                         std::chrono::milliseconds(1500),
-                         std::chrono::milliseconds(150),
-                         2,
+                         {request_class::non_idempotent,
+                          std::chrono::milliseconds(1500),
+                          std::chrono::milliseconds(150), 2},
                          {{service_id(1), 90}, {service_id(2), 10}}};
     EXPECT_EQ(document->routes, std::vector<route>{expected});
     EXPECT_EQ(document->source, "as it came");
