--- a/packages/daemon/src/control/control_links.cpp
+++ b/packages/daemon/src/control/control_links.cpp
@@ -70,13 +70,12 @@
         new control_links(context, settings, authenticator));
     const auto done =
         made->open_peers(context, own, settings)
-            .and_then([&] { return made->open_nodes(context, own, settings); })
-            .and_then([&]
-                      { return made->open_control(context, own, settings); });
+            .and_then([&] { return made->open_nodes(context, own, settings); });
     if (!done)
     {
         return tl::unexpected(done.error());
     }
+    made->note_control(own, settings);
     made->list_sockets();
     return made;
 }
@@ -138,35 +137,23 @@
     return {};
 }
 
-result<void> control_links::open_control(zmq::context_t& context,
-                                         const identity& own,
-                                         const daemon_settings& settings)
+void control_links::note_control(const identity& own,
+                                 const daemon_settings& settings)
 {
-    if (!settings.is_node())
+    m_pair = own.pair;
+    for (const control_endpoint& each : settings.control_endpoints)
     {
-        // Nobody would read what comes, and the wait would never rest.
-        return {};
+        m_named_control.emplace(each.host, each);
     }
-    std::vector<control_endpoint> endpoints = settings.control_endpoints;
-    if (endpoints.empty() && settings.control)
+    if (m_named_control.empty() && settings.control && settings.is_node())
     {
         // The control in this process, reached as any other.
-        endpoints.push_back(control_endpoint{
-            settings.host.name, settings.host.place, settings.host.region,
-            *node_address(), own.pair ? own.pair->public_key : std::string()});
+        m_named_control.emplace(
+            settings.host.name,
+            control_endpoint{settings.host.name, settings.host.place,
+                             settings.host.region, *node_address(),
+                             own.pair ? own.pair->public_key : std::string()});
     }
-    for (const control_endpoint& each : endpoints)
-    {
-        result<dealer_socket> dealer =
-            dealer_socket::connect(context, m_node_name, each.address, own.pair,
-                                   each.public_key, m_times);
-        if (!dealer)
-        {
-            return tl::unexpected(dealer.error());
-        }
-        m_control.emplace(each.host, std::move(*dealer));
-    }
-    return {};
 }
 
 std::optional<dealer_socket> control_links::reach(const host_id& self,
@@ -200,31 +187,57 @@
     }
 }
 
+void control_links::keep_peers(const std::set<host_id>& hosts)
+{
+    std::erase_if(m_peers, [&hosts](const auto& each)
+                  { return hosts.count(each.first) == 0; });
+}
+
 void control_links::reach_control(const host_id& host)
 {
     if (m_control.count(host) != 0)
     {
         return;
     }
-    if (auto dealer =
-            reach(m_node_name, host, m_seeds ? m_seeds->node_port : 0))
+    if (auto dealer = connect_control(host))
     {
         m_control.emplace(host, std::move(*dealer));
         list_sockets();
     }
 }
 
-void control_links::keep_peers(const std::set<host_id>& hosts)
+std::optional<dealer_socket> control_links::connect_control(const host_id& host)
 {
-    std::erase_if(m_peers, [&hosts](const auto& each)
-                  { return hosts.count(each.first) == 0; });
+    const auto named = m_named_control.find(host);
+    if (named == m_named_control.end())
+    {
+        return reach(m_node_name, host, m_seeds ? m_seeds->node_port : 0);
+    }
+    const control_endpoint& there = named->second;
+    result<dealer_socket> dealer =
+        dealer_socket::connect(m_context, m_node_name, there.address, m_pair,
+                               there.public_key, m_times);
+    if (!dealer)
+    {
+        m_metrics.count("crowlink_control_hosts_unreachable_total");
+        return std::nullopt;
+    }
+    return std::move(*dealer);
 }
 
-void control_links::keep_control(const std::set<host_id>& hosts)
+void control_links::set_control(const std::set<host_id>& hosts)
 {
-    std::erase_if(m_control, [&hosts](const auto& each)
-                  { return hosts.count(each.first) == 0; });
-    list_sockets();
+    const std::size_t removed =
+        std::erase_if(m_control, [&hosts](const auto& each)
+                      { return hosts.count(each.first) == 0; });
+    if (removed > 0)
+    {
+        list_sockets();
+    }
+    for (const host_id& host : hosts)
+    {
+        reach_control(host);
+    }
 }
 
 void control_links::list_sockets()
--- a/packages/daemon/src/control/control_links.hpp
+++ b/packages/daemon/src/control/control_links.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/base/time.hpp"
+#include "crowlink/settings/control_endpoint.hpp"
 #include "crowlink/settings/daemon_settings.hpp"
 #include "crowlink/transport/dealer_socket.hpp"
 #include "crowlink/transport/router_socket.hpp"
@@ -41,6 +42,14 @@
     std::string bytes;
 };
 
+// The metrics that count the messages and their bytes on one kind of link, one
+// way.
+struct link_traffic
+{
+    const char* messages;
+    const char* bytes;
+};
+
 // All ZeroMQ sockets of one daemon; belongs to the control thread. Towards each
 // other control host there is one connection for what is sent, and its own
 // connection to this host brings what it sends.
@@ -61,17 +70,19 @@
     // The next message; empty if there is none.
     std::optional<inbound_message> next();
 
-    // Where hosts are named by their addresses, connects to one that is not
-    // connected yet: to another control host, or from a node to control.
+    // Where hosts are named by their addresses, connects to another control
+    // host that is not connected yet.
     void reach_peer(const host_id& host);
-    void reach_control(const host_id& host);
-    // Ends the connections to control hosts that are not among these.
+    // Ends the connections to other control hosts that are not among these.
     void keep_peers(const std::set<host_id>& hosts);
-    void keep_control(const std::set<host_id>& hosts);
+    // Connects this node to a control host that is not connected yet.
+    void reach_control(const host_id& host);
+    // Connects this node to these control hosts and to no others.
+    void set_control(const std::set<host_id>& hosts);
 
-    // The control hosts that this node has no connection to, since it broke or
-    // was refused.
-    std::vector<host_id> lost_control();
+    // The control hosts whose connection from this node broke or was refused,
+    // and was not made again since.
+    std::set<host_id> lost_control();
 
     // Sends to another control host; false if it was not queued.
     bool send_to_peer(const host_id& to, message_channel channel,
@@ -86,6 +97,10 @@
     // Where other control hosts connect.
     std::optional<endpoint> peer_address() const;
 
+    // Connections from this node to control hosts, standing or being made.
+    std::size_t control_connections() const { return m_control.size(); }
+    // Nodes whose messages have come to this control host.
+    std::size_t nodes_heard() const { return m_node_connections.size(); }
     const metrics& counters() const { return m_metrics; }
 
 private:
@@ -95,18 +110,20 @@
     // Nothing where hosts are not named by their addresses.
     std::optional<dealer_socket> reach(const host_id& self, const host_id& host,
                                        std::uint16_t port);
+    // By the settings where they name the host, or by its address.
+    std::optional<dealer_socket> connect_control(const host_id& host);
 
     result<void> open_peers(zmq::context_t& context, const identity& own,
                             const daemon_settings& settings);
     result<void> open_nodes(zmq::context_t& context, const identity& own,
                             const daemon_settings& settings);
-    result<void> open_control(zmq::context_t& context, const identity& own,
-                              const daemon_settings& settings);
+    void note_control(const identity& own, const daemon_settings& settings);
     void list_sockets();
     bool is_genuine(const received_message& message, link_kind link);
     std::optional<inbound_message> next_of(router_socket& socket,
                                            link_kind link);
     std::optional<inbound_message> next_from_control();
+    void count(const link_traffic& names, std::size_t bytes);
 
     zmq::context_t& m_context;
     std::optional<seed_settings> m_seeds;
@@ -114,6 +131,9 @@
     host_id m_node_name;
     const zap_authenticator* m_authenticator;
     connect_times m_times;
+    std::optional<curve_key_pair> m_pair;
+    // The control hosts that the settings name.
+    std::map<host_id, control_endpoint> m_named_control;
     std::optional<router_socket> m_peer_router;
     std::optional<router_socket> m_node_router;
     std::map<host_id, dealer_socket> m_peers;
--- a/packages/daemon/src/control/control_links_messages.cpp
+++ b/packages/daemon/src/control/control_links_messages.cpp
@@ -14,8 +14,27 @@
 // the place of another, which is heard again at its next message.
 constexpr std::size_t most_node_connections = 16384;
 
+constexpr link_traffic received_from_nodes{
+    "crowlink_control_node_messages_received_total",
+    "crowlink_control_node_bytes_received_total"};
+constexpr link_traffic sent_to_nodes{
+    "crowlink_control_node_messages_sent_total",
+    "crowlink_control_node_bytes_sent_total"};
+constexpr link_traffic received_from_peers{
+    "crowlink_control_peer_messages_received_total",
+    "crowlink_control_peer_bytes_received_total"};
+constexpr link_traffic sent_to_peers{
+    "crowlink_control_peer_messages_sent_total",
+    "crowlink_control_peer_bytes_sent_total"};
+
 } // namespace
 
+void control_links::count(const link_traffic& names, std::size_t bytes)
+{
+    m_metrics.count(names.messages);
+    m_metrics.count(names.bytes, bytes);
+}
+
 std::optional<inbound_message> control_links::next()
 {
     if (m_peer_router)
@@ -48,6 +67,9 @@
         {
             continue;
         }
+        count(link == link_kind::node ? received_from_nodes
+                                      : received_from_peers,
+              received->bytes.size());
         if (link == link_kind::node)
         {
             if (m_node_connections.size() >= most_node_connections)
@@ -77,14 +99,14 @@
     return std::nullopt;
 }
 
-std::vector<host_id> control_links::lost_control()
+std::set<host_id> control_links::lost_control()
 {
-    std::vector<host_id> lost;
+    std::set<host_id> lost;
     for (auto& [host, dealer] : m_control)
     {
         if (dealer.is_lost())
         {
-            lost.push_back(host);
+            lost.insert(host);
         }
     }
     return lost;
@@ -116,7 +138,13 @@
                                  std::string_view bytes)
 {
     const auto found = m_peers.find(to);
-    return found != m_peers.end() && found->second.send(channel, bytes);
+    const bool sent =
+        found != m_peers.end() && found->second.send(channel, bytes);
+    if (sent)
+    {
+        count(sent_to_peers, bytes.size());
+    }
+    return sent;
 }
 
 bool control_links::send_to_node(const host_id& to, std::string_view bytes)
@@ -131,8 +159,10 @@
     if (!sent)
     {
         m_metrics.count("crowlink_control_messages_unsent_total");
+        return false;
     }
-    return sent;
+    count(sent_to_nodes, bytes.size());
+    return true;
 }
 
 bool control_links::send_to_control(const host_id& to, std::string_view bytes)
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -258,7 +258,9 @@
     {
         const membership_host& core = m_membership->core();
         next->count("crowlink_control_members", core.observing().living());
+        next->count("crowlink_control_leases", core.observing().leases());
         next->count("crowlink_control_nodes", core.publishing().nodes());
+        next->count("crowlink_control_nodes_heard", m_links->nodes_heard());
         next->count("crowlink_control_document_version",
                     m_board.document.get().version.value());
     }
@@ -268,6 +270,10 @@
         next->count("crowlink_node_document_version",
                     subscribed.applied_version().value());
         next->count("crowlink_node_control_bytes_total", subscribed.bytes());
+        next->count("crowlink_node_control_connections",
+                    m_links->control_connections());
+        next->count("crowlink_node_control_connections_opened_total",
+                    m_node->connections().opened());
         next->count("crowlink_node_snapshots_total", subscribed.snapshots());
     }
     m_metrics.publish(next);
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -89,6 +89,15 @@
     return core;
 }
 
+connection_settings to_connections(const daemon_settings& settings)
+{
+    connection_settings core;
+    const lease_scale scale(settings);
+    core.release_delay = scale(core.release_delay);
+    core.retry_wait = scale(core.retry_wait);
+    return core;
+}
+
 announcer_settings to_announcer(const daemon_settings& settings)
 {
     announcer_settings core;
@@ -115,6 +124,7 @@
     , m_beliefs(log)
     , m_subscriber(to_subscriber(settings), seed, now)
     , m_announcing(to_announcer(settings))
+    , m_connections(to_connections(settings))
     , m_seed(seed)
     , m_where(settings.host.place)
     , m_shares_rotation(shares_rotation(settings))
@@ -125,6 +135,10 @@
         m_announcers.emplace_back(m_announcing, std::move(record), ++m_seed,
                                   now);
     }
+    if (!settings.seeds)
+    {
+        m_connections.set_hosts(m_subscriber.order());
+    }
 }
 
 void node_controller::handle(time_point now, const inbound_message& message,
@@ -217,23 +231,6 @@
     return age.document <= m_longest_age && !is_region_cut;
 }
 
-void node_controller::follow_connections(time_point now)
-{
-    const std::vector<host_id> lost = m_links.lost_control();
-    for (const host_id& host : m_lost)
-    {
-        if (std::find(lost.begin(), lost.end(), host) == lost.end())
-        {
-            m_subscriber.connection_made(now, host);
-        }
-    }
-    for (const host_id& host : lost)
-    {
-        m_subscriber.connection_lost(now, host);
-    }
-    m_lost = lost;
-}
-
 bool node_controller::settled() const
 {
     return std::all_of(m_announcers.begin(), m_announcers.end(),
@@ -242,8 +239,14 @@
 
 void node_controller::send(const std::vector<membership_send>& sends)
 {
+    const std::set<host_id> used = used_hosts();
     for (const membership_send& each : sends)
     {
+        if (used.count(each.to) != 0)
+        {
+            m_links.reach_control(each.to);
+        }
+        // To a host that was left before, it is sent if there is a connection.
         (void)m_links.send_to_control(each.to,
                                       each.message.SerializeAsString());
     }
@@ -288,46 +291,6 @@
     }
 }
 
-// Asks those that control itself named; the seeds help while nobody has, or
-// where all of those are gone.
-void node_controller::follow_hosts(time_point now, const blackboard& board)
-{
-    m_is_hosts_due = false;
-    const std::vector<host_id>& seeds = board.seeds.get();
-    if (seeds.empty())
-    {
-        // The settings name all hosts.
-        return;
-    }
-    std::set<host_id> all(m_learned.begin(), m_learned.end());
-    all.insert(seeds.begin(), seeds.end());
-    for (const host_id& host : all)
-    {
-        m_links.reach_control(host);
-    }
-    std::vector<observer_info> hosts =
-        infos_of(std::vector<host_id>(all.begin(), all.end()));
-    m_links.keep_control(all);
-    m_announcing.observers = m_learned.empty() ? hosts : infos_of(m_learned);
-    for (announcer& each : m_announcers)
-    {
-        each.set_observers(m_announcing.observers);
-    }
-    m_subscriber.set_publishers(now, std::move(hosts));
-}
-
-std::vector<observer_info>
-node_controller::infos_of(const std::vector<host_id>& hosts) const
-{
-    std::vector<observer_info> infos;
-    infos.reserve(hosts.size());
-    for (const host_id& host : hosts)
-    {
-        infos.push_back(observer_info{host, m_where, m_announcing.region});
-    }
-    return infos;
-}
-
 // Upstreams that announce themselves are known only when they do.
 void node_controller::add_announcers(time_point now, const blackboard& board)
 {
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -5,9 +5,11 @@
 #include "control/control_links.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/membership/announcer.hpp"
+#include "crowlink/membership/control_connections.hpp"
 #include "crowlink/membership/subscriber.hpp"
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace crowlink::internal
@@ -29,6 +31,7 @@
     void advance(time_point now, blackboard& board);
 
     const subscriber& subscribed() const { return m_subscriber; }
+    const control_connections& connections() const { return m_connections; }
     // The control hosts that control named last.
     const std::vector<host_id>& learned() const { return m_learned; }
     // Another control host is there, by its own word.
@@ -43,6 +46,9 @@
     bool is_current(time_point now) const;
     void change_records(time_point now, const blackboard& board);
     void follow_connections(time_point now);
+    void keep_connections(time_point now);
+    std::set<host_id> used_hosts() const;
+    std::vector<host_id> preferred_hosts() const;
     void follow_hosts(time_point now, const blackboard& board);
     std::vector<observer_info>
     infos_of(const std::vector<host_id>& hosts) const;
@@ -54,6 +60,7 @@
     belief_log m_beliefs;
     subscriber m_subscriber;
     announcer_settings m_announcing;
+    control_connections m_connections;
     std::uint64_t m_seed;
     place_id m_where;
     bool m_shares_rotation;
@@ -62,8 +69,8 @@
     std::optional<std::uint64_t> m_balancers_revision;
     // The control hosts that control named last.
     std::vector<host_id> m_learned;
-    // The control hosts that there is no connection to.
-    std::vector<host_id> m_lost;
+    // The control hosts that the subscriber was told are unreachable.
+    std::set<host_id> m_unreachable_hosts;
     bool m_is_hosts_due = false;
     board_reader<std::vector<host_id>> m_seeds;
     std::vector<announcer> m_announcers;
--- a/packages/membership/include/crowlink/membership.hpp
+++ b/packages/membership/include/crowlink/membership.hpp
@@ -14,6 +14,7 @@
 //   announcement_filter.hpp  refuses announcements against the policy
 //   observer.hpp             the newest record of every member, leases, expiry
 //   publisher.hpp            paced streams to the nodes
+//   control_connections.hpp  which control hosts a node is connected to
 //   subscriber.hpp           what a node knows, as service views
 //   membership_host.hpp      an observer with its publisher
 //   *_settings.hpp           the settings of each of them
@@ -22,6 +23,7 @@
 #include "crowlink/membership/announcement_policy.hpp"
 #include "crowlink/membership/announcer.hpp"
 #include "crowlink/membership/balancer_record.hpp"
+#include "crowlink/membership/control_connections.hpp"
 #include "crowlink/membership/membership_host.hpp"
 #include "crowlink/membership/observer.hpp"
 #include "crowlink/membership/publisher.hpp"
--- a/packages/membership/include/crowlink/membership/observer.hpp
+++ b/packages/membership/include/crowlink/membership/observer.hpp
@@ -53,6 +53,9 @@
     // Records that are not gone.
     std::size_t living() const { return m_living; }
 
+    // Leases that this observer keeps, as of the last failure detection.
+    std::size_t leases() const;
+
     // The record of a member, or null if it is unknown.
     const upstream_record* find(service_id service,
                                 const upstream_id& id) const;
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -61,8 +61,11 @@
 
     staleness age(time_point now) const;
 
-    // The publisher that the node is attached to, or asks at present.
+    // The publisher that the node is attached to, or asks at present. There
+    // must be a control host.
     const host_id& source() const;
+    // The control hosts in the node's order of preference.
+    const std::vector<host_id>& order() const { return m_order; }
     bool attached() const { return m_phase == phase::attached; }
 
     // The number of snapshots received completely.
--- a/packages/membership/src/observer.cpp
+++ b/packages/membership/src/observer.cpp
@@ -72,6 +72,12 @@
     return found == m_records.end() ? nullptr : &found->second.record;
 }
 
+std::size_t observer::leases() const
+{
+    const auto own = m_homes.find(m_settings.self.id);
+    return own == m_homes.end() ? 0 : own->second.population;
+}
+
 std::vector<region_age> observer::cut_regions(time_point now) const
 {
     return m_peers.cut_regions(now);
