--- a/packages/transport/include/crowlink/transport/dealer_socket.hpp
+++ b/packages/transport/include/crowlink/transport/dealer_socket.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <zmq.hpp>
 
 namespace crowlink
@@ -47,6 +48,13 @@
             const std::optional<curve_key_pair>& pair,
             std::string_view peer_key, const connect_times& times = {});
 
+    dealer_socket(dealer_socket&&) = default;
+    dealer_socket& operator=(dealer_socket&&) = delete;
+    // Ends the events before their receiver: a thread of ZeroMQ that has an
+    // event for a receiver that is gone waits for ever, and with it all sockets
+    // of the context.
+    ~dealer_socket();
+
     zmq::socket_ref socket() { return m_socket; }
 
     // The next message, or empty if there is none.
@@ -56,6 +64,8 @@
     // Takes in what `events` holds. Whether the connection broke or was
     // refused, and was not made again since.
     bool is_lost();
+    // Whether the connection stood at the last call of is_lost.
+    bool is_connected() const { return m_is_connected; }
 
     // Queues a message; false if the queue is full.
     bool send(message_channel channel, std::string_view bytes);
@@ -71,6 +81,7 @@
     zmq::socket_t m_socket;
     zmq::socket_t m_events;
     bool m_is_lost = false;
+    bool m_is_connected = false;
     host_id m_self;
 };
 
--- a/packages/transport/src/message_sockets.cpp
+++ b/packages/transport/src/message_sockets.cpp
@@ -232,6 +232,15 @@
     }
 }
 
+dealer_socket::~dealer_socket()
+{
+    // Without a handle it was moved from.
+    if (m_socket.handle() != nullptr)
+    {
+        (void)zmq_socket_monitor(m_socket.handle(), nullptr, 0);
+    }
+}
+
 std::optional<dealer_socket::message> dealer_socket::receive()
 {
     while (true)
@@ -258,7 +267,8 @@
         // The first two bytes of an event are its number.
         std::uint16_t number = 0;
         std::memcpy(&number, frames.front().data(), sizeof(number));
-        m_is_lost = number != ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+        m_is_connected = number == ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+        m_is_lost = !m_is_connected;
         frames.clear();
     }
     return m_is_lost;
--- a/packages/transport/test/message_sockets_test.cpp
+++ b/packages/transport/test/message_sockets_test.cpp
@@ -3,6 +3,9 @@
 #include <array>
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <thread>
+
 namespace crowlink
 {
 namespace
@@ -137,6 +140,42 @@
     EXPECT_EQ(server->malformed(), 1U);
 }
 
+// Guards against a thread of ZeroMQ that waits for ever for the receiver of an
+// event: the process then neither sends nor receives, and does not end.
+TEST(message_sockets, closed_while_events_come_leave_others_working)
+{
+    constexpr int rounds = 2000;
+    constexpr int different_waits = 64;
+    auto context = std::make_unique<zmq::context_t>();
+    for (int round = 0; round < rounds; ++round)
+    {
+        auto peer = router_socket::bind(*context, any_port, std::nullopt, "");
+        auto dealer = dealer_socket::connect(*context, host_id("n1"),
+                                             peer->local(), std::nullopt, "");
+        ASSERT_TRUE(dealer) << to_string(dealer.error());
+        ASSERT_TRUE(readable(dealer->events()));
+        // Both ends close, and the event of the one comes as the other ends.
+        peer = fail(error_kind::unavailable, "", "closed");
+        for (int wait = 0; wait < round % different_waits; ++wait)
+        {
+            std::this_thread::yield();
+        }
+    }
+    auto server = router_socket::bind(*context, any_port, std::nullopt, "");
+    ASSERT_TRUE(server);
+    auto dealer = dealer_socket::connect(*context, host_id("n1"),
+                                         server->local(), std::nullopt, "");
+    ASSERT_TRUE(dealer);
+    ASSERT_TRUE(dealer->send(message_channel::membership, "x"));
+    const bool works = readable(server->socket());
+    EXPECT_TRUE(works);
+    if (!works)
+    {
+        // It would never end.
+        (void)context.release();
+    }
+}
+
 TEST(message_sockets, tell_that_the_peer_is_gone)
 {
     zmq::context_t context;
