--- a/packages/daemon/src/control/control_links.hpp
+++ b/packages/daemon/src/control/control_links.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/heard_nodes.hpp"
 #include "crowlink/base/metrics.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/settings/control_endpoint.hpp"
@@ -83,6 +84,9 @@
     // The control hosts whose connection from this node broke or was refused,
     // and was not made again since.
     std::set<host_id> lost_control();
+    // Whether the connection to a control host stood at the last call of
+    // lost_control.
+    bool is_control_connected(const host_id& host) const;
 
     // Sends to another control host; false if it was not queued.
     bool send_to_peer(const host_id& to, message_channel channel,
@@ -100,7 +104,9 @@
     // Connections from this node to control hosts, standing or being made.
     std::size_t control_connections() const { return m_control.size(); }
     // Nodes whose messages have come to this control host.
-    std::size_t nodes_heard() const { return m_node_connections.size(); }
+    std::size_t nodes_heard() const { return m_heard_nodes.size(); }
+    // Forgets the nodes that were not heard since the call before.
+    void forget_silent_nodes() { m_heard_nodes.begin_period(); }
     const metrics& counters() const { return m_metrics; }
 
 private:
@@ -138,8 +144,7 @@
     std::optional<router_socket> m_node_router;
     std::map<host_id, dealer_socket> m_peers;
     std::map<host_id, dealer_socket> m_control;
-    // The connection over which each node spoke last.
-    std::map<host_id, std::string> m_node_connections;
+    heard_nodes m_heard_nodes;
     std::vector<zmq::pollitem_t> m_items;
     std::optional<int> m_also;
     metrics m_metrics;
--- a/packages/daemon/src/control/control_links_messages.cpp
+++ b/packages/daemon/src/control/control_links_messages.cpp
@@ -10,10 +10,6 @@
 namespace
 {
 
-// More nodes than one control host is meant for; beyond that a new one takes
-// the place of another, which is heard again at its next message.
-constexpr std::size_t most_node_connections = 16384;
-
 constexpr link_traffic received_from_nodes{
     "crowlink_control_node_messages_received_total",
     "crowlink_control_node_bytes_received_total"};
@@ -72,11 +68,7 @@
               received->bytes.size());
         if (link == link_kind::node)
         {
-            if (m_node_connections.size() >= most_node_connections)
-            {
-                m_node_connections.erase(m_node_connections.begin());
-            }
-            m_node_connections[received->sender] = received->connection;
+            m_heard_nodes.note(received->sender, received->connection);
         }
         return inbound_message{link, std::move(received->sender),
                                std::move(received->public_key),
@@ -112,6 +104,12 @@
     return lost;
 }
 
+bool control_links::is_control_connected(const host_id& host) const
+{
+    const auto found = m_control.find(host);
+    return found != m_control.end() && found->second.is_connected();
+}
+
 // The name must be that of the key's holder, and the key must still be allowed:
 // its connection may be older than the present grants.
 bool control_links::is_genuine(const received_message& message, link_kind link)
@@ -149,13 +147,13 @@
 
 bool control_links::send_to_node(const host_id& to, std::string_view bytes)
 {
-    const auto found = m_node_connections.find(to);
-    if (found == m_node_connections.end())
+    const std::string* connection = m_heard_nodes.find(to);
+    if (connection == nullptr)
     {
         return false;
     }
     const bool sent =
-        m_node_router->send(found->second, message_channel::membership, bytes);
+        m_node_router->send(*connection, message_channel::membership, bytes);
     if (!sent)
     {
         m_metrics.count("crowlink_control_messages_unsent_total");
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds control_tick(25);
 constexpr std::chrono::milliseconds node_tick(50);
 constexpr std::chrono::milliseconds metrics_interval(500);
+// A node that uses this control host speaks every few seconds.
+constexpr std::chrono::seconds silent_node_period(60);
 
 } // namespace
 
@@ -162,6 +164,7 @@
         take_messages(now);
         take_commands(now);
         advance(now);
+        forget_silent_nodes(now);
         publish_metrics(now);
     }
 }
@@ -243,6 +246,15 @@
     }
 }
 
+void control_thread::forget_silent_nodes(time_point now)
+{
+    if (now >= m_next_silent_nodes)
+    {
+        m_next_silent_nodes = now + silent_node_period;
+        m_links->forget_silent_nodes();
+    }
+}
+
 void control_thread::publish_metrics(time_point now)
 {
     if (now < m_next_metrics)
--- a/packages/daemon/src/control/control_thread.hpp
+++ b/packages/daemon/src/control/control_thread.hpp
@@ -92,6 +92,7 @@
     void take_messages(time_point now);
     void take_commands(time_point now);
     void advance(time_point now);
+    void forget_silent_nodes(time_point now);
     void publish_metrics(time_point now);
 
     log_sink& m_log;
@@ -111,6 +112,7 @@
     steady_clock_source m_clock;
     snapshot_slot<metrics> m_metrics;
     time_point m_next_metrics{};
+    time_point m_next_silent_nodes{};
     std::atomic<bool> m_failed{false};
     std::atomic<bool> m_settled{false};
     std::atomic<bool> m_is_informed{false};
--- a/packages/daemon/src/control/node_controller.cpp
+++ b/packages/daemon/src/control/node_controller.cpp
@@ -86,6 +86,7 @@
     core.backoff_first = scale(core.backoff_first);
     core.backoff_limit = scale(core.backoff_limit);
     core.start_spread = scale(core.start_spread);
+    core.return_after = scale(core.return_after);
     return core;
 }
 
@@ -153,7 +154,7 @@
     }
     if (!decoded.has_answer())
     {
-        take(m_subscriber.handle(now, message.sender, decoded), board);
+        take(now, m_subscriber.handle(now, message.sender, decoded), board);
         return;
     }
     announcer* asked = find(decoded.answer().service(), decoded.answer().id());
@@ -162,7 +163,7 @@
         return;
     }
     const bool was_forbidden = asked->forbidden();
-    send(asked->handle(now, message.sender, decoded));
+    send(now, asked->handle(now, message.sender, decoded));
     if (asked->forbidden() && !was_forbidden)
     {
         m_log.write(log_line(log_level::error, "announcement_forbidden")
@@ -184,16 +185,18 @@
     }
     for (announcer& each : m_announcers)
     {
-        send(each.tick(now));
+        send(now, each.tick(now));
     }
     follow_connections(now);
     if (m_unreachable.changed(board.unreachable))
     {
         const unreachable_places& now_known = board.unreachable.get();
-        take(m_subscriber.set_unreachable(now_known.all, now_known.given_up),
+        take(now,
+             m_subscriber.set_unreachable(now_known.all, now_known.given_up),
              board);
     }
-    take(m_subscriber.tick(now), board);
+    follow_better_publisher(now, board);
+    take(now, m_subscriber.tick(now), board);
     m_beliefs.tell(m_subscriber, m_announcers);
     board.node_version.set(m_subscriber.applied_version());
     if (m_shares_rotation)
@@ -237,9 +240,10 @@
                        [](const announcer& each) { return each.accepted(); });
 }
 
-void node_controller::send(const std::vector<membership_send>& sends)
+void node_controller::send(time_point now,
+                           const std::vector<membership_send>& sends)
 {
-    const std::set<host_id> used = used_hosts();
+    const std::set<host_id> used = used_hosts(now);
     for (const membership_send& each : sends)
     {
         if (used.count(each.to) != 0)
@@ -252,9 +256,10 @@
     }
 }
 
-void node_controller::take(const subscriber_output& out, blackboard& board)
+void node_controller::take(time_point now, const subscriber_output& out,
+                           blackboard& board)
 {
-    send(out.sends);
+    send(now, out.sends);
     if (out.control_hosts)
     {
         m_learned = *out.control_hosts;
@@ -322,7 +327,7 @@
             if (announces_itself &&
                 each.given_start() != wanted->second.started)
             {
-                send(each.restart(now, wanted->second));
+                send(now, each.restart(now, wanted->second));
             }
         }
         // A balancer leaves first and serves on, so that agents find others. An
@@ -338,7 +343,7 @@
         }
         if (state != each.record().state || weight != each.record().weight)
         {
-            send(each.change(now, state, weight));
+            send(now, each.change(now, state, weight));
         }
     }
 }
--- a/packages/daemon/src/control/node_controller.hpp
+++ b/packages/daemon/src/control/node_controller.hpp
@@ -40,14 +40,15 @@
     bool settled() const;
 
 private:
-    void send(const std::vector<membership_send>& sends);
-    void take(const subscriber_output& out, blackboard& board);
+    void send(time_point now, const std::vector<membership_send>& sends);
+    void take(time_point now, const subscriber_output& out, blackboard& board);
     void publish_entry_hosts(time_point now, blackboard& board);
     bool is_current(time_point now) const;
     void change_records(time_point now, const blackboard& board);
     void follow_connections(time_point now);
     void keep_connections(time_point now);
-    std::set<host_id> used_hosts() const;
+    void follow_better_publisher(time_point now, blackboard& board);
+    std::set<host_id> used_hosts(time_point now) const;
     std::vector<host_id> preferred_hosts() const;
     void follow_hosts(time_point now, const blackboard& board);
     std::vector<observer_info>
--- a/packages/daemon/src/control/node_controller_connections.cpp
+++ b/packages/daemon/src/control/node_controller_connections.cpp
@@ -27,14 +27,23 @@
     m_unreachable_hosts = unreachable;
 }
 
+void node_controller::follow_better_publisher(time_point now, blackboard& board)
+{
+    const auto better = m_subscriber.better_publisher(now);
+    if (better && m_links.is_control_connected(*better))
+    {
+        take(now, m_subscriber.move_to(now, *better), board);
+    }
+}
+
 void node_controller::keep_connections(time_point now)
 {
     m_links.set_control(
-        m_connections.update(now, used_hosts(), m_links.lost_control()));
+        m_connections.update(now, used_hosts(now), m_links.lost_control()));
 }
 
-// The publisher and the homes of the records.
-std::set<host_id> node_controller::used_hosts() const
+// The publisher, the one that is to follow it, and the homes of the records.
+std::set<host_id> node_controller::used_hosts(time_point now) const
 {
     std::set<host_id> used;
     if (m_subscriber.order().empty())
@@ -42,6 +51,10 @@
         return used;
     }
     used.insert(m_subscriber.source());
+    if (const auto better = m_subscriber.better_publisher(now))
+    {
+        used.insert(*better);
+    }
     for (const announcer& each : m_announcers)
     {
         used.insert(each.home());
--- a/packages/membership/include/crowlink/membership/announcer_settings.hpp
+++ b/packages/membership/include/crowlink/membership/announcer_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/time.hpp"
+#include "crowlink/membership/connection_settings.hpp"
 #include "crowlink/membership/observer_info.hpp"
 
 #include <chrono>
@@ -31,6 +32,10 @@
     // own start: its agent identifies it by that start alone, and peers'
     // messages under any other one miss it.
     bool raises_incarnation = true;
+    // With more observers than this the announcer moves to its preferred one as
+    // soon as it learns of it, so that leases do not gather at the few hosts
+    // that the settings name.
+    std::size_t spread_above = most_fully_connected;
     // After a fail-over the preferred observer is tried again after this time.
     duration return_after = std::chrono::minutes(10);
 };
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -47,6 +47,14 @@
     // attaches at once.
     void connection_made(time_point now, const host_id& publisher);
 
+    // The publisher that the node should rather be attached to now, so that the
+    // nodes stay shared out. The caller connects to it and then calls move_to;
+    // a lost connection puts this off.
+    std::optional<host_id> better_publisher(time_point now) const;
+    // Leaves the present publisher for this one, which is connected. What was
+    // received is kept, and the next one sends only what differs.
+    subscriber_output move_to(time_point now, const host_id& publisher);
+
     // The newest version of the document that is completely applied here.
     config_version applied_version() const { return m_applied; }
 
@@ -99,6 +107,8 @@
     void reattach(time_point now);
     void next_publisher(time_point now);
     bool choose_publisher();
+    std::size_t preferred() const;
+    void return_later(time_point now);
     bool is_reachable(std::size_t at) const;
     bool is_named(std::size_t at) const;
     void handle_refusal(time_point now, bool kept);
@@ -118,6 +128,8 @@
     // were last put into an output.
     std::optional<std::vector<host_id>> m_control_hosts;
     std::size_t m_source = 0;
+    // From when on the node should be attached to the first in its order.
+    time_point m_return_at = time_point::max();
     // Control hosts without a connection.
     std::set<host_id> m_disconnected;
     // Control hosts named in the last list from a control host or from a host
--- a/packages/membership/include/crowlink/membership/subscriber_settings.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/time.hpp"
+#include "crowlink/membership/connection_settings.hpp"
 #include "crowlink/membership/interest.hpp"
 #include "crowlink/membership/observer_info.hpp"
 
@@ -44,6 +45,12 @@
     // per second at each of 20 hosts.
     duration backoff_limit = std::chrono::seconds(1);
     duration start_spread = std::chrono::milliseconds(500);
+    // With more publishers than this the node moves to the first one in its own
+    // order when it learns of them, so that streams do not gather at the few
+    // hosts that the settings name. After a fail-over it moves back after a
+    // random part of return_after, at least half of it.
+    std::size_t spread_above = most_fully_connected;
+    duration return_after = std::chrono::minutes(2);
     // How long a removed record is remembered, so that it can not return.
     duration tombstone_life = std::chrono::hours(3);
 };
--- a/packages/membership/src/announcer.cpp
+++ b/packages/membership/src/announcer.cpp
@@ -54,6 +54,7 @@
     const host_id before = m_order.empty() ? host_id() : home();
     const host_id announced_to =
         m_order.empty() ? host_id() : m_order[m_announced_to];
+    const host_id preferred = m_order.empty() ? host_id() : m_order.front();
     m_settings.observers = std::move(observers);
     order_observers();
     m_home = internal::index_in(m_order, before);
@@ -68,6 +69,11 @@
         m_accepted = false;
         m_next = time_point();
     }
+    const bool spreads = m_order.size() > m_settings.spread_above;
+    if (spreads && m_order.front() != preferred)
+    {
+        m_return_at = time_point();
+    }
 }
 
 void announcer::order_observers()
--- a/packages/membership/src/subscriber_publishers.cpp
+++ b/packages/membership/src/subscriber_publishers.cpp
@@ -3,6 +3,7 @@
 #include "observer_order.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 // Selection of the publisher and fail-over.
@@ -10,10 +11,18 @@
 namespace crowlink
 {
 
+namespace
+{
+
+constexpr double min_return_share = 0.5;
+
+} // namespace
+
 void subscriber::set_publishers(time_point now,
                                 std::vector<observer_info> publishers)
 {
     const host_id before = m_order.empty() ? host_id() : source();
+    const std::vector<host_id> order = m_order;
     m_settings.publishers = std::move(publishers);
     order_publishers();
     m_source = internal::index_in(m_order, before);
@@ -26,6 +35,11 @@
     {
         m_next = now;
     }
+    if (m_order != order)
+    {
+        const bool spreads = m_order.size() > m_settings.spread_above;
+        m_return_at = spreads ? now : time_point::max();
+    }
 }
 
 void subscriber::order_publishers()
@@ -41,7 +55,12 @@
 
 void subscriber::connection_lost(time_point now, const host_id& publisher)
 {
+    const bool was_better = better_publisher(now) == publisher;
     m_disconnected.insert(publisher);
+    if (was_better)
+    {
+        return_later(now);
+    }
     if (m_order.empty() || publisher != source() || m_phase == phase::waiting)
     {
         return;
@@ -99,6 +118,54 @@
     return found.has_value();
 }
 
+// The first publisher that the node would choose if it had none.
+std::size_t subscriber::preferred() const
+{
+    for (std::size_t at = 0; at < m_order.size(); ++at)
+    {
+        if (is_named(at) && is_reachable(at))
+        {
+            return at;
+        }
+    }
+    return m_source;
+}
+
+std::optional<host_id> subscriber::better_publisher(time_point now) const
+{
+    if (m_phase != phase::attached || now < m_return_at)
+    {
+        return std::nullopt;
+    }
+    const std::size_t wanted = preferred();
+    return wanted == m_source ? std::nullopt : std::optional(m_order[wanted]);
+}
+
+// If that one does not serve, the node goes on to others as after a failure.
+subscriber_output subscriber::move_to(time_point now, const host_id& publisher)
+{
+    subscriber_output out;
+    wire::membership_message ended;
+    ended.mutable_ended()->set_stream(m_stream);
+    send(std::move(ended), out);
+    m_source = internal::index_in(m_order, publisher);
+    return_later(now);
+    m_behind_since.reset();
+    reattach(now);
+    m_next = now;
+    return out;
+}
+
+void subscriber::return_later(time_point now)
+{
+    if (m_order.size() > m_settings.spread_above)
+    {
+        std::uniform_real_distribution<double> share(min_return_share, 1.0);
+        m_return_at = now + std::chrono::duration_cast<duration>(
+                                m_settings.return_after * share(m_random));
+    }
+}
+
 // A publisher that keeps the request serves it as soon as it may. It may be cut
 // off from the other control hosts, so the node waits for a limited time.
 void subscriber::handle_refusal(time_point now, bool kept)
@@ -127,6 +194,7 @@
 void subscriber::next_publisher(time_point now)
 {
     m_source = (m_source + 1) % m_order.size();
+    return_later(now);
     m_behind_since.reset();
     reattach(now);
 }
