--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -195,6 +195,15 @@
     }
     wire::membership_message refused;
     refused.mutable_refused()->set_kept(is_acceptable);
+    if (!has_room(from))
+    {
+        // A node that knows only the hosts of its settings would otherwise ask
+        // those few again and again.
+        for (const host_id& host : m_control_hosts)
+        {
+            refused.mutable_refused()->add_control_hosts(host.value());
+        }
+    }
     out.push_back(membership_send{from, std::move(refused)});
 }
 
