--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -94,7 +94,9 @@
     bool send_part(time_point now, const host_id& node,
                    internal::publisher_session& session,
                    std::vector<membership_send>& out);
-    bool has_news(const internal::publisher_session& session) const;
+    bool has_news(time_point now,
+                  const internal::publisher_session& session) const;
+    duration ordinary_interval() const;
     bool add_places(internal::publisher_session& session,
                     wire::stream_part& part) const;
     void send_digest(time_point now, const host_id& node,
--- a/packages/membership/include/crowlink/membership/publisher_session.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_session.hpp
@@ -53,6 +53,8 @@
     bool hosts_due = true;
     time_point heard{};
     time_point next_digest{};
+    // From when on changes that are not urgent may be sent by themselves.
+    time_point next_ordinary{};
     std::uint64_t bytes = 0;
 };
 
--- a/packages/membership/include/crowlink/membership/publisher_settings.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_settings.hpp
@@ -17,6 +17,11 @@
     std::uint32_t burst_bytes = 1024;
     // The largest message, framing included.
     std::size_t part_bytes = 2048;
+    // Joins and other changes that need not be urgent are collected, so that
+    // all nodes together are sent about this many messages with them a second,
+    // whatever their number. A node gets the first one after a pause at once,
+    // and what follows no later than its next digest.
+    double ordinary_messages_per_second = 1000;
     // The interval between digests on an idle stream.
     duration digest_interval = std::chrono::seconds(2);
     // A node without a document is not served once this host has not been able
--- a/packages/membership/src/publisher_stream.cpp
+++ b/packages/membership/src/publisher_stream.cpp
@@ -68,7 +68,7 @@
         out.push_back(membership_send{node, std::move(ended)});
         return false;
     }
-    while (has_news(session))
+    while (has_news(now, session))
     {
         if (session.rate_limit.available(now) < min_part_bytes)
         {
@@ -86,13 +86,24 @@
     return true;
 }
 
-bool publisher::has_news(const publisher_session& session) const
+bool publisher::has_news(time_point now, const publisher_session& session) const
 {
+    // A digest covers all changes, so they are sent before it.
+    const time_point due = std::min(session.next_ordinary, session.next_digest);
+    const bool is_ordinary_due =
+        session.ordinary < m_state.ordinary().end() && now >= due;
     return session.places_due || session.evacuations_due || session.hosts_due ||
            session.snapshot.active ||
            session.complete_version < m_state.version().value() ||
-           session.urgent < m_state.urgent().end() ||
-           session.ordinary < m_state.ordinary().end();
+           session.urgent < m_state.urgent().end() || is_ordinary_due;
+}
+
+duration publisher::ordinary_interval() const
+{
+    using seconds = std::chrono::duration<double>;
+    return std::chrono::duration_cast<duration>(
+        seconds(static_cast<double>(m_sessions.size()) /
+                m_settings.ordinary_messages_per_second));
 }
 
 // Data centres are sent first, since one entry covers many upstreams. Returns
@@ -163,6 +174,11 @@
     session.rate_limit.take(size);
     session.bytes += size;
     session.next_digest = now + m_settings.digest_interval;
+    if (session.ordinary >= m_state.ordinary().end())
+    {
+        // Otherwise the message was full, and the rest follows.
+        session.next_ordinary = now + ordinary_interval();
+    }
     out.push_back(membership_send{node, std::move(message)});
     return true;
 }
