--- a/packages/membership/test/connection_mesh.hpp
+++ b/packages/membership/test/connection_mesh.hpp
@@ -159,7 +159,7 @@
 
     struct node
     {
-        node(std::size_t number, std::vector<observer_info> seeds,
+        node(std::size_t number, const std::vector<observer_info>& seeds,
              time_point now)
             : id(fmt::format("node-{}", number))
             , subscribed(subscriber_of(id, seeds), number, now)
--- a/packages/membership/test/control_connections_test.cpp
+++ b/packages/membership/test/control_connections_test.cpp
@@ -31,6 +31,7 @@
 std::vector<host_id> names_of(const std::vector<observer_info>& hosts)
 {
     std::vector<host_id> names;
+    names.reserve(hosts.size());
     for (const observer_info& each : hosts)
     {
         names.push_back(each.id);
@@ -164,7 +165,7 @@
     for (const std::size_t count : {10U, 20U, 40U})
     {
         const auto hosts = names_of(control_hosts(count));
-        const host_id up = hosts.back();
+        const host_id& up = hosts.back();
         control_connections tested{connection_settings()};
         tested.set_hosts(hosts);
         std::set<host_id> lost;
