--- a/packages/membership/src/control_connections.cpp
+++ b/packages/membership/src/control_connections.cpp
@@ -81,9 +81,9 @@
     }
 }
 
-// Closes lost connections that are not in use at once. Of the others, those
-// that were used recently are kept for a while, and as many as are kept at
-// least.
+// Closes at once what is lost and not in use. Of the other unused ones, those
+// that were used recently stay for release_delay, and as many as are to be kept
+// at least.
 void control_connections::release_unused(time_point now,
                                          const std::set<host_id>& used)
 {
