--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -152,7 +152,7 @@
                         .field("reason", decision.reason);
     if (decision.limit_ms > 0 || decision.expected_ms > 0)
     {
-        line = std::move(line)
+        (void)std::move(line)
                    .field("expected_ms", decision.expected_ms)
                    .field("limit_ms", decision.limit_ms)
                    .field("held", decision.held);
