--- a/packages/agent/include/crowlink/agent.hpp
+++ b/packages/agent/include/crowlink/agent.hpp
@@ -15,6 +15,7 @@
 //   shed_notice.hpp            permission to take no new flow
 //   flow_refusal.hpp           why a caller is refused or reset
 //   flow_decision.hpp          one decision, for the log
+//   owner_belief.hpp           why a flow of another member was reset
 //   opening_counts.hpp         what became of opening packets
 //   forward_opening.hpp        forwards opening packets that came by mistake
 //   upstream_tracker.hpp       the state of the upstream beside the agent
@@ -60,6 +61,7 @@
 #include "crowlink/agent/forward_opening.hpp"
 #include "crowlink/agent/load_notice.hpp"
 #include "crowlink/agent/opening_counts.hpp"
+#include "crowlink/agent/owner_belief.hpp"
 #include "crowlink/agent/peer_message.hpp"
 #include "crowlink/agent/redirect_notice.hpp"
 #include "crowlink/agent/shed_notice.hpp"
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -171,7 +171,9 @@
     void end_walk(time_point now, packet_header header,
                   const packet_arrived& event, silent_query asked);
     bool caller_retransmits(time_point now, const packet_arrived& event);
-    void reset_silent(const packet_header& header, payload_view payload);
+    void reset_silent(time_point now, const packet_header& header,
+                      payload_view payload,
+                      const std::vector<candidate>& owners);
 
     // Owner searches.
     void search_elsewhere(time_point now, const packet_header& header,
@@ -205,10 +207,13 @@
     void send_to_owner(internal::searched_flow searched,
                        const candidate& owner);
     void end_searches(time_point now);
-    void end_search(const internal::searched_flow& searched);
+    void end_search(time_point now, const internal::searched_flow& searched);
     bool knows_members(time_point now) const;
     bool may_be_moved(const packet_header& header) const;
     void reset_unknown(const packet_header& header, payload_view payload);
+    void reset_caller(const packet_header& header, payload_view payload,
+                      refusal_reason told, std::string_view reason,
+                      const owner_belief& belief);
     void start_admission(time_point now, packet_header header,
                          const packet_arrived& event,
                          silent_query asked = silent_query::due);
--- a/packages/agent/include/crowlink/agent/flow_decision.hpp
+++ b/packages/agent/include/crowlink/agent/flow_decision.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "crowlink/agent/owner_belief.hpp"
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/ids.hpp"
 #include "crowlink/forwarding/candidate.hpp"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace crowlink
@@ -84,6 +86,8 @@
     std::uint32_t expected_ms = 0;
     std::uint32_t limit_ms = 0;
     std::uint32_t held = 0;
+    // For resets of flows of other members.
+    std::optional<owner_belief> belief = std::nullopt;
 
     friend auto operator<=>(const flow_decision&,
                             const flow_decision&) = default;
--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -76,6 +76,10 @@
     bool is_given_up(upstream_tag tag) const;
     // Whether there are silent members, and all of them are given up.
     bool has_given_up_silent() const;
+    // Since when views have shown the member as silent; `now` if it is not.
+    time_point silent_since(upstream_tag tag, time_point now) const;
+    // The sequence of the member's record; 0 if it is unknown.
+    std::uint64_t sequence_of(upstream_tag tag) const;
     // Whether the member has ended or is silent: nothing new is sent to it.
     bool is_unavailable(upstream_tag tag) const;
     // Whether a balancer is listed in the view; true while no balancer is
@@ -83,6 +87,12 @@
     bool is_living_balancer(const endpoint& balancer) const;
 
 private:
+    struct silent_member
+    {
+        upstream_tag tag = 0;
+        time_point since{};
+        bool is_given_up = false;
+    };
     struct replaced_table
     {
         std::shared_ptr<const forwarding_table> table;
@@ -90,7 +100,8 @@
     };
 
     void note_members(const service_view& next, change& found);
-    void note_silent(const service_view& next);
+    void note_silent(time_point now, const service_view& next);
+    const silent_member* find_silent(upstream_tag tag) const;
     void note_ended(upstream_tag tag);
     void replace_table(time_point now,
                        std::shared_ptr<const forwarding_table> next);
@@ -104,9 +115,7 @@
     std::deque<replaced_table> m_replaced;
     std::vector<upstream_tag> m_ended;
     // The silent members of the present view.
-    std::vector<upstream_tag> m_silent;
-    // The silent members whose flows are given up.
-    std::vector<upstream_tag> m_given_up;
+    std::vector<silent_member> m_silent;
     std::uint32_t m_generation = 0;
 };
 
--- a/packages/agent/src/agent_lookup.cpp
+++ b/packages/agent/src/agent_lookup.cpp
@@ -114,7 +114,7 @@
         (m_members.is_silent(to.tag) && caller_retransmits(now, event)))
     {
         m_redirects.erase(header.flow);
-        reset_silent(header, event.payload);
+        reset_silent(now, header, event.payload, {to});
         return true;
     }
     packet_header sent = header;
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -228,18 +228,18 @@
     for (internal::searched_flow& each : m_search.take_denied())
     {
         m_ended_searches.push_back(std::move(each));
-        end_search(m_ended_searches.back());
+        end_search(now, m_ended_searches.back());
     }
 }
 
 // Silent members may have the flow and serve it: each gets a copy, and the
 // caller is reset only if it still retransmits.
-void agent::end_search(const internal::searched_flow& searched)
+void agent::end_search(time_point now, const internal::searched_flow& searched)
 {
     const std::vector<candidate> silent = m_members.silent_members();
     if (!silent.empty() && searched.is_unserved_by_silent)
     {
-        reset_silent(searched.header, searched.payload);
+        reset_silent(now, searched.header, searched.payload, silent);
         return;
     }
     for (const candidate& each : silent)
@@ -286,27 +286,46 @@
     return false;
 }
 
-void agent::reset_silent(const packet_header& header, payload_view payload)
+void agent::reset_silent(time_point now, const packet_header& header,
+                         payload_view payload,
+                         const std::vector<candidate>& owners)
 {
     m_retransmissions.forget(header.flow);
     ++m_counts.upstream_silent;
-    const flow_refusal told{verdict::may_have_run,
-                            refusal_reason::upstream_failed, duration::zero()};
-    m_effects.add(internal::reset_caller_effect{header.return_to, header.flow,
-                                                payload, told});
-    decide(flow_action::reset, header.flow, header.table, candidate(),
-           "upstream_silent");
+    const candidate& first = owners.front();
+    const bool is_given_up =
+        std::all_of(owners.begin(), owners.end(),
+                    [this](const candidate& each)
+                    { return m_members.is_given_up(each.tag); });
+    reset_caller(header, payload, refusal_reason::upstream_failed,
+                 "upstream_silent",
+                 owner_belief{first, m_members.sequence_of(first.tag),
+                              now - m_members.silent_since(first.tag, now),
+                              static_cast<std::uint32_t>(owners.size()),
+                              is_given_up ? reset_evidence::given_up
+                                          : reset_evidence::retransmission});
 }
 
 void agent::reset_unknown(const packet_header& header, payload_view payload)
 {
     ++m_counts.unknown_flows;
-    const flow_refusal told{verdict::may_have_run, refusal_reason::unknown_flow,
-                            duration::zero()};
-    m_effects.add(internal::reset_caller_effect{header.return_to, header.flow,
-                                                payload, told});
-    decide(flow_action::reset, header.flow, header.table, candidate(),
-           to_string(told.reason));
+    reset_caller(header, payload, refusal_reason::unknown_flow,
+                 to_string(refusal_reason::unknown_flow), owner_belief{});
+}
+
+// Resets the caller of a flow that this agent does not own.
+void agent::reset_caller(const packet_header& header, payload_view payload,
+                         refusal_reason told, std::string_view reason,
+                         const owner_belief& belief)
+{
+    m_effects.add(internal::reset_caller_effect{
+        header.return_to, header.flow, payload,
+        flow_refusal{verdict::may_have_run, told, duration::zero()}});
+    flow_decision decision{
+        flow_action::reset, m_record.service, header.flow, header.table,
+        candidate(),        load(),           reason};
+    decision.belief = belief;
+    m_effects.add(decision);
 }
 
 } // namespace crowlink
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -50,7 +50,7 @@
     m_known_since = m_known_since.value_or(now);
     ++m_generation;
     note_members(*view, found);
-    note_silent(*view);
+    note_silent(now, *view);
     auto table = forwarding_table::build(*view);
     found.table = !m_table || table->digest() != m_table->digest();
     if (found.table)
@@ -88,21 +88,29 @@
     }
 }
 
-void member_tables::note_silent(const service_view& next)
+void member_tables::note_silent(time_point now, const service_view& next)
 {
-    m_silent.clear();
-    m_given_up.clear();
+    std::vector<silent_member> silent;
     for (const upstream_record& member : next.members)
     {
         if (is_silent_state(member.state))
         {
-            m_silent.push_back(tag_of(member));
-        }
-        if (member.state == upstream_state::unreachable)
-        {
-            m_given_up.push_back(tag_of(member));
+            const upstream_tag tag = tag_of(member);
+            silent.push_back(
+                silent_member{tag, silent_since(tag, now),
+                              member.state == upstream_state::unreachable});
         }
     }
+    m_silent = std::move(silent);
+}
+
+const member_tables::silent_member*
+member_tables::find_silent(upstream_tag tag) const
+{
+    const auto found = std::find_if(m_silent.begin(), m_silent.end(),
+                                    [tag](const silent_member& each)
+                                    { return each.tag == tag; });
+    return found == m_silent.end() ? nullptr : &*found;
 }
 
 void member_tables::note_ended(upstream_tag tag)
@@ -246,18 +254,38 @@
 
 bool member_tables::is_silent(upstream_tag tag) const
 {
-    return std::find(m_silent.begin(), m_silent.end(), tag) != m_silent.end();
+    return find_silent(tag) != nullptr;
 }
 
 bool member_tables::has_given_up_silent() const
 {
-    return !m_silent.empty() && m_given_up.size() == m_silent.size();
+    return !m_silent.empty() && std::all_of(m_silent.begin(), m_silent.end(),
+                                            [](const silent_member& each)
+                                            { return each.is_given_up; });
 }
 
 bool member_tables::is_given_up(upstream_tag tag) const
 {
-    return std::find(m_given_up.begin(), m_given_up.end(), tag) !=
-           m_given_up.end();
+    const silent_member* const found = find_silent(tag);
+    return found != nullptr && found->is_given_up;
+}
+
+time_point member_tables::silent_since(upstream_tag tag, time_point now) const
+{
+    const silent_member* const found = find_silent(tag);
+    return found == nullptr ? now : found->since;
+}
+
+std::uint64_t member_tables::sequence_of(upstream_tag tag) const
+{
+    if (!m_view)
+    {
+        return 0;
+    }
+    const auto found = std::find_if(
+        m_view->members.begin(), m_view->members.end(),
+        [tag](const upstream_record& member) { return tag_of(member) == tag; });
+    return found == m_view->members.end() ? 0 : found->sequence;
 }
 
 bool member_tables::is_unavailable(upstream_tag tag) const
--- a/packages/daemon/src/agent/agent_loop.cpp
+++ b/packages/daemon/src/agent/agent_loop.cpp
@@ -63,7 +63,9 @@
     , m_exchange(exchange)
     , m_gauges(gauges)
     , m_log(log)
+    , m_pauses(log, "agent")
     , m_limit(logging.decisions_per_second)
+    , m_reset_limit(logging.decisions_per_second)
     , m_delivery(make_delivery(static_cast<Delivery*>(nullptr), own,
                                std::move(sockets.delivery), m_poller))
     , m_stage(own.upstream_address, m_poller, stage_token, core.self.started)
@@ -85,6 +87,7 @@
     {
         const auto ready = m_poller.wait(tick_interval);
         m_now = m_clock.now();
+        m_pauses.woke(m_now);
         for (const poller::token token : ready)
         {
             if (token == control_token)
@@ -304,11 +307,13 @@
 {
     m_next_report = m_now + report_interval;
     const std::uint64_t omitted = m_limit.take_omitted();
-    if (omitted > 0)
+    const std::uint64_t resets = m_reset_limit.take_omitted();
+    if (omitted + resets > 0)
     {
         m_log.write(log_line(log_level::info, "decisions_omitted")
                         .field("upstream", m_self.id.value())
-                        .field("lines", omitted));
+                        .field("lines", omitted)
+                        .field("resets", resets));
     }
     agent_totals totals;
     if (m_core)
--- a/packages/daemon/src/agent/agent_loop.hpp
+++ b/packages/daemon/src/agent/agent_loop.hpp
@@ -10,6 +10,7 @@
 #include "crowlink/transport/poller.hpp"
 #include "crowlink/wire/datagram_codec.hpp"
 #include "shared/decision_limit.hpp"
+#include "shared/pause_monitor.hpp"
 
 #include <deque>
 #include <map>
@@ -105,7 +106,10 @@
     agent_exchange& m_exchange;
     agent_gauges& m_gauges;
     log_sink& m_log;
+    pause_monitor m_pauses;
     decision_limit m_limit;
+    // Of resets, which the decisions of a busy second must not displace.
+    decision_limit m_reset_limit;
     poller m_poller;
     Delivery m_delivery;
     request_stage m_stage;
--- a/packages/daemon/src/agent/agent_loop_effects.hpp
+++ b/packages/daemon/src/agent/agent_loop_effects.hpp
@@ -139,7 +139,9 @@
 template <class Delivery>
 void agent_loop<Delivery>::decide(const flow_decision& decision)
 {
-    if (m_log.enabled(level_of(decision.action)) && m_limit.allows(m_now))
+    decision_limit& limit =
+        decision.action == flow_action::reset ? m_reset_limit : m_limit;
+    if (m_log.enabled(level_of(decision.action)) && limit.allows(m_now))
     {
         m_log.write(to_log_line(m_self, decision));
     }
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -153,9 +153,21 @@
     if (decision.limit_ms > 0 || decision.expected_ms > 0)
     {
         (void)std::move(line)
-                   .field("expected_ms", decision.expected_ms)
-                   .field("limit_ms", decision.limit_ms)
-                   .field("held", decision.held);
+            .field("expected_ms", decision.expected_ms)
+            .field("limit_ms", decision.limit_ms)
+            .field("held", decision.held);
+    }
+    if (decision.belief)
+    {
+        const owner_belief& belief = *decision.belief;
+        const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(belief.age);
+        (void)std::move(line)
+            .field("owner", belief.owner.agent.to_string())
+            .field("owner_sequence", belief.sequence)
+            .field("believed_ms", age.count())
+            .field("silent_members", belief.silent_members)
+            .field("evidence", to_string(belief.evidence));
     }
     return line;
 }
--- a/packages/daemon/src/balancer/balancer_thread.cpp
+++ b/packages/daemon/src/balancer/balancer_thread.cpp
@@ -40,6 +40,7 @@
     , m_sets(sets)
     , m_log(log)
     , m_limit(logging.decisions_per_second)
+    , m_notice_limit(logging.decisions_per_second)
     , m_buffer(datagram_batch::default_size)
 {
     if (link_mbps)
@@ -298,7 +299,7 @@
 template <caller_port Port>
 void balancer_thread<Port>::log_early_refusal(const flow_key& flow)
 {
-    if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+    if (m_log.enabled(log_level::info) && m_notice_limit.allows(m_now))
     {
         m_log.write(log_line(log_level::info, "refused")
                         .field("flow", flow.to_string())
@@ -310,7 +311,7 @@
 template <caller_port Port>
 void balancer_thread<Port>::log_notice(const notice_datagram& notice)
 {
-    if (m_log.enabled(log_level::info) && m_limit.allows(m_now))
+    if (m_log.enabled(log_level::info) && m_notice_limit.allows(m_now))
     {
         m_log.write(log_line(log_level::info, "notice")
                         .field("flow", notice.flow.to_string())
@@ -324,11 +325,13 @@
 {
     m_next_report = m_now + report_interval;
     const std::uint64_t omitted = m_limit.take_omitted();
-    if (omitted > 0)
+    const std::uint64_t notices = m_notice_limit.take_omitted();
+    if (omitted + notices > 0)
     {
         m_log.write(log_line(log_level::info, "decisions_omitted")
                         .field("role", "balancer")
-                        .field("lines", omitted));
+                        .field("lines", omitted)
+                        .field("notices", notices));
     }
     const auto next = std::make_shared<metrics>();
     add_to(*next, m_path.counts());
--- a/packages/daemon/src/balancer/balancer_thread.hpp
+++ b/packages/daemon/src/balancer/balancer_thread.hpp
@@ -72,6 +72,8 @@
     const set_slot& m_sets;
     log_sink& m_log;
     decision_limit m_limit;
+    // Of what callers are told, which routes must not displace.
+    decision_limit m_notice_limit;
     datagram_batch m_received;
     datagram_batch m_to_agents;
     std::optional<egress_scheduler> m_egress;
--- a/packages/daemon/src/control/belief_log.cpp
+++ b/packages/daemon/src/control/belief_log.cpp
@@ -12,6 +12,7 @@
     tell_publisher(subscribed);
     tell_evacuations(subscribed.state());
     tell_lost(subscribed.take_lost());
+    tell_returned(subscribed.take_returned());
     tell_homes(announcers);
     tell_version(subscribed.applied_version());
 }
@@ -58,6 +59,21 @@
     }
 }
 
+void belief_log::tell_returned(const std::vector<returned_member>& returned)
+{
+    for (const returned_member& each : returned)
+    {
+        const auto silent =
+            std::chrono::duration_cast<std::chrono::milliseconds>(each.silent);
+        m_log.write(log_line(log_level::info, "member_returned")
+                        .field("upstream", each.id.value())
+                        .field("service", each.service.value())
+                        .field("known_sequence", each.known_sequence)
+                        .field("told_sequence", each.told_sequence)
+                        .field("silent_ms", silent.count()));
+    }
+}
+
 void belief_log::tell_homes(const std::vector<announcer>& announcers)
 {
     for (const announcer& each : announcers)
--- a/packages/daemon/src/control/belief_log.hpp
+++ b/packages/daemon/src/control/belief_log.hpp
@@ -26,6 +26,7 @@
     void tell_publisher(const subscriber& subscribed);
     void tell_evacuations(const subscribed_state& known);
     void tell_lost(const std::vector<lost_member>& lost);
+    void tell_returned(const std::vector<returned_member>& returned);
     // Which control host holds each lease.
     void tell_homes(const std::vector<announcer>& announcers);
     void tell_version(config_version in_force);
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -24,6 +24,7 @@
                                log_sink& log, balancer_role* balancer,
                                std::vector<std::unique_ptr<agent_role>>& agents)
     : m_log(log)
+    , m_pauses(log, "control")
     , m_links(std::move(links))
     , m_balancer(balancer)
     , m_agents(agents)
@@ -161,6 +162,7 @@
     {
         m_links->wait(tick, *m_wake);
         const time_point now = m_clock.now();
+        m_pauses.woke(now);
         take_messages(now);
         take_commands(now);
         advance(now);
@@ -287,6 +289,8 @@
         next->count("crowlink_node_control_connections_opened_total",
                     m_node->connections().opened());
         next->count("crowlink_node_snapshots_total", subscribed.snapshots());
+        next->count("crowlink_node_reattachments_total",
+                    subscribed.reattachments());
     }
     m_metrics.publish(next);
 }
--- a/packages/daemon/src/control/control_thread.hpp
+++ b/packages/daemon/src/control/control_thread.hpp
@@ -11,6 +11,7 @@
 #include "control/relay_controller.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "shared/mailbox.hpp"
+#include "shared/pause_monitor.hpp"
 
 #include <atomic>
 #include <functional>
@@ -96,6 +97,7 @@
     void publish_metrics(time_point now);
 
     log_sink& m_log;
+    pause_monitor m_pauses;
     std::unique_ptr<control_links> m_links;
     balancer_role* m_balancer;
     std::vector<std::unique_ptr<agent_role>>& m_agents;
--- a/packages/daemon/src/control/membership_controller.cpp
+++ b/packages/daemon/src/control/membership_controller.cpp
@@ -176,6 +176,7 @@
         m_log.write(log_line(log_level::info, "lease_expired")
                         .field("upstream", each.id.value())
                         .field("service", each.service.value())
+                        .field("sequence", each.sequence)
                         .field("observer", each.home.value())
                         .field("doubted_ms", doubted.count()));
     }
--- a/packages/membership/include/crowlink/membership/expired_lease.hpp
+++ b/packages/membership/include/crowlink/membership/expired_lease.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/base/time.hpp"
 
 #include <compare>
+#include <cstdint>
 
 namespace crowlink
 {
@@ -13,6 +14,7 @@
 {
     service_id service;
     upstream_id id;
+    std::uint64_t sequence = 0;
     // The observer that held the lease, and how long the member was suspected.
     host_id home;
     duration suspected_for{};
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/membership/digest_table.hpp"
 #include "crowlink/membership/lost_member.hpp"
 #include "crowlink/membership/record_key.hpp"
+#include "crowlink/membership/returned_member.hpp"
 #include "crowlink/model/service_view.hpp"
 
 #include <bitset>
@@ -88,6 +89,13 @@
     // expired, since the last call; at most 256 of them.
     std::vector<lost_member> take_lost() { return std::exchange(m_lost, {}); }
 
+    // Returns the silent members that are heard again since the last call; at
+    // most 256 of them.
+    std::vector<returned_member> take_returned()
+    {
+        return std::exchange(m_returned, {});
+    }
+
     std::optional<service_view> view(service_id id) const;
 
     // Whether views list the balancers that are known.
@@ -122,6 +130,8 @@
     void mark_changed(service_id service);
     void note_lost(const subscribed_record& held, loss_reason reason,
                    std::uint64_t told_sequence);
+    void note_returned(time_point now, const subscribed_record& held,
+                       const upstream_record& next);
     std::size_t
     count_absent(std::uint32_t generation,
                  const std::bitset<digest_table::bucket_count>& covered) const;
@@ -137,6 +147,7 @@
     bool m_lists_balancers = true;
     std::uint64_t m_balancers_revision = 0;
     std::vector<lost_member> m_lost;
+    std::vector<returned_member> m_returned;
     digest_table m_digests;
     std::size_t m_living = 0;
     std::uint64_t m_complete_version = 0;
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -84,6 +84,14 @@
     // Returns the members that were removed, or whose lease was found to have
     // expired, since the last call.
     std::vector<lost_member> take_lost() { return m_state.take_lost(); }
+    // Returns the silent members that are heard again since the last call.
+    std::vector<returned_member> take_returned()
+    {
+        return m_state.take_returned();
+    }
+    // The number of attach requests to the publisher that served the node
+    // before, since the node's state differed from that publisher's.
+    std::uint64_t reattachments() const { return m_reattachments; }
 
 private:
     enum class phase : std::uint8_t
@@ -156,6 +164,7 @@
     time_point m_next_rotation;
     std::vector<region_age> m_cut_regions;
     std::uint64_t m_snapshots = 0;
+    std::uint64_t m_reattachments = 0;
     std::uint64_t m_bytes = 0;
 };
 
--- a/packages/membership/src/observer_failure_detection.cpp
+++ b/packages/membership/src/observer_failure_detection.cpp
@@ -248,7 +248,8 @@
     if (m_expired.size() < max_kept)
     {
         m_expired.push_back(expired_lease{held.record.service, held.record.id,
-                                          held.home, now - held.suspect_since});
+                                          held.record.sequence, held.home,
+                                          now - held.suspect_since});
     }
 }
 
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -37,6 +37,9 @@
 constexpr duration mass_absent_grace = std::chrono::minutes(5);
 constexpr std::size_t mass_absent_minimum = 16;
 constexpr std::size_t mass_absent_divisor = 3;
+// The limits of lost and of returned members that are kept until they are
+// taken.
+constexpr std::size_t max_kept = 256;
 
 // Whether a record may replace the held one.
 bool supersedes(const upstream_record& next, const subscribed_record& held)
@@ -109,6 +112,10 @@
                                 : loss_reason::ended,
                       record.sequence);
         }
+        if (held.last_living_record && !is_gone(record))
+        {
+            note_returned(now, held, record);
+        }
         held.last_living_record =
             is_silent ? std::optional(record_before_expiry(record, held))
                       : std::nullopt;
@@ -286,7 +293,6 @@
                                  loss_reason reason,
                                  std::uint64_t told_sequence)
 {
-    constexpr std::size_t max_kept = 256;
     if (m_lost.size() < max_kept)
     {
         m_lost.push_back(lost_member{held.record.service, held.record.id,
@@ -295,6 +301,18 @@
     }
 }
 
+void subscribed_state::note_returned(time_point now,
+                                     const subscribed_record& held,
+                                     const upstream_record& next)
+{
+    if (m_returned.size() < max_kept)
+    {
+        m_returned.push_back(
+            returned_member{next.service, next.id, held.record.sequence,
+                            next.sequence, now - held.gone_at});
+    }
+}
+
 // A change of a balancer affects every view that lists it.
 void subscribed_state::mark_changed(service_id service)
 {
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -252,6 +252,7 @@
     }
     if (in.sequence() > m_sequence || in.root() != root())
     {
+        ++m_reattachments;
         reattach(now);
         return;
     }
