--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -248,10 +248,14 @@
             )
 
     def _add_node(self, name: str, role: dict) -> None:
-        endpoints = self._control_endpoints(name)
-        self._add(
-            name, {**self._host(name), "control_endpoints": endpoints, **role}
-        )
+        """A node as the platform's settings make it: it probes the others."""
+        settings = {
+            **self._host(name),
+            "control_endpoints": self._control_endpoints(name),
+            "reach_listen": str(self._address(name, NODE)),
+            **role,
+        }
+        self._add(name, settings)
 
     def _add_packet_program(self, name: str, words: tuple, *rest: str) -> None:
         command = [sys.executable, str(PACKET_HOSTS), *words, *rest]
--- a/bench/soak/packet_hosts.py
+++ b/bench/soak/packet_hosts.py
@@ -30,6 +30,10 @@
 REPEATED_EACH_S = 0.2
 CALLERS_PATIENCE_S = 0.2
 OPENING_COPIES = 3
+# One request in so many takes longer than callers' patience, as behind others
+# at a busy upstream.
+SLOW_REQUEST_EACH = 8
+SLOW_REQUEST_S = 0.45
 SLOTS = 64
 
 Address = tuple[str, int]
@@ -83,6 +87,8 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._open: set[tuple[Address, Address]] = set()
+        # Requests that take their time; a copy of one starts no second one.
+        self._running: set[tuple[Address, Address, int]] = set()
 
     def connection_made(self, transport) -> None:
         self._transport = transport
@@ -99,6 +105,27 @@
             returned = bytes([content[0] | RETURNED]) + content[1:]
             self._transport.sendto(returned, agent)
             return
+        request = (*flow, packet.sequence)
+        if request in self._running:
+            return
+        if not self._is_slow(packet):
+            self._answer(packet, agent)
+            return
+        self._running.add(request)
+        asyncio.get_running_loop().call_later(
+            SLOW_REQUEST_S, self._finish, request, packet, agent
+        )
+
+    @staticmethod
+    def _is_slow(packet: Packet) -> bool:
+        number = int(packet.data or 1) + packet.source[1]
+        return bool(packet.data) and number % SLOW_REQUEST_EACH == 0
+
+    def _finish(self, request: tuple, packet: Packet, agent: Address) -> None:
+        self._running.discard(request)
+        self._answer(packet, agent)
+
+    def _answer(self, packet: Packet, agent: Address) -> None:
         opens = packet.flags & OPENS
         data = self._name.encode() + b" " + packet.data if packet.data else b""
         answer = Packet(
--- a/packages/agent/test/search_test.cpp
+++ b/packages/agent/test/search_test.cpp
@@ -119,6 +119,25 @@
     EXPECT_EQ(service.resets, 1U);
 }
 
+// Control does not hear its agent, and its request takes long.
+TEST(search, flow_of_a_silent_member_that_answers_is_not_reset)
+{
+    for (std::size_t owner = 0; owner < members; ++owner)
+    {
+        searched_service service;
+        service.hold(owner, flow_number);
+        service.restart(owner, true);
+        service.set_state(owner, upstream_state::silent);
+        for (int copy = 0; copy < 10; ++copy)
+        {
+            service.send(flow_number);
+            service.pass(until_repeated);
+        }
+        EXPECT_EQ(service.resets, 0U) << owner;
+        EXPECT_FALSE(service.delivered.empty()) << owner;
+    }
+}
+
 // An agent that was stopped by SIGTERM leaves its upstream draining. Nothing
 // answers for the upstream until the agent is back, and its caller repeats the
 // packet meanwhile.
--- a/packages/agent/test/silent_owner_test.cpp
+++ b/packages/agent/test/silent_owner_test.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t owner = 1;
 
 packet_header continuing(const agent_fixture& fixture)
@@ -44,6 +46,58 @@
     fixture.handle(view_changed{view});
 }
 
+// An owner that control does not hear and that answers questions.
+struct answering_owner
+{
+    explicit answering_owner(upstream_state state)
+    {
+        tell_owner(fixture, continuing(fixture).flow);
+        show_owner_as(fixture, state);
+    }
+
+    // The caller sends one packet again and again.
+    void retransmit_for(duration time)
+    {
+        const packet_header sent = continuing(fixture);
+        for (duration done{}; done < time; done += 200ms)
+        {
+            fixture.handle(packet_arrived{sent, {}, answer_need::required});
+            reply();
+            fixture.advance(100ms);
+            reply();
+            fixture.advance(100ms);
+            reply();
+        }
+    }
+
+    void reply()
+    {
+        for (const auto& [to, message] :
+             std::exchange(fixture.effects.sent, {}))
+        {
+            const auto* const asked = std::get_if<owner_question>(&message);
+            if (asked == nullptr || !is_answering)
+            {
+                continue;
+            }
+            owner_answer told{service_id(5),
+                              fixture.core->tag(),
+                              agent_fixture::identity(owner),
+                              {}};
+            for (const flow_key& each : asked->flows)
+            {
+                told.flows.push_back(
+                    stated_ownership{stable_hash(each), answer});
+            }
+            fixture.deliver_message(told);
+        }
+    }
+
+    agent_fixture fixture{2};
+    bool is_answering = true;
+    ownership answer = ownership::owned;
+};
+
 bool is_sent_to_owner(agent_fixture& fixture)
 {
     const packet_header sent = continuing(fixture);
@@ -176,6 +230,46 @@
     EXPECT_TRUE(fixture.effects.caller_resets.empty());
 }
 
+// Its lease has expired while it serves a request that takes long.
+TEST(silent_owner, that_answers_keeps_the_flow_of_a_caller_that_retransmits)
+{
+    answering_owner owner(upstream_state::silent);
+    owner.retransmit_for(5s);
+    EXPECT_TRUE(owner.fixture.effects.caller_resets.empty());
+}
+
+// Its data centre's only other agent stood still for less than a second.
+TEST(silent_owner, that_answers_keeps_its_flow_in_a_given_up_data_centre)
+{
+    answering_owner owner(upstream_state::unreachable);
+    owner.retransmit_for(5s);
+    EXPECT_TRUE(owner.fixture.effects.caller_resets.empty());
+}
+
+// Answers of long ago show nothing.
+TEST(silent_owner, that_answers_no_longer_loses_its_flow)
+{
+    answering_owner owner(upstream_state::silent);
+    owner.retransmit_for(5s);
+    owner.is_answering = false;
+    owner.retransmit_for(2s);
+    EXPECT_EQ(owner.fixture.effects.caller_resets.size(), 1U);
+}
+
+// It does not know the flow, so that the redirect to it was wrong.
+TEST(silent_owner, that_denies_its_flow_gets_no_more_packets_of_it)
+{
+    answering_owner owner(upstream_state::silent);
+    owner.answer = ownership::none;
+    owner.retransmit_for(1s);
+    owner.fixture.effects.forwards.clear();
+    owner.retransmit_for(1s);
+    for (const auto& each : owner.fixture.effects.forwards)
+    {
+        EXPECT_NE(each.header.pass, packet_pass::lookup);
+    }
+}
+
 // An owner that was the head itself has published no redirects of its flows.
 TEST(silent_owner, gets_packets_of_unknown_flows)
 {
--- a/packages/membership/test/expired_upstream_test.cpp
+++ b/packages/membership/test/expired_upstream_test.cpp
@@ -45,6 +45,12 @@
                              { return each.info.id == upstream.core->home(); });
     }
 
+    host_id other_than(const host_id& home) const
+    {
+        const host_id& first = m_cluster.controls.front().info.id;
+        return first == home ? m_cluster.controls.back().info.id : first;
+    }
+
     // Pauses the home of an upstream for long enough that the upstream moves to
     // another one.
     void move_home(const fake_cluster::announced& upstream)
@@ -281,6 +287,43 @@
     EXPECT_EQ(seen(0, id), upstream_state::silent);
 }
 
+// A control host that was cut off knows neither that the lease expired nor that
+// nodes hold it as expired; the upstream is back at it with the next sequence.
+TEST_F(expired_upstream, that_returned_to_a_cut_off_host_is_ready_at_its_nodes)
+{
+    fake_cluster::announced& lost = m_cluster.announcers[0];
+    const upstream_id id = lost.first.id;
+    const host_id agent("a-" + id.value());
+    const host_id home = lost.core->home();
+    const host_id apart = other_than(home);
+    const auto is_between_halves =
+        [apart](const host_id& from, const host_id& to)
+    {
+        return from.value().starts_with('c') && to.value().starts_with('c') &&
+               (from == apart || to == apart);
+    };
+    m_cluster.network.drop = [=](const host_id& from, const host_id& to,
+                                 const wire::membership_message&)
+    {
+        return from == agent || to == agent || is_between_halves(from, to);
+    };
+    m_cluster.run(std::chrono::seconds(15));
+    ASSERT_EQ(seen(0, id), upstream_state::silent);
+    m_cluster.network.drop = [=](const host_id& from, const host_id& to,
+                                 const wire::membership_message&)
+    {
+        const bool at_agent = from == agent || to == agent;
+        const bool at_apart = from == apart || to == apart;
+        return (at_agent && !at_apart) || is_between_halves(from, to);
+    };
+    m_cluster.run(std::chrono::seconds(15));
+    let_one_publish(apart);
+    m_cluster.run(std::chrono::seconds(30));
+    EXPECT_EQ(seen(0, id), upstream_state::ready);
+    EXPECT_EQ(seen(1, id), upstream_state::ready);
+    EXPECT_EQ(m_cluster.difference(), "");
+}
+
 // Control hosts purge an expired record at slightly different times, so digests
 // may differ for a moment. They must not differ permanently.
 TEST_F(expired_upstream,
--- a/packages/membership/test/place_watch_test.cpp
+++ b/packages/membership/test/place_watch_test.cpp
@@ -153,6 +153,20 @@
     EXPECT_TRUE(reaches("north"));
 }
 
+// The only agent of a service in its data centre gets no processor for a
+// moment.
+TEST_F(place_watch_probes, single_host_that_stands_still_is_not_given_up)
+{
+    m_watch.set_hosts(
+        {{place_id("north"), {host(1, 0)}}, {place_id("south"), {host(2, 0)}}});
+    run(1s);
+    m_down_hosts = {host(1, 0)};
+    run(900ms);
+    EXPECT_TRUE(m_watch.given_up().empty());
+    run(2s);
+    EXPECT_EQ(m_watch.given_up().count(place_id("north")), 1U);
+}
+
 TEST_F(place_watch_probes, probe_rate_is_limited)
 {
     place_watch::hosts_type hosts;
