--- a/packages/agent/include/crowlink/agent.hpp
+++ b/packages/agent/include/crowlink/agent.hpp
@@ -48,6 +48,7 @@
 //   owner_search.hpp             searches for the owners of flows
 //   returned_flows.hpp           flows that the upstream does not hold
 //   silent_member_query.hpp      datagrams that wait for silent members
+//   member_contact.hpp           whether silent members answer this agent
 //   deadline_queue.hpp           flows that are due for a later check
 //   effect_queue.hpp             effects between decision and execution
 
--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -9,6 +9,7 @@
 #include "crowlink/agent/effect_queue.hpp"
 #include "crowlink/agent/flow_table.hpp"
 #include "crowlink/agent/held_opening.hpp"
+#include "crowlink/agent/member_contact.hpp"
 #include "crowlink/agent/member_tables.hpp"
 #include "crowlink/agent/opening_counts.hpp"
 #include "crowlink/agent/opening_queue.hpp"
@@ -171,6 +172,17 @@
     void end_walk(time_point now, packet_header header,
                   const packet_arrived& event, silent_query asked);
     bool caller_retransmits(time_point now, const packet_arrived& event);
+    bool is_unserved(time_point now, const packet_arrived& event,
+                     const candidate& owner);
+    void ask_directly(time_point now, const candidate& member,
+                      const flow_key& flow);
+    void continue_contact(time_point now);
+    bool is_unanswered(time_point now, const candidate& member) const;
+    std::vector<candidate> silent_others() const;
+    std::vector<candidate> unheard_members(time_point now) const;
+    std::vector<candidate> searched_members(time_point now) const;
+    void take_denial(time_point now, const candidate& sender,
+                     std::uint64_t flow);
     void reset_silent(time_point now, const packet_header& header,
                       payload_view payload,
                       const std::vector<candidate>& owners);
@@ -364,6 +376,7 @@
     internal::returned_flows m_returned;
     internal::owner_search m_search;
     internal::silent_member_query m_silent_query;
+    internal::member_contact m_contact;
     // Searches that ended with the current event; its effects refer to their
     // payloads.
     std::vector<internal::searched_flow> m_ended_searches;
--- a/packages/agent/include/crowlink/agent/owner_belief.hpp
+++ b/packages/agent/include/crowlink/agent/owner_belief.hpp
@@ -45,6 +45,8 @@
     std::uint64_t sequence = 0;
     // How long the agent's views have shown the owner as silent.
     duration age{};
+    // How long it has left this agent's questions unanswered.
+    duration unanswered{};
     // How many silent members may own the flow.
     std::uint32_t silent_members = 0;
     reset_evidence evidence = reset_evidence::denied;
--- a/packages/agent/include/crowlink/agent/owner_search.hpp
+++ b/packages/agent/include/crowlink/agent/owner_search.hpp
@@ -21,9 +21,9 @@
     // The caller's latest packet.
     packet_header header;
     std::vector<std::uint8_t> payload;
-    // No silent member serves the flow: the caller has retransmitted, or all
-    // silent members are given up.
-    bool is_unserved_by_silent = false;
+    // Whether silent members may not serve the flow: the caller has
+    // retransmitted, or all silent members are given up.
+    bool may_be_unserved = false;
     // When the caller has given up, unless it retransmits again.
     time_point until{};
     // Members that have not denied the flow yet; sorted.
@@ -76,7 +76,7 @@
     // Starts a search, or replaces the packet of a running one. Returns whether
     // there was room.
     bool add(time_point now, const packet_header& header, payload_view payload,
-             bool is_unserved_by_silent);
+             bool may_be_unserved);
 
     // The questions that are due, up to `room`; the questions for one member
     // stay together and may exceed it. A round covers each of `members`,
@@ -84,6 +84,9 @@
     std::vector<addressed_question> ask(time_point now, std::size_t room,
                                         const std::vector<candidate>& members);
 
+    // Sets the members whose denials are needed, without asking them.
+    void set_members(const std::vector<candidate>& members);
+
     // Records that a member does not have the flow. Returns whether all members
     // have now denied it.
     bool denied(std::uint64_t flow, upstream_tag by);
@@ -104,7 +107,6 @@
 private:
     template <class Ends>
     std::vector<searched_flow> take_if(const Ends& ends);
-    void update_members(const std::vector<candidate>& members);
     std::vector<flow_key> flows_pending_at(const candidate& member) const;
 
     search_times m_times;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -200,6 +200,7 @@
         m_checking = true;
         m_flows.rewind();
     }
+    m_contact.retain(silent_others());
     restart_silent_queries(now);
     advance_openings(now);
     send_batch();
@@ -257,6 +258,7 @@
     reset_silent_flows(now);
     ask_members(now);
     continue_silent_query(now);
+    continue_contact(now);
     close_finished(now);
     close_idle(now);
     if (now >= m_next_assessment)
--- a/packages/agent/src/agent_lookup.cpp
+++ b/packages/agent/src/agent_lookup.cpp
@@ -108,10 +108,7 @@
         m_redirects.erase(header.flow);
         return false;
     }
-    const bool is_given_up =
-        m_members.is_given_up(to.tag) && event.need == answer_need::required;
-    if (is_given_up ||
-        (m_members.is_silent(to.tag) && caller_retransmits(now, event)))
+    if (m_members.is_silent(to.tag) && is_unserved(now, event, to))
     {
         m_redirects.erase(header.flow);
         reset_silent(now, header, event.payload, {to});
@@ -124,6 +121,23 @@
     return true;
 }
 
+// Whether a silent owner does not serve the flow of this packet. Its caller
+// alone does not show that: an upstream may take longer than the caller waits
+// before it retransmits.
+bool agent::is_unserved(time_point now, const packet_arrived& event,
+                        const candidate& owner)
+{
+    const bool is_awaited = event.need == answer_need::required;
+    if (is_awaited)
+    {
+        ask_directly(now, owner, event.header.flow);
+    }
+    const bool may_be_unserved =
+        (is_awaited && m_members.is_given_up(owner.tag)) ||
+        caller_retransmits(now, event);
+    return may_be_unserved && is_unanswered(now, owner);
+}
+
 bool agent::follow_hint(time_point now, const packet_arrived& event,
                         const internal::redirect_entry& hint)
 {
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -21,14 +21,19 @@
     // counts as unserved without a retransmission.
     const bool is_given_up =
         m_members.has_given_up_silent() && event.need == answer_need::required;
-    const bool is_unserved_by_silent =
+    const bool may_be_unserved =
         is_given_up ||
-        (!m_members.silent_members().empty() && caller_retransmits(now, event));
-    if (!m_search.add(now, header, event.payload, is_unserved_by_silent))
+        (m_members.has_silent() && caller_retransmits(now, event));
+    if (!m_search.add(now, header, event.payload, may_be_unserved))
     {
         ++m_counts.searches_omitted;
         return;
     }
+    for (const candidate& each : silent_others())
+    {
+        m_contact.want(now, each, header.flow);
+    }
+    continue_contact(now);
     decide(flow_action::looked_up, header.flow, header.table, candidate(),
            "searched_for");
     ask_members(now);
@@ -45,12 +50,25 @@
     {
         return;
     }
-    auto questions =
-        m_search.ask(now, m_questions_left, m_members.others(m_tag));
-    send_questions(std::move(questions));
+    send_questions(m_search.ask(now, m_questions_left, searched_members(now)));
     end_searches(now);
 }
 
+// The members whose denials a search needs: those that control hears, and
+// silent ones that answer.
+std::vector<candidate> agent::searched_members(time_point now) const
+{
+    std::vector<candidate> found = m_members.others(m_tag);
+    for (const candidate& each : silent_others())
+    {
+        if (m_contact.answers(now, each.tag))
+        {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
 void agent::send_questions(std::vector<internal::addressed_question> questions)
 {
     m_questions_left -= std::min(m_questions_left, questions.size());
@@ -128,9 +146,17 @@
                     const owner_answer& message)
 {
     m_silent_query.note_answer(message.sender.tag);
+    if (m_contact.note_answer(now, message.sender.tag))
+    {
+        m_search.set_members(searched_members(now));
+    }
     for (const stated_ownership& each : message.flows)
     {
         receive_silent_answer(message.sender, each);
+        if (each.state == ownership::none)
+        {
+            take_denial(now, message.sender, each.flow);
+        }
         const internal::searched_flow* searched = m_search.find(each.flow);
         if (searched == nullptr)
         {
@@ -232,21 +258,26 @@
     }
 }
 
-// Silent members may have the flow and serve it: each gets a copy, and the
-// caller is reset only if it still retransmits.
+// Silent members that do not answer may have the flow and serve it: each gets a
+// copy. The caller is reset only if it still retransmits after they have left
+// questions unanswered for some time.
 void agent::end_search(time_point now, const internal::searched_flow& searched)
 {
-    const std::vector<candidate> silent = m_members.silent_members();
-    if (!silent.empty() && searched.is_unserved_by_silent)
+    const std::vector<candidate> unheard = unheard_members(now);
+    const bool is_unserved = searched.may_be_unserved &&
+                             std::all_of(unheard.begin(), unheard.end(),
+                                         [this, now](const candidate& each)
+                                         { return is_unanswered(now, each); });
+    if (!unheard.empty() && is_unserved)
     {
-        reset_silent(now, searched.header, searched.payload, silent);
+        reset_silent(now, searched.header, searched.payload, unheard);
         return;
     }
-    for (const candidate& each : silent)
+    for (const candidate& each : unheard)
     {
         send_copy(searched, each, "owner_may_be_silent");
     }
-    if (silent.empty() && !may_be_moved(searched.header))
+    if (unheard.empty() && !may_be_moved(searched.header))
     {
         reset_unknown(searched.header, searched.payload);
     }
@@ -271,7 +302,7 @@
 }
 
 // Whether a caller retransmits on a flow whose packets were sent to silent
-// upstreams, which shows that none of them serves the flow.
+// upstreams, so that possibly none of them serves the flow.
 bool agent::caller_retransmits(time_point now, const packet_arrived& event)
 {
     const flow_key& flow = event.header.flow;
@@ -301,6 +332,7 @@
                  "upstream_silent",
                  owner_belief{first, m_members.sequence_of(first.tag),
                               now - m_members.silent_since(first.tag, now),
+                              m_contact.unanswered_for(now, first.tag),
                               static_cast<std::uint32_t>(owners.size()),
                               is_given_up ? reset_evidence::given_up
                                           : reset_evidence::retransmission});
--- a/packages/agent/src/agent_silent.cpp
+++ b/packages/agent/src/agent_silent.cpp
@@ -8,6 +8,70 @@
 namespace crowlink
 {
 
+namespace
+{
+
+// How long a silent member must leave this agent's questions unanswered before
+// its flows are given up. Its agent may be late on a busy host.
+constexpr duration owner_patience = std::chrono::seconds(1);
+// The same in a data centre of which several hosts left probes unanswered: they
+// are not late all at once.
+constexpr duration given_up_patience = std::chrono::milliseconds(250);
+
+} // namespace
+
+void agent::ask_directly(time_point now, const candidate& member,
+                         const flow_key& flow)
+{
+    m_contact.want(now, member, flow);
+    continue_contact(now);
+}
+
+void agent::continue_contact(time_point now)
+{
+    send_questions(m_contact.ask(now, m_questions_left));
+}
+
+bool agent::is_unanswered(time_point now, const candidate& member) const
+{
+    const duration patience =
+        m_members.is_given_up(member.tag) ? given_up_patience : owner_patience;
+    return m_contact.is_unanswered(now, member.tag, patience);
+}
+
+std::vector<candidate> agent::silent_others() const
+{
+    std::vector<candidate> found = m_members.silent_members();
+    std::erase(found, m_self);
+    return found;
+}
+
+// The silent members that do not answer this agent either.
+std::vector<candidate> agent::unheard_members(time_point now) const
+{
+    std::vector<candidate> found = silent_others();
+    std::erase_if(found, [this, now](const candidate& each)
+                  { return m_contact.answers(now, each.tag); });
+    return found;
+}
+
+// A member that does not own a flow of which this agent has a redirect to it:
+// the owner is searched for.
+void agent::take_denial(time_point now, const candidate& sender,
+                        std::uint64_t flow)
+{
+    const flow_key* const asked = m_contact.asked_flow(sender.tag, flow);
+    if (asked == nullptr)
+    {
+        return;
+    }
+    const internal::redirect_entry* const known = m_redirects.find(*asked, now);
+    if (known != nullptr && !known->is_hint() && known->to == sender)
+    {
+        m_redirects.erase(*asked);
+    }
+}
+
 // Whether a walk skips a silent candidate of the packet's chains. Agents with
 // other views may not know that it was skipped, so that each agent asks for
 // itself.
--- a/packages/agent/src/owner_search.cpp
+++ b/packages/agent/src/owner_search.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 bool owner_search::add(time_point now, const packet_header& header,
-                       payload_view payload, bool is_unserved_by_silent)
+                       payload_view payload, bool may_be_unserved)
 {
     const std::uint64_t flow = stable_hash(header.flow);
     const bool is_known = m_flows.count(flow) != 0;
@@ -64,8 +64,7 @@
     }
     kept.header = header;
     kept.payload.assign(payload.begin(), payload.end());
-    kept.is_unserved_by_silent =
-        kept.is_unserved_by_silent || is_unserved_by_silent;
+    kept.may_be_unserved = kept.may_be_unserved || may_be_unserved;
     return true;
 }
 
@@ -79,7 +78,7 @@
         m_to_ask.clear();
         return questions;
     }
-    update_members(members);
+    set_members(members);
     if (m_to_ask.empty() && now >= m_next_round)
     {
         m_to_ask = members;
@@ -103,7 +102,7 @@
 }
 
 // A member that has ended can't have the flow, and a newly known one may.
-void owner_search::update_members(const std::vector<candidate>& members)
+void owner_search::set_members(const std::vector<candidate>& members)
 {
     std::vector<upstream_tag> present = tags_of(members);
     if (present == m_members)
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -27,6 +27,22 @@
     return "unknown";
 }
 
+std::int64_t to_ms(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+void add_belief(const owner_belief& belief, log_line& line)
+{
+    (void)std::move(line)
+        .field("owner", belief.owner.agent.to_string())
+        .field("owner_sequence", belief.sequence)
+        .field("believed_ms", to_ms(belief.age))
+        .field("unanswered_ms", to_ms(belief.unanswered))
+        .field("silent_members", belief.silent_members)
+        .field("evidence", to_string(belief.evidence));
+}
+
 } // namespace
 
 metrics to_metrics(const upstream_record& self, const agent_totals& totals)
@@ -159,15 +175,7 @@
     }
     if (decision.belief)
     {
-        const owner_belief& belief = *decision.belief;
-        const auto age =
-            std::chrono::duration_cast<std::chrono::milliseconds>(belief.age);
-        (void)std::move(line)
-            .field("owner", belief.owner.agent.to_string())
-            .field("owner_sequence", belief.sequence)
-            .field("believed_ms", age.count())
-            .field("silent_members", belief.silent_members)
-            .field("evidence", to_string(belief.evidence));
+        add_belief(*decision.belief, line);
     }
     return line;
 }
