--- a/packages/membership/include/crowlink/membership/place_watch.hpp
+++ b/packages/membership/include/crowlink/membership/place_watch.hpp
@@ -30,6 +30,12 @@
     // centre are given up. Hosts that were all stopped only briefly answer
     // again by then.
     std::uint32_t give_up_probes = 3;
+    // The latest answers must have come from this many different hosts: fewer
+    // may be late all at once, each for a reason of its own.
+    std::size_t give_up_hosts = 3;
+    // Where fewer answered, the silence must have lasted this long: longer than
+    // an agent on a busy host gets no processor.
+    duration few_hosts_silence = std::chrono::milliseconds(1500);
 };
 
 struct place_probe
@@ -75,6 +81,7 @@
     {
         std::uint32_t number = 0;
         time_point at{};
+        endpoint to;
     };
     struct watched_place
     {
@@ -83,12 +90,17 @@
         std::deque<sent_probe> unanswered;
         // Unanswered probes since the last answer.
         std::uint32_t missed = 0;
+        // When the first of them was sent.
+        time_point missed_since{};
+        // The hosts of the latest answers; a host may be among them repeatedly.
+        std::deque<endpoint> answering;
         bool is_confirming = false;
         time_point next_probe{};
     };
 
     void note_missed(time_point now, const place_id& where,
                      watched_place& place);
+    bool is_given_up(time_point now, const watched_place& place) const;
     void send_probe(time_point now, watched_place& place,
                     std::vector<place_probe>& probes);
     duration interval() const;
--- a/packages/membership/src/place_watch.cpp
+++ b/packages/membership/src/place_watch.cpp
@@ -5,6 +5,14 @@
 namespace crowlink
 {
 
+namespace
+{
+
+// Several times the number of hosts that must have answered.
+constexpr std::size_t answers_kept = 8;
+
+} // namespace
+
 void place_watch::set_hosts(const hosts_type& hosts)
 {
     std::erase_if(m_places, [&hosts](const auto& each)
@@ -57,6 +65,10 @@
     while (!place.unanswered.empty() &&
            now - place.unanswered.front().at >= m_settings.answer_timeout)
     {
+        if (place.missed == 0)
+        {
+            place.missed_since = place.unanswered.front().at;
+        }
         place.unanswered.pop_front();
         ++place.missed;
     }
@@ -65,32 +77,50 @@
         m_unreachable.insert(where);
         place.is_confirming = false;
     }
-    if (place.missed > m_settings.confirmations + m_settings.give_up_probes)
+    if (is_given_up(now, place))
     {
         m_given_up.insert(where);
     }
 }
 
+bool place_watch::is_given_up(time_point now, const watched_place& place) const
+{
+    const bool enough_probes =
+        place.missed > m_settings.confirmations + m_settings.give_up_probes;
+    const std::set<endpoint> hosts(place.answering.begin(),
+                                   place.answering.end());
+    const bool enough_hosts = hosts.size() >= m_settings.give_up_hosts;
+    const bool silent_for_long =
+        now - place.missed_since >= m_settings.few_hosts_silence;
+    return enough_probes && (enough_hosts || silent_for_long);
+}
+
 void place_watch::send_probe(time_point now, watched_place& place,
                              std::vector<place_probe>& probes)
 {
     place.next_host = (place.next_host + 1) % place.hosts.size();
     const std::uint32_t number = m_next_number++;
-    place.unanswered.push_back(sent_probe{number, now});
-    probes.push_back(place_probe{place.hosts[place.next_host], number});
+    const endpoint& to = place.hosts[place.next_host];
+    place.unanswered.push_back(sent_probe{number, now, to});
+    probes.push_back(place_probe{to, number});
 }
 
 void place_watch::answered(std::uint32_t number)
 {
     for (auto& [where, place] : m_places)
     {
-        const bool is_known = std::any_of(
+        const auto sent = std::find_if(
             place.unanswered.begin(), place.unanswered.end(),
             [number](const sent_probe& each) { return each.number == number; });
-        if (!is_known)
+        if (sent == place.unanswered.end())
         {
             continue;
         }
+        place.answering.push_back(sent->to);
+        if (place.answering.size() > answers_kept)
+        {
+            place.answering.pop_front();
+        }
         // Probes sent before the answered one carry no further information.
         std::erase_if(place.unanswered, [number](const sent_probe& each)
                       { return each.number <= number; });
--- a/packages/membership/test/place_watch_test.cpp
+++ b/packages/membership/test/place_watch_test.cpp
@@ -167,6 +167,29 @@
     EXPECT_EQ(m_watch.given_up().count(place_id("north")), 1U);
 }
 
+// The hosts of several services on one machine count once.
+TEST_F(place_watch_probes, host_that_is_named_several_times_is_not_given_up)
+{
+    m_watch.set_hosts(
+        {{place_id("north"), {host(1, 0), host(1, 0), host(1, 0)}}});
+    run(1s);
+    m_down_hosts = {host(1, 0)};
+    run(900ms);
+    EXPECT_TRUE(m_watch.given_up().empty());
+}
+
+// The others ended long ago and are still listed.
+TEST_F(place_watch_probes, last_host_that_answers_is_not_given_up_at_once)
+{
+    m_watch.set_hosts(
+        {{place_id("north"), {host(1, 0), host(1, 1), host(1, 2)}}});
+    m_down_hosts = {host(1, 1), host(1, 2)};
+    run(5s);
+    m_down_hosts.insert(host(1, 0));
+    run(900ms);
+    EXPECT_TRUE(m_watch.given_up().empty());
+}
+
 TEST_F(place_watch_probes, probe_rate_is_limited)
 {
     place_watch::hosts_type hosts;
