--- a/packages/membership/src/observer_records.cpp
+++ b/packages/membership/src/observer_records.cpp
@@ -125,10 +125,9 @@
 void observer::store(observed_record& held, observed_record next,
                      observer_output& out)
 {
-    const std::uint64_t before = internal::content_hash(held.record, false);
-    const std::uint64_t after = internal::content_hash(next.record, false);
-    const bool differs =
-        before != after || held.record.expired != next.record.expired;
+    // A node may hold an expired record of the former sequence, which only the
+    // next sequence supersedes.
+    const bool differs = !(held.record == next.record);
     const std::size_t bucket =
         internal::bucket_of(next.record.service, next.record.id);
     next.bucket = static_cast<std::uint8_t>(bucket);
--- a/packages/membership/src/published_state.cpp
+++ b/packages/membership/src/published_state.cpp
@@ -100,12 +100,19 @@
     const bool gone = record.state == upstream_state::gone;
     const bool drained = !gone && m_drains.count(record.id) != 0;
     const std::uint64_t hash = content_hash(record, drained);
+    // A sequence alone reaches nodes that attach. To tell all of them would
+    // make each loss of a control host a change of all records that it was home
+    // to.
+    const bool is_told = gone || hash != held.hash;
     m_digests.replace(record.service, bucket_of(record.service, record.id),
                       held.hash, hash);
     held.record = record;
     held.drained = drained;
     held.hash = hash;
-    log(key, held.change, record.state != upstream_state::ready);
+    if (is_told)
+    {
+        log(key, held.change, record.state != upstream_state::ready);
+    }
     if (gone)
     {
         m_tombstones.push_back(tombstone{key, now});
