--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -76,6 +76,9 @@
     bool is_given_up(upstream_tag tag) const;
     // Whether there are silent members, and all of them are given up.
     bool has_given_up_silent() const;
+    // Whether the silent member had announced that it leaves: its agent was
+    // asked to stop, and may return beside the same upstream.
+    bool was_leaving(upstream_tag tag) const;
     // Since when views have shown the member as silent; `now` if it is not.
     time_point silent_since(upstream_tag tag, time_point now) const;
     // The sequence of the member's record; 0 if it is unknown.
@@ -92,6 +95,7 @@
         upstream_tag tag = 0;
         time_point since{};
         bool is_given_up = false;
+        bool was_leaving = false;
     };
     struct replaced_table
     {
@@ -102,6 +106,7 @@
     void note_members(const service_view& next, change& found);
     void note_silent(time_point now, const service_view& next);
     const silent_member* find_silent(upstream_tag tag) const;
+    bool is_draining(upstream_tag tag) const;
     void note_ended(upstream_tag tag);
     void replace_table(time_point now,
                        std::shared_ptr<const forwarding_table> next);
--- a/packages/agent/src/agent_silent.cpp
+++ b/packages/agent/src/agent_silent.cpp
@@ -17,6 +17,9 @@
 // The same in a data centre of which several hosts left probes unanswered: they
 // are not late all at once.
 constexpr duration given_up_patience = std::chrono::milliseconds(250);
+// The same for one whose agent was asked to stop: a planned restart cuts no
+// flow, however long the process takes to start on a busy host.
+constexpr duration return_patience = std::chrono::seconds(10);
 
 } // namespace
 
@@ -34,8 +37,15 @@
 
 bool agent::is_unanswered(time_point now, const candidate& member) const
 {
-    const duration patience =
-        m_members.is_given_up(member.tag) ? given_up_patience : owner_patience;
+    duration patience = owner_patience;
+    if (m_members.was_leaving(member.tag))
+    {
+        patience = return_patience;
+    }
+    else if (m_members.is_given_up(member.tag))
+    {
+        patience = given_up_patience;
+    }
     return m_contact.is_unanswered(now, member.tag, patience);
 }
 
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -98,12 +98,24 @@
             const upstream_tag tag = tag_of(member);
             silent.push_back(
                 silent_member{tag, silent_since(tag, now),
-                              member.state == upstream_state::unreachable});
+                              member.state == upstream_state::unreachable,
+                              was_leaving(tag) || is_draining(tag)});
         }
     }
     m_silent = std::move(silent);
 }
 
+// Whether the last view shows the member as draining.
+bool member_tables::is_draining(upstream_tag tag) const
+{
+    return m_view &&
+           std::any_of(m_view->members.begin(), m_view->members.end(),
+                       [tag](const upstream_record& member) {
+                           return member.state == upstream_state::draining &&
+                                  tag_of(member) == tag;
+                       });
+}
+
 const member_tables::silent_member*
 member_tables::find_silent(upstream_tag tag) const
 {
@@ -270,6 +282,12 @@
     return found != nullptr && found->is_given_up;
 }
 
+bool member_tables::was_leaving(upstream_tag tag) const
+{
+    const silent_member* const found = find_silent(tag);
+    return found != nullptr && found->was_leaving;
+}
+
 time_point member_tables::silent_since(upstream_tag tag, time_point now) const
 {
     const silent_member* const found = find_silent(tag);
--- a/packages/agent/test/silent_owner_test.cpp
+++ b/packages/agent/test/silent_owner_test.cpp
@@ -315,6 +315,33 @@
     }
 }
 
+// Its agent was asked to stop, and starts again beside the same upstream.
+TEST(silent_owner, that_announced_its_stop_keeps_its_flow_until_it_returns)
+{
+    for (const upstream_state state :
+         {upstream_state::silent, upstream_state::unreachable})
+    {
+        answering_owner owner(upstream_state::draining);
+        show_owner_as(owner.fixture, state);
+        owner.is_answering = false;
+        owner.retransmit_for(9s);
+        EXPECT_TRUE(owner.fixture.effects.caller_resets.empty());
+        owner.is_answering = true;
+        owner.retransmit_for(1s);
+        EXPECT_TRUE(owner.fixture.effects.caller_resets.empty());
+    }
+}
+
+// It does not return.
+TEST(silent_owner, that_announced_its_stop_loses_its_flow_after_ten_seconds)
+{
+    answering_owner owner(upstream_state::draining);
+    show_owner_as(owner.fixture, upstream_state::silent);
+    owner.is_answering = false;
+    owner.retransmit_for(11s);
+    EXPECT_FALSE(owner.fixture.effects.caller_resets.empty());
+}
+
 // An owner that was the head itself has published no redirects of its flows.
 TEST(silent_owner, gets_packets_of_unknown_flows)
 {
