--- a/packages/replication/include/crowlink/replication/internal/log_storage_write.ipp
+++ b/packages/replication/include/crowlink/replication/internal/log_storage_write.ipp
@@ -115,8 +115,9 @@
         .and_then([&] { return sync_folder(); });
 }
 
-// Removes only files that the newest snapshot covers, oldest first, so that a
-// crash at any time leaves a log without a gap.
+// Removes only files that the newest snapshot covers, oldest first. Each
+// removal is durable before the next one, so that a power loss at any time
+// leaves a log without a gap.
 template <file_system FileSystem>
 result<void> log_storage<FileSystem>::remove_obsolete(log_index covered,
                                                       bool discard)
@@ -135,8 +136,10 @@
     while (m_segments.size() > 1 &&
            (discard || m_segments.front().highest <= covered))
     {
-        const result<void> removed = m_files->remove(internal::numbered_name(
-            internal::segment_prefix, m_segments.front().number));
+        const std::string oldest = internal::numbered_name(
+            internal::segment_prefix, m_segments.front().number);
+        const result<void> removed =
+            m_files->remove(oldest).and_then([this] { return sync_folder(); });
         if (!removed)
         {
             return removed;
--- a/packages/replication/test/fake_disk.cpp
+++ b/packages/replication/test/fake_disk.cpp
@@ -87,10 +87,7 @@
 void fake_disk::crash(seeded_random& random)
 {
     m_calls_left.reset();
-    if (random() % 2 == 0)
-    {
-        m_files = m_synced;
-    }
+    lose_folder_changes(random);
     for (const auto& [name, file] : m_files)
     {
         const bool appended = file->bytes.starts_with(file->synced);
@@ -106,6 +103,29 @@
     m_synced = m_files;
 }
 
+// A journal may have written any of the folder's changes since its last sync.
+void fake_disk::lose_folder_changes(seeded_random& random)
+{
+    folder left = m_files;
+    left.merge(folder(m_synced));
+    for (auto each = left.begin(); each != left.end();)
+    {
+        const auto changed = m_files.find(each->first);
+        const auto synced = m_synced.find(each->first);
+        const bool is_lost = random() % 2 == 0;
+        const folder& from = is_lost ? m_synced : m_files;
+        const auto kept = is_lost ? synced : changed;
+        if (kept == from.end())
+        {
+            each = left.erase(each);
+            continue;
+        }
+        each->second = kept->second;
+        ++each;
+    }
+    m_files = std::move(left);
+}
+
 void fake_disk::corrupt_byte(const std::string& name, std::size_t offset)
 {
     char& byte = m_files.at(name)->bytes.at(offset);
--- a/packages/replication/test/fake_disk.hpp
+++ b/packages/replication/test/fake_disk.hpp
@@ -44,7 +44,8 @@
     bool halted() const { return m_calls_left == 0; }
 
     // Restores power: a random part of the unsynced data is kept, and its last
-    // byte may be corrupt.
+    // byte may be corrupt. Each unsynced change of the folder is kept or lost
+    // by itself.
     void crash(seeded_random& random);
 
     // Inverts one byte, as a failing medium may.
@@ -59,6 +60,7 @@
     using folder = std::map<std::string, std::shared_ptr<stored_file>>;
 
     result<void> change(const std::string& name, fault prevents);
+    void lose_folder_changes(seeded_random& random);
 
     folder m_files;
     folder m_synced;
--- a/packages/replication/test/log_storage_test.cpp
+++ b/packages/replication/test/log_storage_test.cpp
@@ -59,6 +59,45 @@
     ASSERT_GT(storage->segment_count(), 2U);
 }
 
+log_index last_index(const durable_state& state)
+{
+    if (!state.entries.empty())
+    {
+        return state.entries.back().index;
+    }
+    return state.last_snapshot ? state.last_snapshot->index : 0;
+}
+
+// Appends entries and takes snapshots. Raises the index up to which all was
+// acknowledged.
+void write_until_power_is_lost(fake_disk& disk, seeded_random& random,
+                               log_index& acknowledged)
+{
+    auto storage =
+        log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+    if (!storage)
+    {
+        ASSERT_TRUE(disk.halted()) << storage.error().message;
+        return;
+    }
+    log_index last = last_index(storage->take_restored());
+    while (!disk.halted())
+    {
+        persist_request next = entries(last + 1, last + 1 + random() % 3, 1);
+        const bool takes_snapshot = last > 0 && random() % 6 == 0;
+        if (takes_snapshot)
+        {
+            next.new_snapshot = snapshot_at(last, 1, false).new_snapshot;
+        }
+        if (!storage->write(next))
+        {
+            return;
+        }
+        last = next.entries.back().index;
+        acknowledged = last;
+    }
+}
+
 std::string last_segment(fake_disk& disk)
 {
     return disk.list()->back();
@@ -188,6 +227,29 @@
     }
 }
 
+// Ten thousand power losses at drawn moments, also while the folder is opened.
+TEST(log_storage, starts_with_what_was_acknowledged_after_drawn_power_losses)
+{
+    constexpr std::uint64_t histories = 1000;
+    constexpr int losses = 10;
+    for (std::uint64_t seed = 1; seed <= histories; ++seed)
+    {
+        seeded_random random(seed);
+        fake_disk disk;
+        log_index acknowledged = 0;
+        for (int loss = 0; loss < losses; ++loss)
+        {
+            disk.halt_after(1 + random() % 60);
+            write_until_power_is_lost(disk, random, acknowledged);
+            disk.crash(random);
+            const auto state = reopen(disk);
+            ASSERT_TRUE(state)
+                << "seed " << seed << ": " << state.error().message;
+            ASSERT_GE(last_index(*state), acknowledged) << "seed " << seed;
+        }
+    }
+}
+
 TEST(log_storage, writes_nothing_after_a_failure)
 {
     for (const auto fault :
