--- a/bench/soak/test/test_schedule.py
+++ b/bench/soak/test/test_schedule.py
@@ -41,6 +41,23 @@
         self.assertEqual(seen, set(Fault))
         self.assertGreater(overlaps, 50)
 
+    def test_strikes_packet_agents_only_when_asked(self) -> None:
+        hosts = Hosts(
+            HOSTS.control, HOSTS.balancers, HOSTS.agents,
+            ("packet-agent-1", "packet-balancer-1", "packet-callers-1"),
+        )  # fmt: skip
+        plain, struck = (
+            [
+                event
+                for seed in range(20)
+                for event in schedule.drawn(seed, hosts, DURATION_S, asked)
+                if event.target in hosts.packets
+            ]
+            for asked in (False, True)
+        )
+        self.assertEqual(plain, [])
+        self.assertEqual({e.target for e in struck}, {"packet-agent-1"})
+
     def test_cuts_no_pair_of_one_host_with_itself(self) -> None:
         for seed in range(50):
             for event in schedule.drawn(seed, HOSTS, DURATION_S):
--- a/packages/base/include/crowlink/base/log_line.hpp
+++ b/packages/base/include/crowlink/base/log_line.hpp
@@ -42,9 +42,15 @@
     // Adds one field; any type that fmt can format.
     template <class Value>
     log_line&& field(std::string_view key, const Value& value) &&
+    {
+        return std::move(field(key, value));
+    }
+
+    template <class Value>
+    log_line& field(std::string_view key, const Value& value) &
     {
         m_fields.emplace_back(std::string(key), fmt::format("{}", value));
-        return std::move(*this);
+        return *this;
     }
 
     log_level level() const { return m_level; }
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -34,8 +34,7 @@
 
 void add_belief(const owner_belief& belief, log_line& line)
 {
-    (void)std::move(line)
-        .field("owner", belief.owner.agent.to_string())
+    line.field("owner", belief.owner.agent.to_string())
         .field("owner_sequence", belief.sequence)
         .field("believed_ms", to_ms(belief.age))
         .field("unanswered_ms", to_ms(belief.unanswered))
@@ -168,8 +167,7 @@
                         .field("reason", decision.reason);
     if (decision.limit_ms > 0 || decision.expected_ms > 0)
     {
-        (void)std::move(line)
-            .field("expected_ms", decision.expected_ms)
+        line.field("expected_ms", decision.expected_ms)
             .field("limit_ms", decision.limit_ms)
             .field("held", decision.held);
     }
