--- a/packages/replication/test/fake_disk.cpp
+++ b/packages/replication/test/fake_disk.cpp
@@ -87,7 +87,9 @@
 void fake_disk::crash(seeded_random& random)
 {
     m_calls_left.reset();
-    lose_folder_changes(random);
+    // One draw, so that the size of a folder does not shift later draws.
+    seeded_random folder_random(random());
+    lose_folder_changes(folder_random);
     for (const auto& [name, file] : m_files)
     {
         const bool appended = file->bytes.starts_with(file->synced);
