--- a/packages/replication/include/crowlink/replication/internal/log_storage_open.ipp
+++ b/packages/replication/include/crowlink/replication/internal/log_storage_open.ipp
@@ -25,7 +25,8 @@
 {
     log_storage opened(files, settings);
     const result<void> done =
-        opened.load_identity(fresh_disk)
+        opened.sync_found_files()
+            .and_then([&] { return opened.load_identity(fresh_disk); })
             .and_then([&opened] { return opened.load_snapshot(); })
             .and_then([&opened] { return opened.load_segments(); })
             .and_then([&opened] { return opened.merge_snapshot_and_log(); });
@@ -36,26 +37,44 @@
     return opened;
 }
 
+// A killed process may leave writes and changes of the folder that were never
+// synced. What is read from them is told to other hosts, and further changes
+// assume it, so it is made durable first.
 template <file_system FileSystem>
-result<void> log_storage<FileSystem>::load_identity(disk_id fresh_disk)
+result<void> log_storage<FileSystem>::sync_found_files()
 {
     const auto names = m_files->list();
     if (!names)
     {
         return tl::unexpected<error>(names.error());
     }
-    const std::string name(internal::identity_name);
-    bool present = false;
-    bool holds_data = false;
     for (const std::string& one : *names)
     {
-        present = present || one == name;
-        holds_data =
-            holds_data ||
-            internal::parse_number(internal::segment_prefix, one) != 0 ||
-            internal::parse_number(internal::snapshot_prefix, one) != 0;
+        const bool is_own =
+            one == internal::identity_name || internal::holds_data(one);
+        const result<void> done = is_own ? sync_file(one) : result<void>();
+        if (!done)
+        {
+            return done;
+        }
     }
-    if (!present && holds_data)
+    return sync_folder();
+}
+
+template <file_system FileSystem>
+result<void> log_storage<FileSystem>::load_identity(disk_id fresh_disk)
+{
+    const auto names = m_files->list();
+    if (!names)
+    {
+        return tl::unexpected<error>(names.error());
+    }
+    const std::string name(internal::identity_name);
+    const bool present =
+        std::find(names->begin(), names->end(), name) != names->end();
+    const bool has_data =
+        std::any_of(names->begin(), names->end(), internal::holds_data);
+    if (!present && has_data)
     {
         return internal::corruption_error(
             name, 0, "missing, but the folder contains a log");
@@ -93,7 +112,8 @@
         return tl::unexpected<error>(names.error());
     }
     // The names are sorted, so that the last one is the newest; a crash may
-    // have left an older snapshot behind.
+    // have left an older snapshot behind. The newest one's name is durable, so
+    // that no start needs the older one.
     for (const std::string& one : *names)
     {
         if (internal::parse_number(internal::snapshot_prefix, one) == 0)
--- a/packages/replication/include/crowlink/replication/internal/record_codec.hpp
+++ b/packages/replication/include/crowlink/replication/internal/record_codec.hpp
@@ -51,6 +51,9 @@
 std::string numbered_name(std::string_view prefix, std::uint64_t number);
 std::uint64_t parse_number(std::string_view prefix, std::string_view name);
 
+// Whether a file holds a segment of the log or a snapshot.
+bool holds_data(std::string_view name);
+
 // A storage error that names the file and the offset of the corruption.
 tl::unexpected<error> corruption_error(const std::string& name,
                                        std::uint64_t offset,
--- a/packages/replication/include/crowlink/replication/log_storage.hpp
+++ b/packages/replication/include/crowlink/replication/log_storage.hpp
@@ -19,9 +19,9 @@
 //   log-0000000000000001 segments of records; each record is one synced write
 //   snapshot-...         the newest snapshot, named by its index
 //
-// Every record carries its length and an XXH3 checksum. Opening truncates an
-// incomplete record at the very end, and reports corruption anywhere before it
-// as an error that names the file and the offset.
+// Every record carries its length and an XXH3 checksum. Opening syncs what it
+// finds, truncates an incomplete record at the very end, and reports corruption
+// anywhere before it as an error that names the file and the offset.
 template <file_system FileSystem>
 class log_storage
 {
@@ -50,6 +50,7 @@
 
     log_storage(FileSystem& files, storage_settings settings);
 
+    result<void> sync_found_files();
     result<void> load_identity(disk_id fresh_disk);
     result<void> load_snapshot();
     result<void> load_segments();
--- a/packages/replication/src/record_codec.cpp
+++ b/packages/replication/src/record_codec.cpp
@@ -1,5 +1,6 @@
 #include "crowlink/replication/internal/record_codec.hpp"
 
+#include "crowlink/replication/internal/storage_names.hpp"
 #include "wire_convert.hpp"
 
 #include <array>
@@ -214,6 +215,12 @@
     return is_number ? number : 0;
 }
 
+bool holds_data(std::string_view name)
+{
+    return parse_number(segment_prefix, name) != 0 ||
+           parse_number(snapshot_prefix, name) != 0;
+}
+
 tl::unexpected<error> corruption_error(const std::string& name,
                                        std::uint64_t offset,
                                        std::string_view what)
--- a/packages/replication/test/disabled_rule_test.cpp
+++ b/packages/replication/test/disabled_rule_test.cpp
@@ -14,7 +14,7 @@
 
 using scenario = std::function<std::string(cluster_rules, std::uint64_t)>;
 
-constexpr std::uint64_t tries = 20;
+constexpr std::uint64_t tries = 100;
 
 std::uint64_t count_violations(const scenario& run, const cluster_rules& rules)
 {
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -144,7 +144,7 @@
     const result<void> done = at.storage->write(request);
     if (at.disk.halted())
     {
-        crash(host);
+        end_process(host, m_random() % 2 == 0);
     }
     else if (done)
     {
@@ -323,12 +323,24 @@
 }
 
 void fake_cluster::crash(std::size_t host)
+{
+    end_process(host, true);
+}
+
+// Ends a process by a loss of power, or by a kill that leaves its disk as it
+// is.
+void fake_cluster::end_process(std::size_t host, bool loses_power)
 {
     fake_host& at = m_hosts[host];
     at.document.reset();
     at.storage.reset();
     at.writes.clear();
-    at.disk.crash(m_random);
+    if (loses_power)
+    {
+        at.disk.crash(m_random);
+        return;
+    }
+    at.disk.restart_process();
 }
 
 void fake_cluster::restart(std::size_t host)
--- a/packages/replication/test/fake_cluster.hpp
+++ b/packages/replication/test/fake_cluster.hpp
@@ -123,6 +123,7 @@
     time_point now(const fake_host& host) const;
     void deliver();
     void write(std::size_t host);
+    void end_process(std::size_t host, bool loses_power);
     void apply_voter_policy(std::size_t host);
     void perform_effects(std::size_t host,
                          const std::vector<document_effect>& effects);
--- a/packages/replication/test/fake_disk.cpp
+++ b/packages/replication/test/fake_disk.cpp
@@ -5,6 +5,22 @@
 namespace crowlink::replication
 {
 
+namespace
+{
+
+// Overwrites a part of the content; a gap before it holds zeros.
+void overlay(std::string& content, std::size_t offset, std::string_view bytes)
+{
+    if (bytes.empty())
+    {
+        return;
+    }
+    content.resize(std::max(content.size(), offset + bytes.size()));
+    content.replace(offset, bytes.size(), bytes);
+}
+
+} // namespace
+
 result<void> fake_disk::change(const std::string& name, fault prevents)
 {
     const bool refused = m_fault == prevents || m_fault == fault::read_only;
@@ -40,6 +56,13 @@
 }
 
 result<void> fake_disk::append(const std::string& name, std::string_view bytes)
+{
+    const std::size_t half = bytes.size() / 2;
+    return write(name, bytes.substr(0, half))
+        .and_then([&] { return write(name, bytes.substr(half)); });
+}
+
+result<void> fake_disk::write(const std::string& name, std::string_view bytes)
 {
     return change(name, fault::full)
         .map(
@@ -47,6 +70,8 @@
             {
                 std::shared_ptr<stored_file>& target = m_files[name];
                 target = target ? target : std::make_shared<stored_file>();
+                target->unsynced.emplace_back(
+                    unsynced_write{target->bytes.size(), std::string(bytes)});
                 target->bytes += bytes;
             });
 }
@@ -54,13 +79,25 @@
 result<void> fake_disk::truncate(const std::string& name, std::uint64_t size)
 {
     return change(name, fault::read_only)
-        .map([&] { m_files.at(name)->bytes.resize(size); });
+        .map(
+            [&]
+            {
+                stored_file& target = *m_files.at(name);
+                target.unsynced.emplace_back(unsynced_truncation{size});
+                target.bytes.resize(size);
+            });
 }
 
 result<void> fake_disk::sync_file(const std::string& name)
 {
     return change(name, fault::sync_fails)
-        .map([&] { m_files.at(name)->synced = m_files.at(name)->bytes; });
+        .map(
+            [&]
+            {
+                stored_file& target = *m_files.at(name);
+                target.synced = target.bytes;
+                target.unsynced.clear();
+            });
 }
 
 result<void> fake_disk::sync_folder()
@@ -87,22 +124,55 @@
 void fake_disk::crash(seeded_random& random)
 {
     m_calls_left.reset();
-    // One draw, so that the size of a folder does not shift later draws.
-    seeded_random folder_random(random());
-    lose_folder_changes(folder_random);
+    // One draw, so that the disk's content does not shift later draws.
+    seeded_random losses(random());
+    lose_folder_changes(losses);
+    const bool loses_all = losses() % 4 == 0;
     for (const auto& [name, file] : m_files)
     {
-        const bool appended = file->bytes.starts_with(file->synced);
-        const std::size_t lost_at_most =
-            appended ? file->bytes.size() - file->synced.size() : 0;
-        file->bytes.resize(file->bytes.size() - random() % (lost_at_most + 1));
-        if (file->bytes.size() > file->synced.size() && random() % 2 == 0)
+        lose_content(*file, losses, loses_all);
+    }
+    m_synced = m_files;
+}
+
+void fake_disk::lose_content(stored_file& file, seeded_random& random,
+                             bool loses_all)
+{
+    enum outcome : std::uint64_t
+    {
+        kept,
+        missing,
+        torn,
+        outcomes,
+    };
+    std::string content = file.synced;
+    for (const unsynced_change& each : file.unsynced)
+    {
+        const std::uint64_t drawn = random() % outcomes;
+        if (loses_all || drawn == missing)
         {
-            file->bytes.back() = static_cast<char>(~file->bytes.back());
+            continue;
+        }
+        if (const auto* cut = std::get_if<unsynced_truncation>(&each))
+        {
+            content.resize(std::min(content.size(), cut->size));
+            continue;
         }
-        file->synced = file->bytes;
+        const auto& written = std::get<unsynced_write>(each);
+        std::string bytes = written.bytes;
+        if (drawn == torn)
+        {
+            bytes.resize(random() % (bytes.size() + 1));
+        }
+        if (drawn == torn && !bytes.empty() && random() % 2 == 0)
+        {
+            bytes.back() = static_cast<char>(~bytes.back());
+        }
+        overlay(content, written.offset, bytes);
     }
-    m_synced = m_files;
+    file.bytes = content;
+    file.synced = std::move(content);
+    file.unsynced.clear();
 }
 
 // A journal may have written any of the folder's changes since its last sync.
@@ -130,8 +200,15 @@
 
 void fake_disk::corrupt_byte(const std::string& name, std::size_t offset)
 {
-    char& byte = m_files.at(name)->bytes.at(offset);
-    byte = static_cast<char>(~byte);
+    stored_file& file = *m_files.at(name);
+    for (std::string* const content : {&file.bytes, &file.synced})
+    {
+        if (offset < content->size())
+        {
+            char& byte = content->at(offset);
+            byte = static_cast<char>(~byte);
+        }
+    }
 }
 
 } // namespace crowlink::replication
--- a/packages/replication/test/fake_disk.hpp
+++ b/packages/replication/test/fake_disk.hpp
@@ -11,12 +11,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace crowlink::replication
 {
 
-// A data folder in memory that loses unsynced data in a crash.
+// A data folder in memory that loses unsynced data in a crash. Each append is
+// written in two parts, so that a process may end between them.
 class fake_disk
 {
 public:
@@ -38,29 +40,48 @@
     result<void> remove(const std::string& name);
 
     void set_fault(fault value) { m_fault = value; }
-    // Simulates a power failure after this many more modifying calls: later
-    // calls have no effect until crash().
+    // Ends the process after this many more modifying calls: later calls have
+    // no effect until restart_process() or crash().
     void halt_after(std::size_t calls) { m_calls_left = calls; }
     bool halted() const { return m_calls_left == 0; }
 
-    // Restores power: a random part of the unsynced data is kept, and its last
-    // byte may be corrupt. Each unsynced change of the folder is kept or lost
-    // by itself.
+    // Starts another process after one that was killed: all is as it was.
+    void restart_process() { m_calls_left.reset(); }
+
+    // Restores power after a failure: each unsynced write and truncation is
+    // kept, missing or torn by itself, or all of them are lost. Each unsynced
+    // change of the folder is kept or lost by itself.
     void crash(seeded_random& random);
 
     // Inverts one byte, as a failing medium may.
     void corrupt_byte(const std::string& name, std::size_t offset);
 
 private:
+    struct unsynced_write
+    {
+        std::size_t offset = 0;
+        std::string bytes;
+    };
+    struct unsynced_truncation
+    {
+        std::size_t size = 0;
+    };
+    using unsynced_change = std::variant<unsynced_write, unsynced_truncation>;
+
     struct stored_file
     {
         std::string bytes;
         std::string synced;
+        // What happened since the last sync, in this order.
+        std::vector<unsynced_change> unsynced;
     };
     using folder = std::map<std::string, std::shared_ptr<stored_file>>;
 
     result<void> change(const std::string& name, fault prevents);
+    result<void> write(const std::string& name, std::string_view bytes);
     void lose_folder_changes(seeded_random& random);
+    static void lose_content(stored_file& file, seeded_random& random,
+                             bool loses_all);
 
     folder m_files;
     folder m_synced;
--- a/packages/replication/test/log_storage_test.cpp
+++ b/packages/replication/test/log_storage_test.cpp
@@ -3,6 +3,7 @@
 #include "crowlink/replication/log_storage.hpp"
 #include "crowlink/replication/posix_file_system.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <gtest/gtest.h>
@@ -68,10 +69,10 @@
     return state.last_snapshot ? state.last_snapshot->index : 0;
 }
 
-// Appends entries and takes snapshots. Raises the index up to which all was
-// acknowledged.
-void write_until_power_is_lost(fake_disk& disk, seeded_random& random,
-                               log_index& acknowledged)
+// Opens the folder, appends entries and takes snapshots. Raises the index up to
+// which all was acknowledged: what was restored may be told to others as well.
+void write_until_halted(fake_disk& disk, seeded_random& random,
+                        log_index& acknowledged)
 {
     auto storage =
         log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
@@ -81,6 +82,8 @@
         return;
     }
     log_index last = last_index(storage->take_restored());
+    ASSERT_GE(last, acknowledged);
+    acknowledged = last;
     while (!disk.halted())
     {
         persist_request next = entries(last + 1, last + 1 + random() % 3, 1);
@@ -98,6 +101,18 @@
     }
 }
 
+// Processes that are killed one after the other, at drawn calls.
+void write_and_kill(fake_disk& disk, seeded_random& random, std::size_t kills,
+                    log_index& acknowledged)
+{
+    for (std::size_t kill = 0; kill < kills; ++kill)
+    {
+        disk.halt_after(1 + random() % 30);
+        write_until_halted(disk, random, acknowledged);
+        disk.restart_process();
+    }
+}
+
 std::string last_segment(fake_disk& disk)
 {
     return disk.list()->back();
@@ -240,7 +255,7 @@
         for (int loss = 0; loss < losses; ++loss)
         {
             disk.halt_after(1 + random() % 60);
-            write_until_power_is_lost(disk, random, acknowledged);
+            write_until_halted(disk, random, acknowledged);
             disk.crash(random);
             const auto state = reopen(disk);
             ASSERT_TRUE(state)
@@ -250,6 +265,58 @@
     }
 }
 
+// A killed process leaves changes that nobody has synced. Its successor took
+// them for durable, and a power loss undid them behind later records.
+TEST(log_storage, keeps_what_successors_of_killed_processes_restored)
+{
+    constexpr std::uint64_t histories = 1000;
+    constexpr int losses = 10;
+    for (std::uint64_t seed = 1; seed <= histories; ++seed)
+    {
+        seeded_random random(seed);
+        fake_disk disk;
+        log_index acknowledged = 0;
+        for (int loss = 0; loss < losses; ++loss)
+        {
+            write_and_kill(disk, random, 1 + random() % 3, acknowledged);
+            disk.halt_after(1 + random() % 30);
+            write_until_halted(disk, random, acknowledged);
+            ASSERT_FALSE(HasFatalFailure()) << "seed " << seed;
+            disk.crash(random);
+            const auto state = reopen(disk);
+            ASSERT_TRUE(state)
+                << "seed " << seed << ": " << state.error().message;
+            ASSERT_GE(last_index(*state), acknowledged) << "seed " << seed;
+        }
+    }
+}
+
+// A process is killed between the write of a record and its sync, and the
+// record is lost though its successor has restored it.
+TEST(log_storage, record_that_a_killed_process_left_outlives_a_power_loss)
+{
+    constexpr std::size_t calls_of_an_append = 2;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fake_disk disk;
+        fill(disk);
+        auto storage =
+            log_storage<fake_disk>::open(disk, disk_id(1), small_segments);
+        ASSERT_TRUE(storage);
+        disk.halt_after(calls_of_an_append);
+        ASSERT_FALSE(storage->write(entries(11, 11, 1)));
+        disk.restart_process();
+        const auto restored = reopen(disk);
+        ASSERT_TRUE(restored);
+        ASSERT_EQ(last_index(*restored), 11U);
+        seeded_random random(seed);
+        disk.crash(random);
+        const auto state = reopen(disk);
+        ASSERT_TRUE(state) << state.error().message;
+        EXPECT_EQ(last_index(*state), 11U) << "seed " << seed;
+    }
+}
+
 TEST(log_storage, writes_nothing_after_a_failure)
 {
     for (const auto fault :
