--- a/packages/replication/include/crowlink/replication/internal/log_storage_open.ipp
+++ b/packages/replication/include/crowlink/replication/internal/log_storage_open.ipp
@@ -50,9 +50,15 @@
     }
     for (const std::string& one : *names)
     {
-        const bool is_own =
-            one == internal::identity_name || internal::holds_data(one);
-        const result<void> done = is_own ? sync_file(one) : result<void>();
+        result<void> done;
+        if (internal::is_unfinished(one))
+        {
+            done = m_files->remove(one);
+        }
+        else if (one == internal::identity_name || internal::holds_data(one))
+        {
+            done = sync_file(one);
+        }
         if (!done)
         {
             return done;
--- a/packages/replication/include/crowlink/replication/internal/log_storage_write.ipp
+++ b/packages/replication/include/crowlink/replication/internal/log_storage_write.ipp
@@ -95,20 +95,6 @@
 {
     const std::string unfinished =
         name + std::string(internal::unfinished_suffix);
-    const auto names = m_files->list();
-    if (!names)
-    {
-        return tl::unexpected<error>(names.error());
-    }
-    // An unfinished file that a crash left behind.
-    if (std::find(names->begin(), names->end(), unfinished) != names->end())
-    {
-        const result<void> removed = m_files->remove(unfinished);
-        if (!removed)
-        {
-            return removed;
-        }
-    }
     return m_files->append(unfinished, internal::encode_record(bytes))
         .and_then([&] { return sync_file(unfinished); })
         .and_then([&] { return m_files->rename(unfinished, name); })
--- a/packages/replication/include/crowlink/replication/internal/record_codec.hpp
+++ b/packages/replication/include/crowlink/replication/internal/record_codec.hpp
@@ -53,6 +53,9 @@
 
 // Whether a file holds a segment of the log or a snapshot.
 bool holds_data(std::string_view name);
+// Whether a file was being written when its process ended; nothing refers to
+// it.
+bool is_unfinished(std::string_view name);
 
 // A storage error that names the file and the offset of the corruption.
 tl::unexpected<error> corruption_error(const std::string& name,
--- a/packages/replication/src/record_codec.cpp
+++ b/packages/replication/src/record_codec.cpp
@@ -221,6 +221,11 @@
            parse_number(snapshot_prefix, name) != 0;
 }
 
+bool is_unfinished(std::string_view name)
+{
+    return name.ends_with(unfinished_suffix);
+}
+
 tl::unexpected<error> corruption_error(const std::string& name,
                                        std::uint64_t offset,
                                        std::string_view what)
--- a/packages/replication/test/log_storage_test.cpp
+++ b/packages/replication/test/log_storage_test.cpp
@@ -317,6 +317,20 @@
     }
 }
 
+// A snapshot that a loss interrupted stayed in the folder for good, since the
+// next one has another name.
+TEST(log_storage, removes_an_unfinished_snapshot_at_the_start)
+{
+    fake_disk disk;
+    fill(disk);
+    ASSERT_TRUE(disk.append("snapshot-0000000000000003.new", "part"));
+    ASSERT_TRUE(reopen(disk));
+    const std::vector<std::string> names = *disk.list();
+    EXPECT_TRUE(std::none_of(names.begin(), names.end(),
+                             [](const std::string& name)
+                             { return name.ends_with(".new"); }));
+}
+
 TEST(log_storage, writes_nothing_after_a_failure)
 {
     for (const auto fault :
