--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -42,6 +42,7 @@
 // A service's declaration as held by a node.
 struct subscribed_service
 {
+    // Without addresses once it is removed.
     service declared;
     std::uint64_t version = 0;
     bool removed = false;
@@ -69,17 +70,15 @@
 
     // Sets the version of the document that is completely applied. Content of
     // older documents is ignored from then on.
-    void set_complete_version(std::uint64_t version)
-    {
-        m_complete_version = version;
-    }
+    void set_complete_version(std::uint64_t version);
 
     // Handles the items in the covered buckets that the snapshot did not
     // contain.
     void sweep(time_point now, std::uint64_t version, std::uint32_t generation,
                const std::bitset<digest_table::bucket_count>& covered);
 
-    // Drops gone records older than the given life, and removed services.
+    // Drops gone records older than the given life, and removed services that
+    // have no members.
     void purge(time_point now, duration life);
 
     // Returns the services whose views changed since the last call.
@@ -96,6 +95,9 @@
         return std::exchange(m_returned, {});
     }
 
+    // The view of a service that is declared, or that has members though it is
+    // not: open flows may be there, so that its members stay known, without an
+    // address, until the last one has ended.
     std::optional<service_view> view(service_id id) const;
 
     // Whether views list the balancers that are known.
@@ -124,10 +126,14 @@
     const std::set<place_id>& evacuated() const { return m_evacuated; }
 
 private:
+    bool is_declared(service_id id) const;
+    // Whether the service has a member whose end was not announced.
+    bool has_members(service_id id) const;
     bool is_living(const upstream_record& balancer) const;
     bool replace_places(std::set<place_id>& held, std::set<place_id> next);
     void replace_hash(const record_key& key, subscribed_record& held);
     void mark_changed(service_id service);
+    void mark_undeclared();
     void note_lost(const subscribed_record& held, loss_reason reason,
                    std::uint64_t told_sequence);
     void note_returned(time_point now, const subscribed_record& held,
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -132,6 +132,8 @@
     std::set<service_id> m_subscribed;
     internal::subscribed_state m_state;
     std::set<service_id> m_pending;
+    // The services whose view was given out and not yet removed.
+    std::set<service_id> m_viewed;
     // The control hosts that the stream named last, if it named any since they
     // were last put into an output.
     std::optional<std::vector<host_id>> m_control_hosts;
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -65,6 +65,16 @@
     return living;
 }
 
+// What is left of a declaration once the document no longer lists the service:
+// it gets no new flows, and its members keep the open ones.
+service without_addresses(service declared, service_id id)
+{
+    declared.id = id;
+    declared.addresses.clear();
+    declared.shares.clear();
+    return declared;
+}
+
 } // namespace
 
 bool subscribed_state::take_record(time_point now,
@@ -150,7 +160,8 @@
     }
     m_digests.replace(declared.id, bucket_of(declared.id, upstream_id()),
                       held.hash, hash);
-    held.declared = declared;
+    held.declared =
+        removed ? without_addresses(held.declared, declared.id) : declared;
     held.removed = removed;
     held.hash = hash;
     m_changed.insert(declared.id);
@@ -203,6 +214,29 @@
     return true;
 }
 
+void subscribed_state::set_complete_version(std::uint64_t version)
+{
+    const bool is_first = m_complete_version == 0 && version > 0;
+    m_complete_version = version;
+    if (is_first)
+    {
+        mark_undeclared();
+    }
+}
+
+// Marks the services that have records and no declaration.
+void subscribed_state::mark_undeclared()
+{
+    for (const auto& each : m_records)
+    {
+        const service_id service = each.first.service;
+        if (!is_declared(service) && !is_balancer_group(service))
+        {
+            m_changed.insert(service);
+        }
+    }
+}
+
 void subscribed_state::sweep(
     time_point now, std::uint64_t version, std::uint32_t generation,
     const std::bitset<digest_table::bucket_count>& covered)
@@ -274,8 +308,9 @@
     }
     for (auto each = m_services.begin(); each != m_services.end();)
     {
-        const bool old =
-            each->second.removed && each->second.version <= m_complete_version;
+        const bool old = each->second.removed &&
+                         each->second.version <= m_complete_version &&
+                         !has_members(each->first);
         each = old ? m_services.erase(each) : std::next(each);
     }
 }
@@ -330,6 +365,7 @@
     {
         m_changed.insert(each.first);
     }
+    mark_undeclared();
 }
 
 std::set<service_id> subscribed_state::take_changed()
@@ -337,16 +373,47 @@
     return std::exchange(m_changed, {});
 }
 
-std::optional<service_view> subscribed_state::view(service_id id) const
+bool subscribed_state::is_declared(service_id id) const
 {
     const auto found = m_services.find(id);
-    if (found == m_services.end() || found->second.removed)
+    return found != m_services.end() && !found->second.removed;
+}
+
+bool subscribed_state::has_members(service_id id) const
+{
+    auto member = m_records.lower_bound(record_key{id, upstream_id()});
+    for (; member != m_records.end() && member->first.service == id; ++member)
+    {
+        const subscribed_record& held = member->second;
+        if (!is_gone(held.record) || held.last_living_record)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<service_view> subscribed_state::view(service_id id) const
+{
+    // Before the first document is complete, a service without a declaration
+    // is one whose declaration is still to come.
+    const bool is_complete = m_complete_version > 0;
+    if (!is_declared(id) && !(is_complete && has_members(id)))
     {
         return std::nullopt;
     }
     service_view out;
-    out.version = config_version(found->second.version);
-    out.declared = found->second.declared;
+    const auto found = m_services.find(id);
+    if (found == m_services.end())
+    {
+        out.declared.id = id;
+        out.version = config_version(m_complete_version);
+    }
+    else
+    {
+        out.declared = found->second.declared;
+        out.version = config_version(found->second.version);
+    }
     auto member = m_records.lower_bound(record_key{id, upstream_id()});
     for (; member != m_records.end() && member->first.service == id; ++member)
     {
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -308,12 +308,12 @@
             continue;
         }
         auto view = m_state.view(*each);
-        const auto declared = m_state.services().find(*each);
         if (view)
         {
+            m_viewed.insert(*each);
             out.changed.push_back(std::move(*view));
         }
-        else if (declared != m_state.services().end())
+        else if (m_viewed.erase(*each) > 0)
         {
             out.removed.push_back(*each);
         }
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -78,11 +78,11 @@
         member.set_state(state);
     }
 
-    void take(const wire::stream_part& value)
+    subscriber_output take(const wire::stream_part& value)
     {
         wire::membership_message message;
         *message.mutable_part() = value;
-        m_core.handle(m_now, host_id("c"), message);
+        return m_core.handle(m_now, host_id("c"), message);
     }
 
     std::uint32_t slots() const
@@ -122,6 +122,32 @@
     EXPECT_EQ(order(3, true), upstream_state::ready);
 }
 
+// A service that the document no longer lists is reported as removed when its
+// last member has gone, and not before: balancers then forget the members.
+TEST_F(subscriber_stream, reports_a_removed_service_after_its_last_member)
+{
+    wire::stream_part undeclared = part(++m_sequence, 6);
+    auto& removed = *undeclared.add_declared();
+    removed.set_id(1);
+    removed.set_removed(true);
+    undeclared.set_document_complete(true);
+    const subscriber_output first = take(undeclared);
+    EXPECT_TRUE(first.removed.empty());
+    ASSERT_EQ(first.changed.size(), 1U);
+    EXPECT_EQ(first.changed[0].version, config_version(6));
+    EXPECT_EQ(first.changed[0].members.size(), 1U);
+    // The node drops the declaration itself meanwhile.
+    m_now += std::chrono::minutes(2);
+    m_core.tick(m_now);
+    attach();
+    wire::stream_part ended = part(m_sequence = 1, 6);
+    add_member(ended, 8, 2);
+    ended.set_document_complete(true);
+    const subscriber_output last = take(ended);
+    EXPECT_EQ(last.removed, std::vector<service_id>{service_id(1)});
+    EXPECT_TRUE(last.changed.empty());
+}
+
 // A node that attaches gets the evacuations in the first part, before any
 // member.
 TEST(publisher, sends_evacuations_and_their_end_to_a_node)
