--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -14,16 +14,45 @@
     return previous == current ? candidate_chain() : previous;
 }
 
-// The chain that may contain the owner of an open flow: that of the service
+// The heads of several chains first, then their second candidates, and so on:
+// an owner tells the heads of its service's chain where the flow is.
+template <class Chains>
+candidate_chain interleave(const flow_tables& tables, const Chains& chain_of)
+{
+    boost::container::static_vector<candidate_chain, candidate_chain::capacity>
+        chains;
+    for (const table_pair* each : tables.former)
+    {
+        chains.push_back(chain_of(*each->current));
+    }
+    candidate_chain merged;
+    for (std::size_t place = 0; place < candidate_chain::capacity; ++place)
+    {
+        for (const candidate_chain& each : chains)
+        {
+            if (place < each.size())
+            {
+                merged.push_back(each[place]);
+            }
+        }
+    }
+    return merged;
+}
+
+// The chain that may contain the owner of an open flow: that of the services
 // that the flow was assigned to before the shares changed, or else that of the
 // previous table.
 template <class Chains>
 candidate_chain former_chain(const flow_tables& tables, const Chains& chain_of,
                              const candidate_chain& current)
 {
-    if (tables.former != nullptr)
+    if (tables.former.size() == 1)
+    {
+        return chain_of(*tables.former.front()->current);
+    }
+    if (!tables.former.empty())
     {
-        return chain_of(*tables.former->current);
+        return interleave(tables, chain_of);
     }
     if (tables.chosen->previous == nullptr)
     {
--- a/packages/balancer/test/traffic_path_test.cpp
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -91,6 +91,56 @@
     traffic_path m_path;
 };
 
+// A service with three upstreams of its own, to which the address leads or not.
+service_view sharing_view(std::uint32_t id, std::uint64_t version,
+                          bool has_address)
+{
+    service_view value;
+    value.version = config_version(version);
+    value.declared.id = service_id(id);
+    if (has_address)
+    {
+        value.declared.shares = {address_share{service_address, 1}};
+    }
+    for (std::uint32_t i = 0; i < 3; ++i)
+    {
+        upstream_record record;
+        record.id = upstream_id(fmt::format("u{}-{}", id, i));
+        record.service = value.declared.id;
+        record.agent =
+            parse_endpoint(fmt::format("10.1.{}.{}:7000", id, i + 1));
+        value.members.push_back(record);
+    }
+    return value;
+}
+
+// A flow that paused while its address moved twice was looked for at the second
+// service alone, and reset.
+TEST(traffic_path, names_the_heads_of_all_services_that_a_flow_may_be_at)
+{
+    test_balancer balancer;
+    balancer.apply(sharing_view(1, 1, true));
+    for (std::uint32_t id = 2; id <= 3; ++id)
+    {
+        balancer.apply(sharing_view(id - 1, id, false));
+        balancer.apply(sharing_view(id, id, true));
+    }
+    for (std::uint32_t number = 0; number < 100; ++number)
+    {
+        const std::uint64_t hash = stable_hash(flow(number));
+        const candidate_chain previous =
+            balancer.route(flow(number)).first.previous;
+        ASSERT_EQ(previous.size(), candidate_chain::capacity);
+        for (std::uint32_t id = 1; id <= 2; ++id)
+        {
+            const candidate_chain of_service =
+                balancer.set().find(service_id(id))->current->chain(hash);
+            EXPECT_EQ(previous[2 - id], of_service[0]);
+            EXPECT_EQ(previous[4 - id], of_service[1]);
+        }
+    }
+}
+
 TEST(traffic_path, all_balancers_compute_the_same_chain_for_a_flow)
 {
     std::mt19937_64 random(seed);
--- a/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/model/route_terms.hpp"
 
 #include <boost/container/small_vector.hpp>
+#include <boost/container/static_vector.hpp>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -25,16 +26,22 @@
 // Stores one element inline, since most addresses belong to one service.
 using share_list = boost::container::small_vector<weighted_service, 1>;
 
+// The services that a flow may have been assigned to before; as many as a chain
+// has candidates.
+using former_services = boost::container::static_vector<service_id, 4>;
+
 // The current and former shares of an address. The service of a flow is
 // selected by weighted rendezvous hashing (see forwarding_table), so that a
 // change of weights moves the least possible number of flows.
 class address_shares
 {
 public:
-    // The number of former states that are kept. Flows live for about a minute,
-    // and operators change the shares of one address a few times at most within
-    // that time.
+    // The number of former states that are kept as they were. Of older ones the
+    // services alone are kept: a flow may pause while its address changes more
+    // often than that.
     static constexpr std::size_t max_former_states = 3;
+    // The number of services of older states, the most recent ones.
+    static constexpr std::size_t max_older_services = 8;
     // The number of consecutive index updates that an address stays in the
     // index without a service. One document change affects only a few services.
     static constexpr std::uint32_t max_absent_updates = 8;
@@ -60,14 +67,18 @@
 
     // The service of a new flow; zero if the address has no service.
     service_id choose(std::uint64_t flow_hash) const;
-    // The service that the most recent differing state selects for the flow;
-    // zero if all kept states select the current service.
-    service_id choose_former(std::uint64_t flow_hash) const;
+    // The services other than the current one that former states select for
+    // the flow, or may have selected for it; most recent first.
+    former_services choose_former(std::uint64_t flow_hash) const;
 
 private:
+    void add_older(const share_list& shares);
+
     share_list m_current;
     // Former shares, most recent first.
     boost::container::small_vector<share_list, 0> m_former;
+    // The services of states before those, most recent first.
+    boost::container::small_vector<service_id, 0> m_older;
     std::uint32_t m_absent_updates = 0;
     std::optional<route_terms> m_terms;
 };
--- a/packages/forwarding/include/crowlink/forwarding/flow_tables.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/flow_tables.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/container/static_vector.hpp>
+
 namespace crowlink
 {
 
@@ -12,9 +14,10 @@
 {
     // The tables of a new flow's service; null if no service has the address.
     const table_pair* chosen = nullptr;
-    // The tables of the service that the flow was assigned to before the shares
-    // changed, if that was another one; an open flow may still be there.
-    const table_pair* former = nullptr;
+    // The tables of other services that the flow may have been assigned to
+    // before the shares changed, most recent first; an open flow may still be
+    // at one of them.
+    boost::container::static_vector<const table_pair*, 4> former;
     // What the callers of the address need; null if no view has told it.
     const route_terms* terms = nullptr;
 };
--- a/packages/forwarding/src/address_shares.cpp
+++ b/packages/forwarding/src/address_shares.cpp
@@ -58,6 +58,7 @@
 void address_shares::inherit_history(const address_shares& before)
 {
     m_former = before.m_former;
+    m_older = before.m_older;
     m_absent_updates = empty() ? before.m_absent_updates + 1 : 0;
     if (before.m_current == m_current || before.empty())
     {
@@ -66,27 +67,61 @@
     m_former.insert(m_former.begin(), before.m_current);
     if (m_former.size() > max_former_states)
     {
+        add_older(m_former.back());
         m_former.pop_back();
     }
 }
 
+void address_shares::add_older(const share_list& shares)
+{
+    for (const weighted_service& each : shares)
+    {
+        const auto known =
+            std::find(m_older.begin(), m_older.end(), each.service);
+        if (known != m_older.end())
+        {
+            m_older.erase(known);
+        }
+        m_older.insert(m_older.begin(), each.service);
+    }
+    if (m_older.size() > max_older_services)
+    {
+        m_older.resize(max_older_services);
+    }
+}
+
 service_id address_shares::choose(std::uint64_t flow_hash) const
 {
     return select_service(m_current, flow_hash);
 }
 
-service_id address_shares::choose_former(std::uint64_t flow_hash) const
+former_services address_shares::choose_former(std::uint64_t flow_hash) const
 {
+    former_services found;
+    if (m_former.empty())
+    {
+        return found;
+    }
     const service_id current = choose(flow_hash);
-    for (const share_list& shares : m_former)
+    const auto add = [&found, current](service_id former)
     {
-        const service_id former = select_service(shares, flow_hash);
-        if (former != current)
+        const bool is_known =
+            former == current ||
+            std::find(found.begin(), found.end(), former) != found.end();
+        if (!is_known && found.size() < found.capacity())
         {
-            return former;
+            found.push_back(former);
         }
+    };
+    for (const share_list& shares : m_former)
+    {
+        add(select_service(shares, flow_hash));
+    }
+    for (const service_id older : m_older)
+    {
+        add(older);
     }
-    return service_id();
+    return found;
 }
 
 } // namespace crowlink::internal
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -285,10 +285,17 @@
     {
         return {};
     }
-    const service_id former = found->second.choose_former(flow_hash);
-    return flow_tables{tables_of(found->second.choose(flow_hash)),
-                       former == service_id() ? nullptr : tables_of(former),
-                       found->second.terms()};
+    flow_tables tables{
+        tables_of(found->second.choose(flow_hash)), {}, found->second.terms()};
+    for (const service_id former : found->second.choose_former(flow_hash))
+    {
+        const table_pair* const known = tables_of(former);
+        if (known != nullptr)
+        {
+            tables.former.push_back(known);
+        }
+    }
+    return tables;
 }
 
 const table_pair* forwarding_set::tables_at(transport protocol,
--- a/packages/forwarding/test/forwarding_set_test.cpp
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -208,12 +208,12 @@
         if (found.chosen->service != chosen(before, flow))
         {
             EXPECT_EQ(found.chosen->service, service_id(2));
-            ASSERT_NE(found.former, nullptr);
-            EXPECT_EQ(found.former->service, service_id(1));
+            ASSERT_EQ(found.former.size(), 1U);
+            EXPECT_EQ(found.former[0]->service, service_id(1));
         }
         else
         {
-            EXPECT_EQ(found.former, nullptr);
+            EXPECT_TRUE(found.former.empty());
         }
     }
 }
@@ -223,15 +223,80 @@
     auto set = with(with(forwarding_set::empty(), shared_view(1, 1, 1)),
                     shared_view(2, 1, 0));
     const flow_key flow = flow_to_shared(1);
-    EXPECT_EQ(set->tables_of(flow, stable_hash(flow)).former, nullptr);
+    EXPECT_TRUE(set->tables_of(flow, stable_hash(flow)).former.empty());
     // The two views of one document change arrive one after the other.
     set = with(set, shared_view(1, 2, 0));
     EXPECT_EQ(set->tables_of(flow, stable_hash(flow)).chosen, nullptr);
     set = with(set, shared_view(2, 2, 1));
     const flow_tables found = set->tables_of(flow, stable_hash(flow));
     EXPECT_EQ(found.chosen->service, service_id(2));
-    ASSERT_NE(found.former, nullptr);
-    EXPECT_EQ(found.former->service, service_id(1));
+    ASSERT_EQ(found.former.size(), 1U);
+    EXPECT_EQ(found.former[0]->service, service_id(1));
+}
+
+std::vector<service_id> former(const set_pointer& set, const flow_key& flow)
+{
+    std::vector<service_id> found;
+    for (const table_pair* each :
+         set->tables_of(flow, stable_hash(flow)).former)
+    {
+        found.push_back(each->service);
+    }
+    return found;
+}
+
+// A flow that paused while its address moved twice was looked for at the second
+// service alone.
+TEST(forwarding_set, keeps_all_services_that_an_address_was_moved_from)
+{
+    auto set = with(with(forwarding_set::empty(), shared_view(1, 1, 1)),
+                    shared_view(3, 1, 0));
+    set = with(set, shared_view(2, 1, 0));
+    for (std::uint32_t version = 2; version <= 3; ++version)
+    {
+        set = with(set, shared_view(version - 1, version, 0));
+        set = with(set, shared_view(version, version, 1));
+    }
+    const flow_key flow = flow_to_shared(1);
+    EXPECT_EQ(chosen(set, flow), service_id(3));
+    EXPECT_EQ(former(set, flow),
+              (std::vector<service_id>{service_id(2), service_id(1)}));
+}
+
+// A flow that paused during more than three changes of weights was reset, since
+// only three former states were kept.
+TEST(forwarding_set, keeps_the_service_of_a_flow_over_many_changes_of_weights)
+{
+    constexpr std::uint32_t steps = 20;
+    auto set = with(with(forwarding_set::empty(), shared_view(1, 1, steps)),
+                    shared_view(2, 1, 0));
+    for (std::uint32_t step = 1; step <= steps; ++step)
+    {
+        set = with(set, shared_view(1, 1 + step, steps - step));
+        set = with(set, shared_view(2, 1 + step, step));
+    }
+    for (std::uint32_t i = 0; i < 100; ++i)
+    {
+        const flow_key flow = flow_to_shared(i);
+        ASSERT_EQ(chosen(set, flow), service_id(2));
+        EXPECT_EQ(former(set, flow), std::vector<service_id>{service_id(1)});
+    }
+}
+
+// What is kept of an address is bounded, however often it changes.
+TEST(forwarding_set, keeps_a_bounded_number_of_former_services)
+{
+    set_pointer set = forwarding_set::empty();
+    std::size_t memory = 0;
+    for (std::uint32_t id = 1; id <= 100; ++id)
+    {
+        set = with(set, shared_view(id, id, 1));
+        set = with(set, shared_view(id, id + 1, 0));
+        set = without(set, id - 1, id + 1);
+        memory = id == 20 ? set->memory() : memory;
+    }
+    EXPECT_LE(former(set, flow_to_shared(1)).size(), candidate_chain::capacity);
+    EXPECT_LE(set->memory(), memory + 4096);
 }
 
 service_view shared_view(std::uint32_t id, std::uint64_t version,
