--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -1,5 +1,7 @@
 #include "crowlink/balancer/traffic_path.hpp"
 
+#include <algorithm>
+
 namespace crowlink
 {
 
@@ -14,17 +16,21 @@
     return previous == current ? candidate_chain() : previous;
 }
 
-// The heads of several chains first, then their second candidates, and so on:
-// an owner tells the heads of its service's chain where the flow is.
-template <class Chains>
-candidate_chain interleave(const flow_tables& tables, const Chains& chain_of)
+using chain_list =
+    boost::container::static_vector<candidate_chain, candidate_chain::capacity>;
+
+void add_chain(chain_list& chains, const candidate_chain& added)
 {
-    boost::container::static_vector<candidate_chain, candidate_chain::capacity>
-        chains;
-    for (const table_pair* each : tables.former)
+    if (!added.empty() && chains.size() < chains.capacity())
     {
-        chains.push_back(chain_of(*each->current));
+        chains.push_back(added);
     }
+}
+
+// The heads of several chains first, then their second candidates, and so on:
+// an owner tells the heads of its service's chain where the flow is.
+candidate_chain interleave(const chain_list& chains)
+{
     candidate_chain merged;
     for (std::size_t place = 0; place < candidate_chain::capacity; ++place)
     {
@@ -39,26 +45,49 @@
     return merged;
 }
 
-// The chain that may contain the owner of an open flow: that of the services
-// that the flow was assigned to before the shares changed, or else that of the
-// previous table.
+// Adds services that no address leads to: a flow that continues may be at one
+// of them though this balancer does not know that its address led there.
+// Packets that may open a flow must not reach their agents.
+template <class Chains>
+void add_unaddressed(chain_list& chains, const forwarding_set& set,
+                     const flow_tables& tables, const Chains& chain_of)
+{
+    for (const table_pair* each : set.unaddressed())
+    {
+        const bool is_known =
+            std::find(tables.former.begin(), tables.former.end(), each) !=
+            tables.former.end();
+        if (!is_known)
+        {
+            add_chain(chains, chain_of(*each->current));
+        }
+    }
+}
+
+// The candidates, other than those of the current table, that may own an open
+// flow: those of the services that the flow was assigned to before the shares
+// changed, or else those of the previous table.
 template <class Chains>
-candidate_chain former_chain(const flow_tables& tables, const Chains& chain_of,
+candidate_chain former_chain(const forwarding_set& set,
+                             const flow_tables& tables, packet_role role,
+                             const Chains& chain_of,
                              const candidate_chain& current)
 {
-    if (tables.former.size() == 1)
+    chain_list chains;
+    for (const table_pair* each : tables.former)
     {
-        return chain_of(*tables.former.front()->current);
+        add_chain(chains, chain_of(*each->current));
     }
-    if (!tables.former.empty())
+    if (tables.former.empty() && tables.chosen->previous != nullptr)
     {
-        return interleave(tables, chain_of);
+        add_chain(chains,
+                  omit_if_equal(chain_of(*tables.chosen->previous), current));
     }
-    if (tables.chosen->previous == nullptr)
+    if (role == packet_role::continues)
     {
-        return candidate_chain();
+        add_unaddressed(chains, set, tables, chain_of);
     }
-    return omit_if_equal(chain_of(*tables.chosen->previous), current);
+    return interleave(chains);
 }
 
 route_reason reason_of(const candidate_chain& current,
@@ -103,7 +132,7 @@
         packet.payload};
     packet_header& header = out.header;
     header.previous = former_chain(
-        found,
+        set, found, packet.role,
         [&](const forwarding_table& table)
         { return m_chains.chain(table, hash); },
         header.current);
@@ -167,7 +196,7 @@
     decision.table = tables->current->digest();
     decision.current = tables->current->chain(hash);
     decision.previous = former_chain(
-        found,
+        set, found, packet_role::continues,
         [hash](const forwarding_table& table) { return table.chain(hash); },
         decision.current);
     decision.reason = reason_of(decision.current, decision.previous);
--- a/packages/balancer/test/traffic_path_test.cpp
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -71,13 +71,13 @@
     }
 
     // Returns the header that the agent receives, and the packet's destination.
-    std::pair<packet_header, endpoint> route(const flow_key& key)
+    std::pair<packet_header, endpoint>
+    route(const flow_key& key, packet_role role = packet_role::any)
     {
         const bytes payload{1, 2, 3};
         bytes buffer(1000);
-        const auto sent =
-            m_path.route(*m_control.snapshot(),
-                         caller_packet{key, packet_role::any, payload}, buffer);
+        const auto sent = m_path.route(
+            *m_control.snapshot(), caller_packet{key, role, payload}, buffer);
         const datagram_codec codec(keys());
         const auto value = codec.decode(std::span(buffer).first(sent->size));
         return {std::get<forward_datagram>(*value).header, sent->destination};
@@ -141,6 +141,30 @@
     }
 }
 
+// A balancer that started after a change does not know which service its
+// address led to before: open flows were reset once the new service's agents
+// had started anew, too.
+TEST(traffic_path, names_services_without_an_address_to_flows_that_continue)
+{
+    test_balancer balancer;
+    balancer.apply(sharing_view(1, 2, false));
+    balancer.apply(sharing_view(2, 2, true));
+    for (std::uint32_t number = 0; number < 20; ++number)
+    {
+        const std::uint64_t hash = stable_hash(flow(number));
+        const candidate_chain former =
+            balancer.set().find(service_id(1))->current->chain(hash);
+        EXPECT_EQ(
+            balancer.route(flow(number), packet_role::continues).first.previous,
+            former);
+        for (const packet_role role : {packet_role::opens, packet_role::any})
+        {
+            EXPECT_TRUE(
+                balancer.route(flow(number), role).first.previous.empty());
+        }
+    }
+}
+
 TEST(traffic_path, all_balancers_compute_the_same_chain_for_a_flow)
 {
     std::mt19937_64 random(seed);
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -3,11 +3,13 @@
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/forwarding/address_hash.hpp"
 #include "crowlink/forwarding/address_shares.hpp"
+#include "crowlink/forwarding/candidate_chain.hpp"
 #include "crowlink/forwarding/flow_tables.hpp"
 #include "crowlink/forwarding/removed_service.hpp"
 #include "crowlink/forwarding/service_tables.hpp"
 #include "crowlink/forwarding/table_pair.hpp"
 
+#include <boost/container/static_vector.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -26,6 +28,10 @@
 class forwarding_set
 {
 public:
+    using unaddressed_services =
+        boost::container::static_vector<const table_pair*,
+                                        candidate_chain::capacity>;
+
     // Returns a set without services.
     static std::shared_ptr<const forwarding_set> empty();
 
@@ -43,6 +49,10 @@
     // The tables for one flow, selected by its hash, since services may share
     // an address. Does not allocate.
     flow_tables tables_of(const flow_key& flow, std::uint64_t flow_hash) const;
+    // Services that no address leads to, at most as many as a chain has
+    // candidates: open flows may still be there, of any address, since a node
+    // that started after a change does not know what led there before.
+    const unaddressed_services& unaddressed() const { return m_unaddressed; }
     // The service at an address, or null. Does not allocate.
     const service_tables* find(transport protocol,
                                const endpoint& address) const;
@@ -70,6 +80,7 @@
     // Records a removal; returns whether it was unknown.
     bool record_removal(const removed_service& removed);
     void rebuild_lookup(const forwarding_set& prior);
+    void find_unaddressed();
     const table_pair* tables_of(service_id service) const;
     bool has_same_addresses(const forwarding_set& other) const;
     std::shared_ptr<const address_index>
@@ -79,6 +90,7 @@
     std::vector<std::shared_ptr<const service_tables>> m_services;
     // In the order of m_services.
     std::vector<table_pair> m_tables;
+    unaddressed_services m_unaddressed;
     std::shared_ptr<const address_index> m_index;
     // Removed services, which late views must not restore. Bounded: the oldest
     // entry is evicted first.
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -171,12 +171,44 @@
         m_tables.push_back(table_pair{tables->service(), tables->current.get(),
                                       tables->previous.get()});
     }
+    find_unaddressed();
     if (!has_same_addresses(prior))
     {
         m_index = make_index(*prior.m_index);
     }
 }
 
+// Of more services than there is room for, those of the newest views count: a
+// change took their addresses last.
+void forwarding_set::find_unaddressed()
+{
+    std::vector<std::size_t> found;
+    for (std::size_t at = 0; at < m_services.size(); ++at)
+    {
+        const service_view& view = *m_services[at]->view;
+        const bool is_unaddressed =
+            view.declared.addresses.empty() && view.declared.shares.empty();
+        if (is_unaddressed && !view.members.empty())
+        {
+            found.push_back(at);
+        }
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [this](std::size_t first, std::size_t second)
+                     {
+                         return m_services[first]->view->version >
+                                m_services[second]->view->version;
+                     });
+    m_unaddressed.clear();
+    for (const std::size_t at : found)
+    {
+        if (m_unaddressed.size() < m_unaddressed.capacity())
+        {
+            m_unaddressed.push_back(&m_tables[at]);
+        }
+    }
+}
+
 bool forwarding_set::has_same_addresses(const forwarding_set& other) const
 {
     return std::equal(m_services.begin(), m_services.end(),
--- a/packages/forwarding/test/forwarding_set_test.cpp
+++ b/packages/forwarding/test/forwarding_set_test.cpp
@@ -299,6 +299,27 @@
     EXPECT_LE(set->memory(), memory + 4096);
 }
 
+// Services with members that no address leads to; the newest ones where there
+// are many.
+TEST(forwarding_set, lists_a_bounded_number_of_services_without_an_address)
+{
+    set_pointer set = with(forwarding_set::empty(), shared_view(1, 1, 1));
+    EXPECT_TRUE(set->unaddressed().empty());
+    service_view deserted = shared_view(2, 9, 0);
+    deserted.members.clear();
+    set = with(set, deserted);
+    EXPECT_TRUE(set->unaddressed().empty());
+    for (std::uint32_t id = 3; id <= 8; ++id)
+    {
+        set = with(set, shared_view(id, id, 0));
+    }
+    ASSERT_EQ(set->unaddressed().size(), candidate_chain::capacity);
+    for (std::uint32_t at = 0; at < candidate_chain::capacity; ++at)
+    {
+        EXPECT_EQ(set->unaddressed()[at]->service, service_id(8 - at));
+    }
+}
+
 service_view shared_view(std::uint32_t id, std::uint64_t version,
                          const std::optional<route_terms>& terms)
 {
