--- a/packages/agent/include/crowlink/agent/agent.hpp
+++ b/packages/agent/include/crowlink/agent/agent.hpp
@@ -221,7 +221,11 @@
     void end_searches(time_point now);
     void end_search(time_point now, const internal::searched_flow& searched);
     bool knows_members(time_point now) const;
-    bool may_be_moved(const packet_header& header) const;
+    candidate_chain candidates_elsewhere(const packet_header& header) const;
+    void search_service(const internal::searched_flow& searched,
+                        const candidate_chain& elsewhere);
+    void search_own_service(time_point now, const packet_header& header,
+                            const packet_arrived& event);
     void reset_unknown(const packet_header& header, payload_view payload);
     void reset_caller(const packet_header& header, payload_view payload,
                       refusal_reason told, std::string_view reason,
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -84,6 +84,7 @@
         deny(header);
         break;
     case packet_pass::place:
+    case packet_pass::search_service:
         start_search(now, header, event);
         break;
     default:
--- a/packages/agent/src/agent_lookup.cpp
+++ b/packages/agent/src/agent_lookup.cpp
@@ -39,7 +39,8 @@
 {
     const packet_header& header = event.header;
     const internal::redirect_entry* known = m_redirects.find(header.flow, now);
-    const bool is_search = header.pass == packet_pass::search;
+    const bool is_search = header.pass == packet_pass::search ||
+                           header.pass == packet_pass::search_service;
     if (header.hops >= internal::hop_limit)
     {
         ++m_counts.too_many_hops;
@@ -92,6 +93,9 @@
     case packet_pass::search:
         search(now, header, event);
         break;
+    case packet_pass::search_service:
+        search_own_service(now, header, event);
+        break;
     }
 }
 
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -260,7 +260,8 @@
 
 // Silent members that do not answer may have the flow and serve it: each gets a
 // copy. The caller is reset only if it still retransmits after they have left
-// questions unanswered for some time.
+// questions unanswered for some time, and if no other service may have the
+// flow.
 void agent::end_search(time_point now, const internal::searched_flow& searched)
 {
     const std::vector<candidate> unheard = unheard_members(now);
@@ -268,16 +269,24 @@
                              std::all_of(unheard.begin(), unheard.end(),
                                          [this, now](const candidate& each)
                                          { return is_unanswered(now, each); });
-    if (!unheard.empty() && is_unserved)
+    if (!unheard.empty() && !is_unserved)
     {
-        reset_silent(now, searched.header, searched.payload, unheard);
+        for (const candidate& each : unheard)
+        {
+            send_copy(searched, each, "owner_may_be_silent");
+        }
         return;
     }
-    for (const candidate& each : unheard)
+    const candidate_chain elsewhere = candidates_elsewhere(searched.header);
+    if (!elsewhere.empty())
     {
-        send_copy(searched, each, "owner_may_be_silent");
+        search_service(searched, elsewhere);
     }
-    if (unheard.empty() && !may_be_moved(searched.header))
+    else if (!unheard.empty())
+    {
+        reset_silent(now, searched.header, searched.payload, unheard);
+    }
+    else
     {
         reset_unknown(searched.header, searched.payload);
     }
@@ -290,17 +299,6 @@
     return since && now - *since >= m_settings.members_known_after;
 }
 
-// Whether the flow's address was moved here from a service whose members this
-// agent does not know: they may have it.
-bool agent::may_be_moved(const packet_header& header) const
-{
-    return std::any_of(header.previous.begin(), header.previous.end(),
-                       [this](const candidate& each) {
-                           return !m_members.is_member(each.tag) &&
-                                  !m_members.has_ended(each.tag);
-                       });
-}
-
 // Whether a caller retransmits on a flow whose packets were sent to silent
 // upstreams, so that possibly none of them serves the flow.
 bool agent::caller_retransmits(time_point now, const packet_arrived& event)
--- a/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
@@ -40,10 +40,14 @@
     // The walk found no owner: a copy for a member that may own the flow, which
     // does not forward it. The previous chain holds the sender and the member.
     search,
+    // No member of the services searched so far has the flow: the receiver
+    // searches in its own. The previous chain holds candidates of the services
+    // that remain, the receiver first.
+    search_service,
 };
 
 // The codec rejects larger values.
-constexpr packet_pass last_packet_pass = packet_pass::search;
+constexpr packet_pass last_packet_pass = packet_pass::search_service;
 
 // The header of each caller's packet from a balancer to an agent and between
 // agents. It carries all routing state that an agent needs, so that hosts may
