--- a/bench/power_losses/disk_model.py
+++ b/bench/power_losses/disk_model.py
@@ -159,9 +159,8 @@
         }
         noted = {name: bytes(each.content) for name, each in self.names.items()}
         if real != noted:
-            raise RuntimeError(
-                f"notes and folder differ: {sorted(noted)}, {sorted(real)}"
-            )
+            sizes = [{n: len(c) for n, c in e.items()} for e in (noted, real)]
+            raise RuntimeError(f"notes and folder differ: {sizes}")
 
     def lose_power(self, source: random.Random) -> list[str]:
         """Writes the folder anew; yields what was lost or kept by chance."""
--- a/bench/power_losses/plays.py
+++ b/bench/power_losses/plays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import threading
@@ -188,17 +189,16 @@
             time.sleep(self._source.choice((0.05, 0.7, 1.5)))
 
     def _down(self, hosts, down_s: float, change, may_found: bool = True) -> None:
-        for host in hosts:
-            host.lock.acquire()
-        for host in hosts:
-            host.kill()
-        for host in hosts:
-            change(host)
-        time.sleep(down_s)
-        for host in hosts:
-            host.start(may_found)
-        for host in hosts:
-            host.lock.release()
+        with contextlib.ExitStack() as held:
+            for host in hosts:
+                held.enter_context(host.lock)
+            for host in hosts:
+                host.kill()
+            for host in hosts:
+                change(host)
+            time.sleep(down_s)
+            for host in hosts:
+                host.start(may_found)
 
     def _calm(self, time_s: float) -> None:
         time.sleep(time_s)
