--- a/packages/agent/include/crowlink/agent/member_tables.hpp
+++ b/packages/agent/include/crowlink/agent/member_tables.hpp
@@ -62,6 +62,8 @@
     // The members that control no longer hears.
     std::vector<candidate> silent_members() const;
     bool is_member(upstream_tag tag) const;
+    // Whether a member of any incarnation has its agent there.
+    bool is_agent_of_member(const endpoint& agent) const;
     // When the first view arrived.
     std::optional<time_point> known_since() const { return m_known_since; }
 
--- a/packages/agent/src/agent_other_services.cpp
+++ b/packages/agent/src/agent_other_services.cpp
@@ -10,15 +10,16 @@
 namespace crowlink
 {
 
-// The candidates that are no members of this agent's service and whose services
-// were not searched: the flow's address may have led there.
+// The candidates of services that were not searched: the flow's address may
+// have led there. The current chain is that of the header's service, and the
+// previous one may name any. After a search elsewhere the previous one names
+// all that are left.
 candidate_chain agent::candidates_elsewhere(const packet_header& header) const
 {
     candidate_chain found;
     const auto add = [&](const candidate& each)
     {
-        const bool is_own = each.agent == m_self.agent ||
-                            m_members.is_member(each.tag) ||
+        const bool is_own = m_members.is_agent_of_member(each.agent) ||
                             m_members.has_ended(each.tag);
         if (!is_own)
         {
@@ -26,7 +27,8 @@
         }
     };
     std::for_each(header.previous.begin(), header.previous.end(), add);
-    if (header.pass != packet_pass::search_service)
+    if (header.service != m_record.service &&
+        header.pass != packet_pass::search_service)
     {
         std::for_each(header.current.begin(), header.current.end(), add);
     }
--- a/packages/agent/src/member_tables.cpp
+++ b/packages/agent/src/member_tables.cpp
@@ -259,6 +259,13 @@
                                  { return tag_of(member) == tag; });
 }
 
+bool member_tables::is_agent_of_member(const endpoint& agent) const
+{
+    return m_view && std::any_of(m_view->members.begin(), m_view->members.end(),
+                                 [&agent](const upstream_record& member)
+                                 { return member.agent == agent; });
+}
+
 bool member_tables::has_ended(upstream_tag tag) const
 {
     return std::find(m_ended.begin(), m_ended.end(), tag) != m_ended.end();
--- a/packages/agent/test/other_service_test.cpp
+++ b/packages/agent/test/other_service_test.cpp
@@ -85,6 +85,25 @@
         pass(std::chrono::milliseconds(200));
     }
 
+    // The same of one service, whose former chain has the agents of the present
+    // one beside other upstreams.
+    void send_with_former_incarnations()
+    {
+        packet_header made;
+        made.service = id_of(0);
+        made.flow = searched();
+        made.role = packet_role::continues;
+        const auto table = forwarding_table::build(*m_views[0]);
+        made.table = table->digest();
+        made.current = table->chain(stable_hash(searched()));
+        for (const candidate& each : made.current)
+        {
+            made.previous.push_back(candidate{each.agent, each.tag + 1});
+        }
+        arrive(made.current[0].agent, made);
+        pass(std::chrono::milliseconds(200));
+    }
+
     void pass(duration time)
     {
         constexpr duration step = std::chrono::milliseconds(50);
@@ -225,4 +244,13 @@
     }
 }
 
+// An agent that started after a member was replaced has never heard of its
+// former incarnation, which balancers may still name.
+TEST(other_service, former_incarnation_of_a_member_is_not_of_another_service)
+{
+    moved_flow flow(1);
+    flow.send_with_former_incarnations();
+    EXPECT_EQ(flow.resets, 1U);
+}
+
 } // namespace crowlink::test
--- a/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/forwarding/candidate_chain.hpp"
 #include "crowlink/model/route_terms.hpp"
 
 #include <boost/container/small_vector.hpp>
@@ -28,7 +29,8 @@
 
 // The services that a flow may have been assigned to before; as many as a chain
 // has candidates.
-using former_services = boost::container::static_vector<service_id, 4>;
+using former_services =
+    boost::container::static_vector<service_id, candidate_chain::capacity>;
 
 // The current and former shares of an address. The service of a flow is
 // selected by weighted rendezvous hashing (see forwarding_table), so that a
--- a/packages/forwarding/include/crowlink/forwarding/flow_tables.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/flow_tables.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "crowlink/forwarding/candidate_chain.hpp"
+
 #include <boost/container/static_vector.hpp>
 
 namespace crowlink
@@ -17,7 +19,9 @@
     // The tables of other services that the flow may have been assigned to
     // before the shares changed, most recent first; an open flow may still be
     // at one of them.
-    boost::container::static_vector<const table_pair*, 4> former;
+    boost::container::static_vector<const table_pair*,
+                                    candidate_chain::capacity>
+        former;
     // What the callers of the address need; null if no view has told it.
     const route_terms* terms = nullptr;
 };
