--- a/bench/power_losses/plays.py
+++ b/bench/power_losses/plays.py
@@ -80,7 +80,7 @@
     def _play_day(self) -> None:
         """The review's day: storms of large versions, a loss of the leader."""
         routes = 110
-        for second in range(1, 7):
+        for _ in range(6):
             self._storm(routes, 2)
             routes += 335
         self._storm(routes, 12)
