--- a/packages/balancer/test/counting_allocator.cpp
+++ b/packages/balancer/test/counting_allocator.cpp
@@ -16,10 +16,16 @@
     return count.load();
 }
 
-void* operator new(std::size_t size)
+// The standard library takes temporary memory by this one.
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept
 {
     count.fetch_add(1);
-    void* const memory = std::malloc(size == 0 ? 1 : size);
+    return std::malloc(size == 0 ? 1 : size);
+}
+
+void* operator new(std::size_t size)
+{
+    void* const memory = operator new(size, std::nothrow);
     if (memory == nullptr)
     {
         throw std::bad_alloc();
@@ -32,6 +38,11 @@
     std::free(memory);
 }
 
+void operator delete(void* memory, const std::nothrow_t&) noexcept
+{
+    std::free(memory);
+}
+
 void operator delete(void* memory, std::size_t) noexcept
 {
     std::free(memory);
