--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -268,6 +268,11 @@
     next->count("crowlink_control_commands_refused_total",
                 m_commands.refused());
     next->count("crowlink_log_lines_dropped_total", m_log.dropped());
+    if (m_documents)
+    {
+        m_documents->write_times().write_to(
+            *next, "crowlink_control_write_milliseconds", "of=\"log\"");
+    }
     if (m_membership)
     {
         const membership_host& core = m_membership->core();
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -61,6 +61,7 @@
     , m_links(links)
     , m_log(log)
     , m_core(to_core(settings), storage.take_restored(), now, random)
+    , m_slow_write(std::chrono::milliseconds(settings.control->election_ms))
     , m_takes_relayed(settings.is_network_trusted && settings.seeds)
 {
     if (settings.control->losses_borne)
@@ -108,6 +109,7 @@
 {
     while (const auto done = m_storage.next())
     {
+        note_write(done->took);
         if (done->failure)
         {
             m_failed = true;
@@ -128,6 +130,20 @@
     keep_voters(now, status, board);
 }
 
+// Votes and changes wait for the writes of a quorum. At most one line for each
+// write, so that the volume is bounded by the writes' length.
+void document_controller::note_write(duration took)
+{
+    m_write_times.add(took);
+    if (took >= m_slow_write)
+    {
+        const auto length =
+            std::chrono::duration_cast<std::chrono::milliseconds>(took);
+        m_log.write(log_line(log_level::warning, "storage_slow")
+                        .field("took_ms", length.count()));
+    }
+}
+
 // Hosts join at addresses that no settings name. Those that say hello are
 // reached too, so that they can be answered before they are members.
 void document_controller::follow_members(
--- a/packages/daemon/src/control/document_controller.hpp
+++ b/packages/daemon/src/control/document_controller.hpp
@@ -3,6 +3,7 @@
 #include "control/blackboard.hpp"
 #include "control/control_links.hpp"
 #include "control/storage_thread.hpp"
+#include "crowlink/base/latency_histogram.hpp"
 #include "crowlink/base/log_sink.hpp"
 #include "crowlink/replication/replicated_document.hpp"
 #include "crowlink/replication/voter_policy.hpp"
@@ -49,10 +50,13 @@
 
     const replication::replicated_document& core() const { return m_core; }
     bool has_failed() const { return m_failed; }
+    // How long the writes of the log took.
+    const latency_histogram& write_times() const { return m_write_times; }
 
 private:
     using effects = std::vector<replication::document_effect>;
 
+    void note_write(duration took);
     void follow_members(const replication::replica_status& status,
                         blackboard& board);
     void keep_voters(time_point now, const replication::replica_status& status,
@@ -76,6 +80,9 @@
     control_links& m_links;
     log_sink& m_log;
     replication::replicated_document m_core;
+    // Writes that take an election timeout delay elections and changes.
+    duration m_slow_write;
+    latency_histogram m_write_times;
     // Whether hellos may come from others than their senders: nobody else can
     // reach this network.
     bool m_takes_relayed = false;
--- a/packages/daemon/src/control/storage_thread.cpp
+++ b/packages/daemon/src/control/storage_thread.cpp
@@ -71,11 +71,14 @@
 
 void storage_thread::run()
 {
+    const steady_clock_source clock;
     while (auto request = wait_for_request())
     {
+        const time_point begun = clock.now();
         const result<void> held = m_storage->write(*request);
         completion done;
         done.sequence = request->sequence;
+        done.took = clock.now() - begun;
         if (!held)
         {
             done.failure = held.error();
--- a/packages/daemon/src/control/storage_thread.hpp
+++ b/packages/daemon/src/control/storage_thread.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/error.hpp"
+#include "crowlink/base/time.hpp"
 #include "crowlink/replication/log_storage.hpp"
 #include "crowlink/replication/posix_file_system.hpp"
 #include "crowlink/transport/wake_event.hpp"
@@ -24,6 +25,7 @@
     struct completion
     {
         std::uint64_t sequence = 0;
+        duration took{};
         // Present if the write failed.
         std::optional<error> failure;
     };
