--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -131,10 +131,17 @@
     }
     const bool stalled =
         m_queue.stalled(m_now, m_settings.storage_stall_timeout);
-    if (m_now >= m_election_deadline && may_campaign() && !stalled)
+    if (m_now < m_election_deadline || m_voted_at || stalled || !may_campaign())
     {
-        campaign();
+        return;
+    }
+    if (may_still_win())
+    {
+        reset_election_timer();
+        request_votes(false);
+        return;
     }
+    campaign();
 }
 
 void replica_core::handle_event(const propose& event)
@@ -158,6 +165,10 @@
     {
         m_effects.emplace_back(send_message{std::move(message)});
     }
+    if (m_voted_at && is_vote_durable())
+    {
+        wait_for_outcome();
+    }
     if (m_role == replica_role::candidate &&
         m_queue.done_sequence() >= m_campaign_sequence)
     {
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -101,6 +101,10 @@
     void request_votes(bool pre_vote);
     void count_votes();
     void become_leader();
+    bool is_vote_durable() const;
+    bool is_election_open() const;
+    bool may_still_win() const;
+    void wait_for_outcome();
     bool has_leader_contact() const;
     void detect_end_of_lease(const replica_message& message, bool pre_vote);
     void stop_waiting_for_lease(std::string reason);
@@ -132,6 +136,7 @@
     peer_progress* find_peer(const replica_message& message);
     void record_contact(peer_progress& peer, std::int64_t sent_at);
     void leader_tick();
+    bool holds_up_quorum() const;
     void replicate(const host_id& host, peer_progress& peer);
     void send_entries(const host_id& host, peer_progress& peer,
                       bool with_entries);
@@ -196,8 +201,14 @@
 
     // As a candidate.
     std::set<host_id> m_votes;
+    std::set<host_id> m_refusals;
     std::uint64_t m_campaign_sequence = 0;
 
+    // When this host voted in the present term; empty once the vote is durable.
+    std::optional<time_point> m_voted_at;
+    // Until then the candidate that got the vote of this host may still win.
+    time_point m_election_open_until{};
+
     // As the leader.
     std::map<host_id, peer_progress> m_peers;
     log_index m_term_start = 0;
--- a/packages/replication/src/replica_election.cpp
+++ b/packages/replication/src/replica_election.cpp
@@ -15,6 +15,8 @@
         m_state.vote = host_id();
         m_state.leader = host_id();
         m_queue.set_state(m_state);
+        m_voted_at.reset();
+        m_election_open_until = time_point();
         // The committed entries match the log of every leader; nothing more is
         // known about a new one.
         m_match_index = m_state.commit;
@@ -23,6 +25,7 @@
         m_deferred_reply.reset();
     }
     m_votes.clear();
+    m_refusals.clear();
     m_peers.clear();
     reset_election_timer();
     change_role(replica_role::follower, leader, std::move(reason));
@@ -63,6 +66,8 @@
     m_leader_commit_at.reset();
     m_deferred_reply.reset();
     m_votes.clear();
+    m_refusals.clear();
+    m_voted_at = m_now;
     m_campaign_sequence = m_queue.last_sequence();
     change_role(replica_role::candidate, host_id(), "won the pre-vote");
     request_votes(false);
@@ -135,6 +140,43 @@
     replicate_all();
 }
 
+bool replica_core::is_vote_durable() const
+{
+    const hard_state& durable = m_queue.durable_state();
+    return durable.term == m_state.term && durable.vote == m_state.vote;
+}
+
+// A vote counts only after two writes in a row, of the candidate and of the
+// voter, which may take longer than an election timeout. Until then this host
+// supports no further election, which would make the vote void.
+bool replica_core::is_election_open() const
+{
+    return m_role == replica_role::candidate || m_voted_at ||
+           m_now < m_election_open_until;
+}
+
+// Whether a candidate waits for votes, because too few voters have answered to
+// elect anybody in a later term. Once it gives up, it must not win its term any
+// more: its request for pre-votes tells that it does not lead.
+bool replica_core::may_still_win() const
+{
+    const std::size_t answered = m_votes.size() + m_refusals.size();
+    return m_role == replica_role::candidate && answered < members().quorum();
+}
+
+// The vote of this host is durable, and messages that rely on it leave.
+void replica_core::wait_for_outcome()
+{
+    reset_election_timer();
+    if (m_role == replica_role::candidate)
+    {
+        // The disks of the voters may be as slow as the one of the candidate.
+        m_election_deadline += m_now - *m_voted_at;
+    }
+    m_voted_at.reset();
+    m_election_open_until = m_now + m_settings.election_timeout;
+}
+
 bool replica_core::has_leader_contact() const
 {
     return m_role == replica_role::leader ||
@@ -263,8 +305,13 @@
                                const vote_request& body)
 {
     detect_end_of_lease(message, true);
-    const bool granted = !has_leader_contact() && body.term > m_state.term &&
-                         is_up_to_date(body);
+    const bool granted = !has_leader_contact() && !is_election_open() &&
+                         body.term > m_state.term && is_up_to_date(body);
+    if (granted)
+    {
+        // The sender starts an election now; another one would split the votes.
+        reset_election_timer();
+    }
     send_when_durable(message.from, message.from_disk,
                       vote_reply{true, granted, body.term});
 }
@@ -288,10 +335,13 @@
         m_state.vote.value().empty() || m_state.vote == message.from;
     const bool granted =
         body.term == m_state.term && free_to_vote && is_up_to_date(body);
-    if (granted)
+    // A candidate repeats its requests. They must not hold back elections where
+    // it can't hear the votes.
+    if (granted && m_state.vote != message.from)
     {
         m_state.vote = message.from;
         m_queue.set_state(m_state);
+        m_voted_at = m_now;
         reset_election_timer();
     }
     send_when_durable(message.from, message.from_disk,
@@ -322,6 +372,10 @@
         m_votes.insert(message.from);
         count_votes();
     }
+    else if (asked && !body.pre_vote)
+    {
+        m_refusals.insert(message.from);
+    }
 }
 
 } // namespace crowlink::replication::internal
--- a/packages/replication/src/replica_lead.cpp
+++ b/packages/replication/src/replica_lead.cpp
@@ -103,7 +103,8 @@
                         "lost contact with the quorum");
         return;
     }
-    if (m_queue.stalled(m_now, m_settings.storage_stall_timeout))
+    if (m_queue.stalled(m_now, m_settings.storage_stall_timeout) &&
+        holds_up_quorum())
     {
         become_follower(m_state.term, host_id(), "own storage does not answer");
         return;
@@ -127,6 +128,23 @@
     }
 }
 
+// Whether a quorum without this host has stored entries that wait for the
+// storage of this host. Another leader would commit them; where the other disks
+// are as slow, an election would only cost more writes.
+bool replica_core::holds_up_quorum() const
+{
+    std::size_t ahead = 0;
+    for (const member& one : members().members())
+    {
+        const auto peer = m_peers.find(one.host);
+        const bool counts = one.role == member_role::voter &&
+                            peer != m_peers.end() &&
+                            peer->second.match > m_queue.durable_index();
+        ahead += counts ? 1 : 0;
+    }
+    return ahead >= members().quorum();
+}
+
 void replica_core::replicate(const host_id& host, peer_progress& peer)
 {
     const bool behind =
