--- a/packages/daemon/src/process/health_server.cpp
+++ b/packages/daemon/src/process/health_server.cpp
@@ -12,6 +12,9 @@
 constexpr const char* metrics_text = "text/plain; version=0.0.4";
 constexpr int status_unavailable = 503;
 constexpr std::size_t most_threads = 2;
+// A connection that stays open between calls holds a thread, and the calls of
+// others would wait for it.
+constexpr std::size_t calls_a_connection = 1;
 constexpr std::size_t largest_body = 1024;
 
 } // namespace
@@ -32,6 +35,7 @@
         return new httplib::ThreadPool(most_threads);
     };
     server.set_payload_max_length(largest_body);
+    server.set_keep_alive_max_count(calls_a_connection);
     server.Get("/health", [](const httplib::Request&, httplib::Response& answer)
                { answer.set_content("ok\n", plain_text); });
     server.Get("/ready",
