--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -161,17 +161,20 @@
     while (!m_stopping)
     {
         m_links->wait(tick, *m_wake);
+        m_pauses.woke(m_clock.now());
+        take_messages();
+        take_commands();
         const time_point now = m_clock.now();
-        m_pauses.woke(now);
-        take_messages(now);
-        take_commands(now);
         advance(now);
         forget_silent_nodes(now);
         publish_metrics(now);
     }
 }
 
-void control_thread::take_messages(time_point now)
+// Each message and command sees the time at which it is taken. A process may be
+// suspended in the middle of a round; leases that ended meanwhile must not be
+// relied upon.
+void control_thread::take_messages()
 {
     for (std::size_t taken = 0; taken < most_messages_a_round; ++taken)
     {
@@ -180,6 +183,7 @@
         {
             return;
         }
+        const time_point now = m_clock.now();
         if (message->link == link_kind::control)
         {
             m_node->handle(now, *message, m_board);
@@ -201,11 +205,11 @@
     m_wake->signal();
 }
 
-void control_thread::take_commands(time_point now)
+void control_thread::take_commands()
 {
     while (const std::optional<command> wanted = m_commands.take())
     {
-        context with{now,
+        context with{m_clock.now(),
                      m_board,
                      m_documents ? &*m_documents : nullptr,
                      m_membership ? &*m_membership : nullptr,
--- a/packages/daemon/src/control/control_thread.hpp
+++ b/packages/daemon/src/control/control_thread.hpp
@@ -90,8 +90,8 @@
     void open_node(const daemon_settings& settings);
 
     void run();
-    void take_messages(time_point now);
-    void take_commands(time_point now);
+    void take_messages();
+    void take_commands();
     void advance(time_point now);
     void forget_silent_nodes(time_point now);
     void publish_metrics(time_point now);
