--- a/bench/power_losses/whole_callers.py
+++ b/bench/power_losses/whole_callers.py
@@ -34,6 +34,12 @@
         self._keeps = keeps_connections
         self._idle: dict[str, list] = {}
 
+    def close(self) -> None:
+        for links in self._idle.values():
+            for _, writer in links:
+                writer.close()
+        self._idle.clear()
+
     async def call(self, host, verb, path, body=b"", timeout_s=ANSWER_TIMEOUT_S):
         try:
             return await asyncio.wait_for(
@@ -108,6 +114,9 @@
         self.refused: list[str] = []
         self.last_acknowledged: Order | None = None
 
+    def close(self) -> None:
+        self._http.close()
+
     def newest_acknowledged(self, before: float) -> Order | None:
         found = [
             e for e in self.orders
@@ -132,9 +141,10 @@
     async def send(self, order: Order) -> bool:
         self.orders.append(order)
         async with self._turns:
-            return await self._send(order)
+            return await self.send_again(order)
 
-    async def _send(self, order: Order, longest_s: float = 30.0) -> bool:
+    async def send_again(self, order: Order, longest_s: float = 30.0) -> bool:
+        """Sends it to one host after the other until it is taken or refused."""
         backoff = FIRST_BACKOFF_S
         timeout = ANSWER_TIMEOUT_S + ROUTE_TIMEOUT_S * len(order.content["routes"])
         until = self._clock() + longest_s
--- a/bench/power_losses/whole_day.py
+++ b/bench/power_losses/whole_day.py
@@ -101,6 +101,8 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
+            self._operator.close()
+            self._reader.close()
             await self._system.stop()
             self._note(f"worst lateness: {self._worst_late}")
             self._events.close()
@@ -121,8 +123,9 @@
             self._spawn(run_upstream(number, name, service, host, lambda n, p: None))
 
     async def _play(self) -> None:
-        first = self._spawn(self._change())
-        await first
+        if not (await self._change()).acknowledged_by:
+            self._broken("the first configuration is not acknowledged")
+            return
         self._system.forget_bootstrap()
         self._note("first configuration in force")
         await asyncio.sleep(LEAD_S / 2)
@@ -237,7 +240,8 @@
 
     async def _close(self) -> None:
         order = await self._change()
-        by = self._host_at(order.acknowledged_by)
+        last = self._operator.last_acknowledged
+        by = self._host_at(order.acknowledged_by or last.acknowledged_by)
         self._note(f"closing after {order.version}, by {by.name}: {self._setup.closing}")
         self._system.delays.change(self._setup.late_sync_delay_ms)
         lost = by if by.disk is not None else self._source.choice(self._system.core)
@@ -247,7 +251,7 @@
         }[self._setup.closing]  # fmt: skip
         await self._power_off([lost, *others], 1.1, (lost,))
         await self._read_back()
-        taken = await self._operator._send(order, 10.0)
+        taken = await self._operator.send_again(order, 10.0)
         if not taken:
             self._broken(f"{order.version} is refused or not taken again")
         if self._operator.refused:
