--- a/bench/power_losses/__main__.py
+++ b/bench/power_losses/__main__.py
@@ -58,7 +58,11 @@
         "--seeds", choices=("core", "any", "changing"), default="core",
         help="whole_day: hosts that the settings name: with a disk, or any",
     )  # fmt: skip
-    parser.add_argument("--rations", action="store_true", help="whole_day")
+    parser.add_argument(
+        "--rations", type=float, default=0.0, metavar="FACTOR",
+        help="whole_day: each process runs for its host's share of a core, times"
+        " this; 0 is without end",
+    )  # fmt: skip
     parser.add_argument("--silent", action="store_true", help="whole_day")
     parser.add_argument("--separate-reader", action="store_true", help="whole_day")
     parser.add_argument("--keep", action="store_true", help="keep all folders")
--- a/bench/power_losses/whole_day.py
+++ b/bench/power_losses/whole_day.py
@@ -39,8 +39,9 @@
     losses: int = 10
     # Which hosts the settings name: of all that serve control, or with a disk.
     seeds: str = "core"
-    # Each process runs for its host's share of each tenth of a second.
-    rations: bool = False
+    # Each process runs for its host's share of each tenth of a second, times
+    # this; at 0 as long as it wants.
+    rations: float = 0.0
     # The reads have connections of their own.
     separate_reader: bool = False
     # Peers of a host without power get no answer instead of a reset.
@@ -234,7 +235,7 @@
             begun = self.now()
             if not host.is_down:
                 host.signal(signal.SIGCONT)
-            await asyncio.sleep(RATION_S * host.share)
+            await asyncio.sleep(RATION_S * host.share * self._setup.rations)
             host.signal(signal.SIGSTOP)
             await asyncio.sleep(max(0.0, begun + RATION_S - self.now()))
 
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -135,7 +135,7 @@
     {
         return;
     }
-    if (may_still_win())
+    if (waits_for_votes())
     {
         reset_election_timer();
         request_votes(false);
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -103,7 +103,7 @@
     void become_leader();
     bool is_vote_durable() const;
     bool is_election_open() const;
-    bool may_still_win() const;
+    bool waits_for_votes() const;
     void wait_for_outcome();
     bool has_leader_contact() const;
     void detect_end_of_lease(const replica_message& message, bool pre_vote);
--- a/packages/replication/src/replica_election.cpp
+++ b/packages/replication/src/replica_election.cpp
@@ -158,7 +158,7 @@
 // Whether a candidate waits for votes, because too few voters have answered to
 // elect anybody in a later term. Once it gives up, it must not win its term any
 // more: its request for pre-votes tells that it does not lead.
-bool replica_core::may_still_win() const
+bool replica_core::waits_for_votes() const
 {
     const std::size_t answered = m_votes.size() + m_refusals.size();
     return m_role == replica_role::candidate && answered < members().quorum();
