--- a/bench/power_losses/whole_day.py
+++ b/bench/power_losses/whole_day.py
@@ -99,9 +99,7 @@
                     self._spawn(self._ration(host))
             await self._play()
         finally:
-            for task in self._tasks:
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._end_tasks()
             self._operator.close()
             self._reader.close()
             await self._system.stop()
@@ -109,6 +107,13 @@
             self._events.close()
         return self.violations
 
+    async def _end_tasks(self) -> None:
+        # A wait that ends while it is cancelled may swallow the cancellation.
+        while running := [e for e in self._tasks if not e.done()]:
+            for task in running:
+                task.cancel()
+            await asyncio.wait(running, timeout=1.0)
+
     def _spawn(self, work) -> asyncio.Task:
         task = asyncio.ensure_future(work)
         self._tasks.append(task)
