--- a/packages/daemon/src/process/run_daemon.cpp
+++ b/packages/daemon/src/process/run_daemon.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/daemon/run_daemon.hpp"
 
 #include "crowlink/settings/load.hpp"
+#include "process/allocator.hpp"
 #include "process/command_line.hpp"
 #include "process/running_daemon.hpp"
 #include "process/settings_watch.hpp"
@@ -84,6 +85,7 @@
 
 exit_code run(const daemon_settings& settings, const std::string& file)
 {
+    internal::share_heap();
     // Before any thread, so that all of them inherit the mask.
     const internal::signals signals;
     log_sink log(stdout, settings.log.format, settings.log.level,
