--- a/packages/daemon/test/control_thread_test.cpp
+++ b/packages/daemon/test/control_thread_test.cpp
@@ -43,10 +43,15 @@
         seen.set_value(with.now);
     };
     m_control->post(
-        [&](control_thread::context&)
+        [&](control_thread::context& with)
         {
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-            pause_ended.set_value(steady_clock_source().now());
+            const steady_clock_source clock;
+            time_point now = clock.now();
+            while (now <= with.now)
+            {
+                now = clock.now();
+            }
+            pause_ended.set_value(now);
             // In the same round.
             m_control->post(ask);
         });
