--- a/packages/replication/test/replica_test.cpp
+++ b/packages/replication/test/replica_test.cpp
@@ -107,6 +107,20 @@
     replica m_replica;
 };
 
+std::vector<vote_request>
+vote_requests(const std::vector<replica_message>& sent)
+{
+    std::vector<vote_request> found;
+    for (const replica_message& one : sent)
+    {
+        if (const auto* request = std::get_if<vote_request>(&one.body))
+        {
+            found.push_back(*request);
+        }
+    }
+    return found;
+}
+
 TEST(replica, a_vote_is_durable_before_it_is_sent_and_survives_a_restart)
 {
     const vote_request request{false, 2, 2, 3};
@@ -128,6 +142,69 @@
     EXPECT_FALSE(std::get<vote_reply>(other[0].body).granted);
 }
 
+// Guards against a leader whose lease others take for ended: its request for
+// pre-votes told them that it can't win its term any more.
+TEST(replica, a_candidate_that_asks_for_pre_votes_cannot_win_its_term_any_more)
+{
+    replica_driver candidate(initial_state());
+    candidate.wait(std::chrono::seconds(2));
+    candidate.handle_input(tick{});
+    candidate.receive(second, 2, vote_reply{true, true, 3});
+    candidate.complete_write();
+    candidate.receive(third, 3, vote_reply{false, false, 3});
+    ASSERT_EQ(candidate.status().role, replica_role::candidate);
+    candidate.wait(std::chrono::seconds(4));
+    EXPECT_EQ(vote_requests(candidate.handle_input(tick{})),
+              std::vector(2, vote_request{true, 2, 2, 4}));
+    candidate.receive(second, 3, vote_reply{false, true, 3});
+    EXPECT_EQ(candidate.status().role, replica_role::pre_candidate);
+}
+
+TEST(replica, a_candidate_asks_again_while_too_few_voters_have_answered)
+{
+    replica_driver candidate(initial_state());
+    candidate.wait(std::chrono::seconds(2));
+    candidate.handle_input(tick{});
+    candidate.receive(second, 2, vote_reply{true, true, 3});
+    candidate.complete_write();
+    candidate.wait(std::chrono::seconds(4));
+    EXPECT_EQ(vote_requests(candidate.handle_input(tick{})),
+              std::vector(2, vote_request{false, 2, 2, 3}));
+    candidate.receive(second, 3, vote_reply{false, true, 3});
+    EXPECT_EQ(candidate.status().role, replica_role::leader);
+}
+
+// Guards against a candidate that hears nobody and holds back all elections by
+// its repeated requests.
+TEST(replica, repeated_vote_requests_do_not_delay_an_election)
+{
+    const vote_request request{false, 2, 2, 3};
+    replica_driver voter(initial_state());
+    voter.wait(std::chrono::milliseconds(1100));
+    voter.receive(second, 3, request);
+    voter.complete_write();
+    for (int i = 0; i < 3; ++i)
+    {
+        voter.wait(std::chrono::milliseconds(700));
+        voter.receive(second, 3, request);
+        voter.handle_input(tick{});
+    }
+    EXPECT_EQ(voter.status().role, replica_role::pre_candidate);
+}
+
+TEST(replica, grants_no_pre_vote_while_its_own_vote_is_being_written)
+{
+    replica_driver voter(initial_state());
+    voter.wait(std::chrono::milliseconds(1100));
+    voter.receive(second, 3, vote_request{false, 2, 2, 3});
+    voter.wait(std::chrono::seconds(5));
+    voter.receive(third, 3, vote_request{true, 2, 2, 4});
+    const auto sent = voter.complete_write();
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_EQ(std::get<vote_reply>(sent[0].body), (vote_reply{false, true, 3}));
+    EXPECT_EQ(std::get<vote_reply>(sent[1].body), (vote_reply{true, false, 4}));
+}
+
 TEST(replica, a_leader_commits_earlier_terms_only_with_an_entry_of_its_own)
 {
     replica_driver leader(initial_state());
--- a/packages/replication/test/schedule.cpp
+++ b/packages/replication/test/schedule.cpp
@@ -121,7 +121,8 @@
         }
         break;
     case action_kind::slow_disk:
-        m_cluster.slow_disk(host, one.amount);
+        // Up to 3 s, three times the election timeout.
+        m_cluster.slow_disk(host, 5 * one.amount);
         break;
     case action_kind::admit:
         if (leader)
