--- a/bench/power_losses/__main__.py
+++ b/bench/power_losses/__main__.py
@@ -41,7 +41,7 @@
     )  # fmt: skip
     parser.add_argument(
         "--late-sync-delay-ms", metavar="MS[-MS]",
-        help="the same from the last strike of a day on",
+        help="the same from the last fault of a day on",
     )  # fmt: skip
     parser.add_argument("--routes", type=int, default=2000, help="of a version")
     parser.add_argument("--log-level", default="info")
--- a/bench/power_losses/plays.py
+++ b/bench/power_losses/plays.py
@@ -25,7 +25,7 @@
 class Setup:
     program: Path
     sync_delay_ms: str
-    # From the last strike of a day on.
+    # From the last fault of a day on.
     late_sync_delay_ms: str
     routes: int = 2000
     log_level: str = "info"
--- a/bench/power_losses/whole_day.py
+++ b/bench/power_losses/whole_day.py
@@ -30,7 +30,7 @@
     program: Path
     plain_program: Path
     sync_delay_ms: str
-    # From the closing strike on.
+    # From the closing fault on.
     late_sync_delay_ms: str
     source: random.Random
     keeps_connections: bool
@@ -260,7 +260,7 @@
         }[self._setup.closing]  # fmt: skip
         await self._power_off([lost, *others], 1.1, (lost,))
         if others:
-            # A final strike on most of the core excuses for twice the time.
+            # A final fault on most of the core excuses for twice the time.
             self._core_struck_at += IN_TOUCH_S
         await self._read_back()
         taken = await self._operator.send_again(order, 10.0)
--- a/packages/replication/test/replica_test.cpp
+++ b/packages/replication/test/replica_test.cpp
@@ -81,14 +81,20 @@
     replica_status status() const { return m_replica.status(m_now); }
     std::int64_t clock() const { return m_now.time_since_epoch().count(); }
 
-    // Wins the pre-vote and the election.
-    void win_election()
+    // Wins the pre-vote, and asks for votes.
+    void become_candidate()
     {
         wait(std::chrono::seconds(2));
         handle_input(tick{});
-        const term_number term = status().term + 1;
-        receive(second, term - 1, vote_reply{true, true, term});
+        const term_number term = status().term;
+        receive(second, term, vote_reply{true, true, term + 1});
         complete_write();
+    }
+
+    void win_election()
+    {
+        become_candidate();
+        const term_number term = status().term;
         receive(second, term, vote_reply{false, true, term});
     }
 
@@ -147,10 +153,7 @@
 TEST(replica, a_candidate_that_asks_for_pre_votes_cannot_win_its_term_any_more)
 {
     replica_driver candidate(initial_state());
-    candidate.wait(std::chrono::seconds(2));
-    candidate.handle_input(tick{});
-    candidate.receive(second, 2, vote_reply{true, true, 3});
-    candidate.complete_write();
+    candidate.become_candidate();
     candidate.receive(third, 3, vote_reply{false, false, 3});
     ASSERT_EQ(candidate.status().role, replica_role::candidate);
     candidate.wait(std::chrono::seconds(4));
@@ -163,10 +166,7 @@
 TEST(replica, a_candidate_asks_again_while_too_few_voters_have_answered)
 {
     replica_driver candidate(initial_state());
-    candidate.wait(std::chrono::seconds(2));
-    candidate.handle_input(tick{});
-    candidate.receive(second, 2, vote_reply{true, true, 3});
-    candidate.complete_write();
+    candidate.become_candidate();
     candidate.wait(std::chrono::seconds(4));
     EXPECT_EQ(vote_requests(candidate.handle_input(tick{})),
               std::vector(2, vote_request{false, 2, 2, 3}));
