--- a/bench/power_losses/__main__.py
+++ b/bench/power_losses/__main__.py
@@ -19,11 +19,15 @@
 from pathlib import Path
 
 from plays import Play, Setup
-from whole_day import DaySetup, play_whole_day
+from whole_day import DAYS, IDLE_ROUTES, DaySetup, play_whole_day
 
 PLAYS = (
     "day", "one", "all", "acknowledged", "killed_one", "killed_all", "whole_day",
+    "many_routes",
 )  # fmt: skip
+USUAL_ROUTES = 2000
+# Of the first configuration.
+FIRST_ROUTES = {"whole_day": IDLE_ROUTES, "many_routes": 2120}
 
 
 def read_arguments() -> argparse.Namespace:
@@ -43,7 +47,7 @@
         "--late-sync-delay-ms", metavar="MS[-MS]",
         help="the same from the last fault of a day on",
     )  # fmt: skip
-    parser.add_argument("--routes", type=int, default=2000, help="of a version")
+    parser.add_argument("--routes", type=int, help="of a version")
     parser.add_argument("--log-level", default="info")
     parser.add_argument(
         "--keep-connections", action="store_true",
@@ -81,12 +85,13 @@
     """Whether everything held."""
     seed = arguments.seed + number
     folder = Path(tempfile.mkdtemp(prefix="crowlink-power-"))
-    if arguments.play == "whole_day":
+    if arguments.play in DAYS:
         violations = play_day(arguments, folder, number, seed)
     else:
         setup = Setup(
             arguments.program.resolve(), arguments.sync_delay_ms,
-            late_sync_delay(arguments), arguments.routes, arguments.log_level,
+            late_sync_delay(arguments), arguments.routes or USUAL_ROUTES,
+            arguments.log_level,
         )  # fmt: skip
         violations = Play(setup, folder, number, seed).run(arguments.play)
     held = not violations
@@ -114,8 +119,9 @@
         closing if arguments.closing == "drawn" else arguments.closing,
         arguments.losses, arguments.seeds, arguments.rations,
         arguments.separate_reader, arguments.silent,
+        arguments.routes or FIRST_ROUTES[arguments.play],
     )  # fmt: skip
-    return play_whole_day(setup, folder, number)
+    return play_whole_day(setup, folder, number, arguments.play)
 
 
 def main() -> int:
--- a/bench/power_losses/whole_callers.py
+++ b/bench/power_losses/whole_callers.py
@@ -96,6 +96,8 @@
     sent_at: float
     added: int
     dropped: int | None
+    # When it first left, after its turn among those in progress.
+    first_sent_at: float = 0.0
     acknowledged_at: float | None = None
     acknowledged_by: str = ""
 
@@ -124,6 +126,19 @@
         ]  # fmt: skip
         return max(found, key=lambda e: e.version, default=None)
 
+    def acknowledged_since(self, moment: float) -> list[Order]:
+        return [
+            e for e in self.orders
+            if e.acknowledged_at is not None and e.acknowledged_at >= moment
+        ]  # fmt: skip
+
+    def acknowledged_at(self, version: int) -> float:
+        """When this version or a later one was first acknowledged."""
+        return min(
+            e.acknowledged_at for e in self.orders
+            if e.version >= version and e.acknowledged_at is not None
+        )  # fmt: skip
+
     def _pick(self) -> str:
         return self._source.choice(self._system.control).address
 
@@ -140,7 +155,9 @@
 
     async def send(self, order: Order) -> bool:
         self.orders.append(order)
+        order.first_sent_at = self._clock()
         async with self._turns:
+            order.first_sent_at = self._clock()
             return await self.send_again(order)
 
     async def send_again(self, order: Order, longest_s: float = 30.0) -> bool:
@@ -194,13 +211,18 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(packet)
 
-    async def open(self, balancer: str, to: tuple[str, int]) -> str:
-        """The number of the upstream, or `reset` or `silent`."""
+    async def open(
+        self, balancer: str, to: tuple[str, int], patient: bool = True
+    ) -> str:
+        """The number of the upstream, or `reset` or `silent`.
+
+        Without patience the packet is sent once.
+        """
         self._next_port = 20000 + (self._next_port - 19999) % 40000
         port = self._next_port
         got = self._waiting[port] = asyncio.get_running_loop().create_future()
         opening = Packet(OPENS, (self._address, port), to, sequence=1000)
-        for wait_s in (0.2, 0.4, 0.8):
+        for wait_s in (0.2, 0.4, 0.8) if patient else (0.4,):
             self._transport.sendto(opening.encoded(), (balancer, PACKETS))
             try:
                 packet = await asyncio.wait_for(asyncio.shield(got), wait_s)
--- a/bench/power_losses/whole_day.py
+++ b/bench/power_losses/whole_day.py
@@ -7,11 +7,13 @@
 import os
 import random
 import signal
+import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
 from day_configuration import PORT, address_of_added, configuration
+from elections import Elections
 from whole_callers import Callers, Operator, Order, run_upstream
 from whole_deployment import PACKETS, RESTART_DELAY_S, Deployment, Host
 
@@ -19,10 +21,14 @@
 # a disruption excuses, and by how much at most.
 IN_FORCE_S, IN_TOUCH_S, STRETCH_S = 3.0, 4.0, 12.0
 READ_BACK_S = 13.0
+# Each order is probed for so long after its acknowledgement, some at a time.
+PROBED_FOR_S = 8.0
+PROBED_AT_ONCE = 4
+# When an order must be acknowledged, with so much more for each route.
+ACKNOWLEDGED_S, ACKNOWLEDGED_ROUTE_S = 5.0, 0.003
 LEAD_S = 10.0
 IDLE_ROUTES = 110
 STORM_GAP_S = 0.33
-RATION_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -46,9 +52,13 @@
     separate_reader: bool = False
     # Peers of a host without power get no answer instead of a reset.
     silent: bool = False
+    # Idle routes of the first configuration.
+    routes: int = IDLE_ROUTES
 
 
 class WholeDay:
+    STORM_CHANGES = 12
+
     def __init__(self, setup: DaySetup, folder: Path, number: int) -> None:
         self._setup = setup
         self._source = setup.source
@@ -74,6 +84,8 @@
         self._core_struck_at = -1e9
         self._tasks: list[asyncio.Task] = []
         self._worst_late: dict[str, float] = {}
+        self._rations: asyncio.subprocess.Process | None = None
+        self._elections = Elections(self._system.core)
         self.violations: list[str] = []
 
     def now(self) -> float:
@@ -93,16 +105,16 @@
         try:
             await self._open_callers()
             self._spawn(self._restart_ended())
-            if self._setup.rations:
-                for host in self._system.hosts:
-                    self._spawn(self._ration(host))
+            await self._start_rations()
             await self._play()
         finally:
             await self._end_tasks()
+            await self._end_rations()
             self._operator.close()
             self._reader.close()
             await self._system.stop()
             self._note(f"worst lateness: {self._worst_late}")
+            self._note(f"elections won: {self._elections.won}")
             self._events.close()
         return self.violations
 
@@ -138,13 +150,17 @@
         self._system.forget_bootstrap()
         self._note("first configuration in force")
         await asyncio.sleep(LEAD_S / 2)
-        start = self.now()
+        self._spawn(self._judge_elections())
         for host in self._system.control:
             self._spawn(self._read_again_and_again(host))
         self._spawn(self._read_anywhere())
         for host in self._system.balancers:
             self._spawn(self._probe(host))
             self._spawn(self._call(host))
+        await self._play_plan()
+
+    async def _play_plan(self) -> None:
+        start = self.now()
 
         async def at(moment: float) -> None:
             await asyncio.sleep(max(0.0, start + moment - self.now()))
@@ -162,7 +178,7 @@
         await self._close()
 
     async def _storm(self) -> None:
-        for _ in range(12):
+        for _ in range(self.STORM_CHANGES):
             self._spawn(self._change())
             await asyncio.sleep(STORM_GAP_S)
 
@@ -175,13 +191,35 @@
         taken = await self._operator.send(order)
         if not taken:
             self._note(f"{order.version} was not acknowledged")
+        self._judge_acknowledgement(order)
         return order
 
+    def _judge_acknowledgement(self, order: Order) -> None:
+        allowed = (
+            ACKNOWLEDGED_S + ACKNOWLEDGED_ROUTE_S * len(order.content["routes"])
+        )
+        is_calm = order.first_sent_at - self._core_struck_at > IN_TOUCH_S
+        took = (order.acknowledged_at or self.now()) - order.first_sent_at
+        if is_calm and took > allowed:
+            self._broken(f"{order.version} has no acknowledgement after {took:.1f} s")
+
+    async def _judge_elections(self) -> None:
+        """While nothing is struck the leader stays."""
+        self._elections.take_new()
+        while True:
+            await asyncio.sleep(0.2)
+            for name in self._elections.take_new():
+                since_strike = self.now() - self._core_struck_at
+                if since_strike > IN_TOUCH_S:
+                    self._broken(f"{name} is elected, and nothing is struck")
+
     def _next_order(self) -> Order:
         """Adds a route, drops the one that was added four changes before."""
         self._version += self._source.randint(1, 3)
         self._added += 1
-        content = configuration(self._version, self._added, IDLE_ROUTES + self._big)
+        content = configuration(
+            self._version, self._added, self._setup.routes + self._big
+        )
         return Order(
             self._version, json.dumps(content).encode(), content, self.now(),
             self._added, self._added - 4 if self._added > 4 else None,
@@ -196,6 +234,12 @@
             host = self._source.choice(self._system.core)
         await self._power_off([host], 1.0, ())
 
+    def _suspend(self, host: Host) -> None:
+        if self._rations is not None:
+            # Its share must not let it run again.
+            self._rations.stdin.write(f"{host.name} 1\n".encode())
+        host.signal(signal.SIGSTOP)
+
     def _host_at(self, address: str) -> Host:
         return next(e for e in self._system.hosts if e.address == address)
 
@@ -209,7 +253,7 @@
         if self._setup.silent:
             for host in hosts:
                 host.is_down = True
-                host.signal(signal.SIGSTOP)
+                self._suspend(host)
             await asyncio.sleep(for_s)
             off_at = self.now() - for_s
         await asyncio.gather(*(e.power_off() for e in hosts))
@@ -237,15 +281,32 @@
                     await asyncio.sleep(RESTART_DELAY_S)
                     if not host.is_down and process.has_ended():
                         await process.start()
+                        host.tell_processes()
 
-    async def _ration(self, host: Host) -> None:
-        while True:
-            begun = self.now()
-            if not host.is_down:
-                host.signal(signal.SIGCONT)
-            await asyncio.sleep(RATION_S * host.share * self._setup.rations)
-            host.signal(signal.SIGSTOP)
-            await asyncio.sleep(max(0.0, begun + RATION_S - self.now()))
+    async def _start_rations(self) -> None:
+        if not self._setup.rations:
+            return
+        self._rations = await asyncio.create_subprocess_exec(
+            sys.executable, str(Path(__file__).with_name("rations.py")),
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        for host in self._system.hosts:
+            host.on_processes = self._tell_rations
+            self._tell_rations(host)
+
+    def _tell_rations(self, host: Host) -> None:
+        share = host.share * self._setup.rations
+        processes = " ".join(str(e) for e in host.running())
+        line = f"{host.name} {share:.4f} {processes}\n"
+        self._rations.stdin.write(line.encode())
+
+    async def _end_rations(self) -> None:
+        if self._rations is not None:
+            for host in self._system.hosts:
+                host.on_processes = None
+            self._rations.stdin.close()
+            said, _ = await self._rations.communicate()
+            self._note(f"rations: {said.decode().strip()}")
 
     async def _close(self) -> None:
         order = await self._change()
@@ -313,21 +374,30 @@
 
     async def _probe(self, host: Host) -> None:
         """Tells how old the document is by which this balancer forwards."""
+        turn = 0
         while True:
             await asyncio.sleep(self._source.uniform(0.1, 0.3))
             if host.is_down:
                 continue
             begun = self.now()
+            due = self._operator.acknowledged_since(begun - PROBED_FOR_S)
             newest = self._operator.newest_acknowledged(begun)
             if newest is None:
                 continue
+            # All orders in turn, and always the newest one.
+            due = [e for e in due if e is not newest]
+            first = turn % max(1, len(due))
+            chosen = (due + due)[first : first + min(PROBED_AT_ONCE, len(due))]
+            turn += PROBED_AT_ONCE
             await asyncio.gather(
-                self._probe_added(host, newest, begun),
-                self._probe_dropped(host, newest, begun),
+                *(self._probe_added(host, e, begun) for e in [newest, *chosen]),
+                *(self._probe_dropped(host, e, begun) for e in [newest, *chosen]),
             )
 
     async def _probe_added(self, host: Host, order: Order, begun: float) -> None:
-        got = await self._callers.open(host.address, address_of_added(order.added))
+        got = await self._callers.open(
+            host.address, address_of_added(order.added), patient=False
+        )
         may_be_dropped = any(
             e.dropped is not None and e.dropped >= order.added
             for e in self._operator.orders
@@ -338,14 +408,17 @@
     async def _probe_dropped(self, host: Host, order: Order, begun: float) -> None:
         if order.dropped is None:
             return
-        got = await self._callers.open(host.address, address_of_added(order.dropped))
+        got = await self._callers.open(
+            host.address, address_of_added(order.dropped), patient=False
+        )
         if got.isdigit():
             self._judge_late(
                 host, order, begun, f"route dropped by {order.version}: runs at {got}"
             )
 
     def _judge_late(self, host: Host, order: Order, begun: float, what: str) -> None:
-        late = begun - order.acknowledged_at
+        # What a later version has acknowledged is in force with it.
+        late = begun - self._operator.acknowledged_at(order.version)
         since_strike = begun - max(
             self._core_struck_at, self._struck_at.get(host.address, -1e9)
         )
@@ -368,8 +441,43 @@
                 await self._callers.open(host.address, ("198.18.0.1", PORT))
 
 
-def play_whole_day(setup: DaySetup, folder: Path, number: int) -> list[str]:
+class ManyRoutes(WholeDay):
+    """Storms of large configurations, and no host is struck."""
+
+    STORMS, STORM_INTERVAL_S = 3, 7.2
+
+    async def _play_plan(self) -> None:
+        storms = []
+        for _ in range(self.STORMS):
+            storms.append(asyncio.ensure_future(self._storm_to_its_end()))
+            await asyncio.sleep(self.STORM_INTERVAL_S)
+        await asyncio.gather(*storms)
+        await asyncio.sleep(PROBED_FOR_S)
+        await self._read_back()
+        acknowledged = [
+            e for e in self._operator.orders if e.acknowledged_at is not None
+        ]
+        took = sorted(e.acknowledged_at - e.first_sent_at for e in acknowledged)
+        self._note(
+            f"acknowledged {len(took)} of {len(self._operator.orders)}, after"
+            f" {took[len(took) // 2]:.2f} s in the middle, {took[-1]:.2f} s at most"
+        )
+
+    async def _storm_to_its_end(self) -> None:
+        changes = []
+        for _ in range(self.STORM_CHANGES):
+            changes.append(asyncio.ensure_future(self._change()))
+            await asyncio.sleep(STORM_GAP_S)
+        await asyncio.gather(*changes)
+
+
+DAYS = {"whole_day": WholeDay, "many_routes": ManyRoutes}
+
+
+def play_whole_day(
+    setup: DaySetup, folder: Path, number: int, kind: str = "whole_day"
+) -> list[str]:
     async def run() -> list[str]:
-        return await WholeDay(setup, folder, number).run()
+        return await DAYS[kind](setup, folder, number).run()
 
     return asyncio.run(run())
--- a/bench/power_losses/whole_deployment.py
+++ b/bench/power_losses/whole_deployment.py
@@ -81,6 +81,8 @@
         self.has_control = False
         self.has_balancer = False
         self.is_down = False
+        # Is told when its processes were started or killed.
+        self.on_processes = None
         # Names other seeds at each start, once it is set.
         self.changes_seeds = None
 
@@ -144,11 +146,24 @@
             self._change_seeds()
         for process in self.processes:
             await process.start()
+        self.tell_processes()
+
+    def running(self) -> list[int]:
+        """The ids of its processes."""
+        return [
+            e.child.pid for e in self.processes
+            if e.child is not None and e.child.returncode is None
+        ]  # fmt: skip
+
+    def tell_processes(self) -> None:
+        if self.on_processes is not None:
+            self.on_processes(self)
 
     async def power_off(self) -> None:
         self.is_down = True
         for process in self.processes:
             await process.kill()
+        self.tell_processes()
         if self.disk is not None:
             self.disk.read_notes()
 
