--- a/packages/daemon/src/control/blackboard.hpp
+++ b/packages/daemon/src/control/blackboard.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "control/applied_document.hpp"
 #include "control/board_value.hpp"
 #include "crowlink/balancer/host_capacity.hpp"
 #include "crowlink/base/ids.hpp"
 #include "crowlink/base/time.hpp"
 #include "crowlink/forwarding/forwarding_set.hpp"
 #include "crowlink/model/service_view.hpp"
-#include "crowlink/model/system_document.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -18,16 +18,6 @@
 namespace crowlink::internal
 {
 
-// The document that this control host has applied.
-struct applied_document
-{
-    config_version version;
-    system_document document;
-
-    friend auto operator<=>(const applied_document&,
-                            const applied_document&) = default;
-};
-
 // The data centres whose upstreams get nothing new, as this control host has
 // applied it.
 struct applied_evacuations
--- a/packages/daemon/src/control/control_backend.cpp
+++ b/packages/daemon/src/control/control_backend.cpp
@@ -18,15 +18,28 @@
 // Longer than the log takes to give up a change.
 constexpr std::chrono::seconds change_patience(12);
 
-result<versioned_document> read_version(const replication::document_version& of,
-                                        duration age)
+// A version as it is held, and the age of what is known of it.
+struct held_version
 {
-    const checked_document read = read_document(of.document);
+    config_version version;
+    shared_text text;
+    duration age{};
+};
+
+result<versioned_document> read_version(document_turns& turns,
+                                        const held_version& held)
+{
+    if (held.version == config_version())
+    {
+        return versioned_document{{}, {}, held.age};
+    }
+    const document_turns::turn turn = turns.wait();
+    checked_document read = read_document(held.text.str());
     if (!read)
     {
         return fail(error_kind::storage, "", read.error().to_text());
     }
-    return versioned_document{of.version, *read, age};
+    return versioned_document{held.version, *std::move(read), held.age};
 }
 
 result<change_outcome> to_console(const replication::change_outcome& outcome)
@@ -89,24 +102,26 @@
 
 result<versioned_document> control_backend::document()
 {
-    using answer = result<versioned_document>;
     return m_control
-        .ask<answer>(
-            [](context& with) -> answer
+        .ask<held_version>(
+            [](context& with)
             {
                 const auto& core = with.documents->core();
                 const duration age = core.status(with.now).age;
                 const auto* current = core.store().current();
                 return current == nullptr
-                           ? answer(versioned_document{{}, {}, age})
-                           : read_version(*current, age);
+                           ? held_version{{}, {}, age}
+                           : held_version{current->version, current->document,
+                                          age};
             })
-        .and_then([](answer found) { return found; });
+        .and_then(
+            [this](const held_version& held)
+            { return read_version(m_control.documents().turns(), held); });
 }
 
 result<versioned_document> control_backend::document_at(config_version version)
 {
-    using answer = result<versioned_document>;
+    using answer = result<held_version>;
     return m_control
         .ask<answer>(
             [version](context& with) -> answer
@@ -118,9 +133,12 @@
                     return fail(error_kind::not_found, "version",
                                 "is not kept here");
                 }
-                return read_version(*found, duration());
+                return held_version{found->version, found->document, {}};
             })
-        .and_then([](answer found) { return found; });
+        .and_then([](answer found) { return found; })
+        .and_then(
+            [this](const held_version& held)
+            { return read_version(m_control.documents().turns(), held); });
 }
 
 result<change_outcome> control_backend::change(const change_request& request)
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -83,7 +83,8 @@
     }
     m_storage = std::move(*storage);
     const time_point now = m_clock.now();
-    m_documents.emplace(settings, *m_storage, *m_links, m_log,
+    m_reader.emplace(*m_wake);
+    m_documents.emplace(settings, *m_storage, *m_reader, *m_links, m_log,
                         seeded_random(random_bits()), now);
     m_membership.emplace(settings, *m_links, authenticator, m_log,
                          random_bits(), now);
@@ -276,6 +277,8 @@
     {
         m_documents->write_times().write_to(
             *next, "crowlink_control_write_milliseconds", "of=\"log\"");
+        m_documents->read_times().write_to(
+            *next, "crowlink_control_read_milliseconds", "of=\"document\"");
     }
     if (m_membership)
     {
--- a/packages/daemon/src/control/control_thread.hpp
+++ b/packages/daemon/src/control/control_thread.hpp
@@ -71,6 +71,9 @@
     template <class Answer>
     result<Answer> ask(std::function<Answer(context&)> question);
 
+    // Only with the control role: where whole documents are read.
+    document_thread& documents() { return *m_reader; }
+
     // Whether storage has failed: the daemon can't go on.
     bool has_failed() const { return m_failed; }
     // Whether all records are announced as they are now.
@@ -105,6 +108,7 @@
     mailbox<command> m_commands;
     blackboard m_board;
     std::unique_ptr<storage_thread> m_storage;
+    std::optional<document_thread> m_reader;
     std::optional<document_controller> m_documents;
     std::optional<membership_controller> m_membership;
     // Empty where leases alone tell which data centres are reached.
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -1,9 +1,9 @@
 #include "control/document_controller.hpp"
 
 #include "control/place_names.hpp"
-#include "crowlink/document/document_reader.hpp"
 #include "crowlink/replication/message_codec.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <variant>
@@ -19,6 +19,9 @@
 // before the next one is decided.
 constexpr duration policy_interval = std::chrono::milliseconds(250);
 
+// Callers that wait for a document to be read.
+constexpr std::size_t most_waiting = 256;
+
 replication::replica_settings to_core(const daemon_settings& settings)
 {
     replication::replica_settings core;
@@ -55,9 +58,11 @@
 
 document_controller::document_controller(const daemon_settings& settings,
                                          storage_thread& storage,
+                                         document_thread& reader,
                                          control_links& links, log_sink& log,
                                          seeded_random random, time_point now)
     : m_storage(storage)
+    , m_reader(reader)
     , m_links(links)
     , m_log(log)
     , m_core(to_core(settings), storage.take_restored(), now, random)
@@ -78,6 +83,7 @@
 // timeout.
 void document_controller::start(time_point now, blackboard& board)
 {
+    m_now = now;
     carry_out(m_core.start(), board);
     for (const replication::member_status& one : m_core.status(now).members)
     {
@@ -88,6 +94,7 @@
 void document_controller::handle(time_point now, const inbound_message& message,
                                  blackboard& board)
 {
+    m_now = now;
     auto decoded = replication::decode_message(message.bytes);
     // A hello may be passed on by a host that is not part of the log.
     const bool is_relayed =
@@ -106,6 +113,27 @@
 }
 
 void document_controller::advance(time_point now, blackboard& board)
+{
+    m_now = now;
+    take_writes(now, board);
+    carry_out(m_core.handle(now, replication::tick{}), board);
+    take_documents(board);
+    const replication::replica_status status = m_core.status(now);
+    board.document_age.set(document_age(now, status.document_age));
+    follow_members(status, board);
+    keep_voters(now, status, board);
+}
+
+// A version that is committed and not yet read may be newer than the one that
+// nodes are given, however lately that was confirmed.
+duration document_controller::document_age(time_point now,
+                                           duration confirmed) const
+{
+    return m_unread_since ? std::max(confirmed, now - *m_unread_since)
+                          : confirmed;
+}
+
+void document_controller::take_writes(time_point now, blackboard& board)
 {
     while (const auto done = m_storage.next())
     {
@@ -123,11 +151,81 @@
         carry_out(m_core.handle(now, replication::storage_done{done->sequence}),
                   board);
     }
-    carry_out(m_core.handle(now, replication::tick{}), board);
-    const replication::replica_status status = m_core.status(now);
-    board.document_age.set(status.document_age);
-    follow_members(status, board);
-    keep_voters(now, status, board);
+}
+
+void document_controller::newest_document(time_point now, document_reply reply,
+                                          const blackboard& board)
+{
+    const replication::document_version* current = m_core.store().current();
+    if (!m_core.can_read(now) || current == nullptr)
+    {
+        reply(fail(error_kind::unavailable, "",
+                   "not sure which version is the newest"));
+        return;
+    }
+    const applied_document& applied = board.document.get();
+    if (applied.version == current->version)
+    {
+        reply(applied);
+        return;
+    }
+    if (m_waiting.size() == most_waiting)
+    {
+        reply(fail(error_kind::unavailable, "", "too many wait"));
+        return;
+    }
+    m_waiting.push_back(waiting_caller{current->version, std::move(reply)});
+}
+
+void document_controller::answer_waiting(config_version version,
+                                         const result<applied_document>& found)
+{
+    for (const waiting_caller& each : m_waiting)
+    {
+        if (each.version <= version)
+        {
+            each.reply(found);
+        }
+    }
+    std::erase_if(m_waiting, [version](const waiting_caller& each)
+                  { return each.version <= version; });
+}
+
+void document_controller::take_documents(blackboard& board)
+{
+    while (auto read = m_reader.next())
+    {
+        const document_thread::committed_document& from = read->committed;
+        if (from.version == m_wanted_version)
+        {
+            m_unread_since.reset();
+        }
+        if (read->applied.document == nullptr)
+        {
+            // Only checked documents enter the log; another program version
+            // may have other rules. The version before stays in force here.
+            m_log.write(log_line(log_level::error, "document_unreadable")
+                            .field("version", from.version.value())
+                            .field("errors", read->errors));
+            answer_waiting(from.version,
+                           fail(error_kind::storage, "", read->errors));
+            continue;
+        }
+        m_read_times.add(read->took);
+        const auto took =
+            std::chrono::duration_cast<std::chrono::milliseconds>(read->took);
+        m_log.write(
+            log_line(log_level::info, "document_applied")
+                .field("version", from.version.value())
+                .field("operation", from.operation.value())
+                .field("operator", from.operator_name)
+                .field("read_ms", took.count())
+                .field("routes", read->applied.document->routes.size())
+                .field("changed_shares",
+                       read->applied.publication->changed_shares.size()));
+        answer_waiting(from.version, read->applied);
+        board.document.set(std::move(read->applied));
+    }
 }
 
 // Votes and changes wait for the writes of a quorum. At most one line for each
@@ -323,28 +421,18 @@
 }
 
 void document_controller::carry_out_one(
-    const replication::version_applied& effect, blackboard& board)
+    const replication::version_applied& /*effect*/, blackboard& /*board*/)
 {
     const replication::document_version* current = m_core.store().current();
-    if (current == nullptr || current->version <= board.document.get().version)
-    {
-        return;
-    }
-    const checked_document read = read_committed_document(current->document);
-    if (!read)
+    if (current == nullptr || current->version <= m_wanted_version)
     {
-        // Only checked documents enter the log; another program version may
-        // have other rules. The version before stays in force here.
-        m_log.write(log_line(log_level::error, "document_unreadable")
-                        .field("version", effect.version.value())
-                        .field("errors", read.error().to_text()));
         return;
     }
-    board.document.set(applied_document{current->version, *read});
-    m_log.write(log_line(log_level::info, "document_applied")
-                    .field("version", current->version.value())
-                    .field("operation", current->operation.value())
-                    .field("operator", current->operator_name));
+    m_wanted_version = current->version;
+    m_unread_since = m_unread_since.value_or(m_now);
+    m_reader.read(document_thread::committed_document{
+        current->version, current->operation, current->operator_name,
+        current->document});
 }
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/control/document_controller.hpp
+++ b/packages/daemon/src/control/document_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "control/blackboard.hpp"
 #include "control/control_links.hpp"
+#include "control/document_thread.hpp"
 #include "control/storage_thread.hpp"
 #include "crowlink/base/latency_histogram.hpp"
 #include "crowlink/base/log_sink.hpp"
@@ -27,15 +28,16 @@
     using member_reply = std::function<void(const result<void>&)>;
 
     document_controller(const daemon_settings& settings,
-                        storage_thread& storage, control_links& links,
-                        log_sink& log, seeded_random random, time_point now);
+                        storage_thread& storage, document_thread& reader,
+                        control_links& links, log_sink& log,
+                        seeded_random random, time_point now);
 
     // To be called once, before the others.
     void start(time_point now, blackboard& board);
 
     void handle(time_point now, const inbound_message& message,
                 blackboard& board);
-    // Takes completions of storage, and time.
+    // Takes completions of storage, documents that were read, and time.
     void advance(time_point now, blackboard& board);
 
     // The reply comes later, from the control thread, exactly once.
@@ -48,15 +50,36 @@
                         const replication::member_change& change,
                         member_reply reply, blackboard& board);
 
+    // Gives the newest document once it is read here, or an error:
+    // `unavailable` where this host can't be sure which one is the newest. The
+    // reply comes from the control thread, exactly once.
+    using document_reply = std::function<void(const result<applied_document>&)>;
+    void newest_document(time_point now, document_reply reply,
+                         const blackboard& board);
+
     const replication::replicated_document& core() const { return m_core; }
     bool has_failed() const { return m_failed; }
     // How long the writes of the log took.
     const latency_histogram& write_times() const { return m_write_times; }
+    // How long it took to read the documents that were put in force.
+    const latency_histogram& read_times() const { return m_read_times; }
 
 private:
     using effects = std::vector<replication::document_effect>;
 
+    // A caller that waits for a version to be read, or a later one.
+    struct waiting_caller
+    {
+        config_version version;
+        document_reply reply;
+    };
+
+    void answer_waiting(config_version version,
+                        const result<applied_document>& found);
+    void take_writes(time_point now, blackboard& board);
+    void take_documents(blackboard& board);
     void note_write(duration took);
+    duration document_age(time_point now, duration confirmed) const;
     void follow_members(const replication::replica_status& status,
                         blackboard& board);
     void keep_voters(time_point now, const replication::replica_status& status,
@@ -77,12 +100,20 @@
                        blackboard& board);
 
     storage_thread& m_storage;
+    document_thread& m_reader;
     control_links& m_links;
     log_sink& m_log;
     replication::replicated_document m_core;
     // Writes that take an election timeout delay elections and changes.
     duration m_slow_write;
     latency_histogram m_write_times;
+    latency_histogram m_read_times;
+    // The newest version that was given to the reader.
+    config_version m_wanted_version;
+    std::vector<waiting_caller> m_waiting;
+    time_point m_now{};
+    // Since when a committed version waits to be read; empty if none does.
+    std::optional<time_point> m_unread_since;
     // Whether hellos may come from others than their senders: nobody else can
     // reach this network.
     bool m_takes_relayed = false;
--- a/packages/daemon/src/control/evacuation_order.cpp
+++ b/packages/daemon/src/control/evacuation_order.cpp
@@ -34,7 +34,11 @@
     }
     const auto named = control.ask<std::vector<place>>(
         [](control_thread::context& with)
-        { return with.board.document.get().document.places; });
+        {
+            const auto& document = with.board.document.get().document;
+            return document == nullptr ? std::vector<place>()
+                                       : document->places;
+        });
     if (!named)
     {
         return tl::unexpected(named.error());
--- a/packages/daemon/src/control/membership_controller.cpp
+++ b/packages/daemon/src/control/membership_controller.cpp
@@ -123,8 +123,7 @@
 {
     if (m_document.changed(board.document))
     {
-        const applied_document& applied = board.document.get();
-        m_core.document_changed(applied.version, applied.document);
+        m_core.document_changed(board.document.get().publication);
     }
     if (m_evacuations.changed(board.evacuations))
     {
--- a/packages/daemon/src/control/status_view.cpp
+++ b/packages/daemon/src/control/status_view.cpp
@@ -143,7 +143,9 @@
                                         const flow_key& flow)
 {
     const applied_document& applied = with.board.document.get();
-    const service* declared = find_service(applied.document, flow);
+    const service* declared = applied.document == nullptr
+                                  ? nullptr
+                                  : find_service(*applied.document, flow);
     if (declared == nullptr)
     {
         return fail(error_kind::not_found, flow.service.to_string(),
--- a/packages/daemon/src/control/storage_thread.hpp
+++ b/packages/daemon/src/control/storage_thread.hpp
@@ -5,14 +5,13 @@
 #include "crowlink/replication/log_storage.hpp"
 #include "crowlink/replication/posix_file_system.hpp"
 #include "crowlink/transport/wake_event.hpp"
-#include "shared/mailbox.hpp"
+#include "shared/worker_thread.hpp"
 
-#include <condition_variable>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <optional>
-#include <thread>
+#include <string>
+#include <utility>
 
 namespace crowlink::internal
 {
@@ -39,7 +38,7 @@
     storage_thread(const storage_thread&) = delete;
     storage_thread& operator=(const storage_thread&) = delete;
     // Ends the write that is under way, then stops.
-    ~storage_thread();
+    ~storage_thread() = default;
 
     // What the folder held. To be taken once.
     replication::durable_state take_restored()
@@ -47,28 +46,26 @@
         return m_storage->take_restored();
     }
 
-    // The replica has one request out at a time, so this needs no queue.
-    void write(replication::persist_request request);
-    std::optional<completion> next() { return m_done.take(); }
+    // The replica has one request out at a time, so none is replaced.
+    void write(replication::persist_request request)
+    {
+        m_writer->request(std::move(request));
+    }
+    std::optional<completion> next() { return m_writer->next(); }
 
 private:
     using storage_type =
         replication::log_storage<replication::posix_file_system>;
 
-    storage_thread(replication::posix_file_system files,
-                   const wake_event& wake);
+    explicit storage_thread(replication::posix_file_system files);
 
-    void run();
-    std::optional<replication::persist_request> wait_for_request();
+    completion carry_out(const replication::persist_request& request);
 
     replication::posix_file_system m_files;
     std::optional<storage_type> m_storage;
-    mailbox<completion> m_done;
-    std::mutex m_mutex;
-    std::condition_variable m_wake_writer;
-    std::optional<replication::persist_request> m_request;
-    bool m_stopping = false;
-    std::thread m_thread;
+    // Ends before what it uses.
+    std::optional<worker_thread<replication::persist_request, completion>>
+        m_writer;
 };
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/process/platform_calls.cpp
+++ b/packages/daemon/src/process/platform_calls.cpp
@@ -37,78 +37,130 @@
                 fmt::format("{}; send it again", to_string(got.result)));
 }
 
+result<void> propose(control_thread& control,
+                     const replication::document_change& wanted)
+{
+    const auto promised = std::make_shared<std::promise<outcome>>();
+    std::future<outcome> reply = promised->get_future();
+    const bool posted = control.post(
+        [promised, wanted](control_thread::context& with)
+        {
+            with.documents->change(
+                with.now, wanted,
+                [promised](const outcome& got) { promised->set_value(got); },
+                with.board);
+        });
+    if (!posted ||
+        reply.wait_for(operator_patience) != std::future_status::ready)
+    {
+        return fail(error_kind::unavailable, "", "busy; send it again");
+    }
+    return to_result(reply.get());
+}
+
+using configuration_call = platform::http_calls::configuration_call;
+
 // What is durable must be readable again by every control host.
-result<std::string> checked_text(const system_document& document)
+result<shared_text> checked_text(document_thread& documents,
+                                 const system_document& document)
 {
-    std::string text = write_compact_document(document);
-    const checked_document read = read_document(text);
+    shared_text text = write_compact_document(document);
+    checked_document read = read_document(text.str());
     if (!read)
     {
         return fail(error_kind::invalid, "", read.error().to_text());
     }
+    documents.known().add(
+        text, std::make_shared<const system_document>(*std::move(read)));
     return text;
 }
 
-result<void> replace(control_thread& control, config_version version,
-                     const system_document& document)
+// Reads a document when there is a turn for it.
+template <class Read>
+auto in_turn(document_thread& documents, const Read& read) -> decltype(read())
+{
+    const document_turns::turn turn =
+        documents.turns().wait_for(operator_patience);
+    if (!turn.owns_lock())
+    {
+        return fail(error_kind::unavailable, "",
+                    "other changes are being read; send it again");
+    }
+    return read();
+}
+
+// Whether a version as high is durable, so that this one changes nothing.
+bool is_superseded(control_thread& control, config_version version)
+{
+    const auto held = control.ask<bool>(
+        [version](control_thread::context& with)
+        {
+            const auto& core = with.documents->core();
+            return core.can_read(with.now) &&
+                   version <= core.store().current_version();
+        });
+    return held && *held;
+}
+
+// Nothing if the change needs no place in the log.
+result<std::optional<replication::document_change>>
+read_change(control_thread& control, const configuration_call& read)
 {
-    auto text = checked_text(document);
+    const auto given = in_turn(control.documents(), read);
+    if (!given)
+    {
+        return tl::unexpected(given.error());
+    }
+    if (is_superseded(control, given->version))
+    {
+        return std::nullopt;
+    }
+    auto text =
+        in_turn(control.documents(), [&control, &given]
+                { return checked_text(control.documents(), given->document); });
     if (!text)
     {
         return tl::unexpected(text.error());
     }
     replication::document_change wanted;
-    wanted.operation = operation_id(fmt::format("given-{}", version.value()));
+    wanted.operation =
+        operation_id(fmt::format("given-{}", given->version.value()));
     wanted.operator_name = "platform";
     wanted.document = std::move(*text);
-    wanted.given = version;
-    const auto promised = std::make_shared<std::promise<outcome>>();
-    std::future<outcome> reply = promised->get_future();
+    wanted.given = given->version;
+    return wanted;
+}
+
+result<void> replace(control_thread& control, const configuration_call& read)
+{
+    const auto wanted = read_change(control, read);
+    if (!wanted)
+    {
+        return tl::unexpected(wanted.error());
+    }
+    return *wanted ? propose(control, **wanted) : result<void>();
+}
+
+result<std::string> read(control_thread& control)
+{
+    using answer = result<applied_document>;
+    const auto promised = std::make_shared<std::promise<answer>>();
+    std::future<answer> reply = promised->get_future();
     const bool posted = control.post(
-        [promised, wanted](control_thread::context& with)
+        [promised](control_thread::context& with)
         {
-            with.documents->change(
-                with.now, wanted,
-                [promised](const outcome& got) { promised->set_value(got); },
+            with.documents->newest_document(
+                with.now,
+                [promised](const answer& found) { promised->set_value(found); },
                 with.board);
         });
     if (!posted ||
         reply.wait_for(operator_patience) != std::future_status::ready)
     {
-        return fail(error_kind::unavailable, "", "busy; send it again");
+        return fail(error_kind::unavailable, "", "control is busy");
     }
-    return to_result(reply.get());
-}
-
-result<std::string> read(control_thread& control)
-{
-    using answer = result<std::string>;
-    return control
-        .ask<answer>(
-            [](control_thread::context& with) -> answer
-            {
-                const auto& core = with.documents->core();
-                const auto* current = core.store().current();
-                if (!core.can_read(with.now) || current == nullptr)
-                {
-                    return fail(error_kind::unavailable, "",
-                                "not sure which version is the newest");
-                }
-                const applied_document& applied = with.board.document.get();
-                if (applied.version == current->version)
-                {
-                    return applied.document.source;
-                }
-                const checked_document found =
-                    read_committed_document(current->document);
-                if (!found)
-                {
-                    return fail(error_kind::storage, "",
-                                found.error().to_text());
-                }
-                return found->source;
-            })
-        .and_then([](answer found) { return found; });
+    return reply.get().map([](const applied_document& found)
+                           { return found.document->source; });
 }
 
 // Control hosts that are found by seeds are named by their addresses.
@@ -148,10 +200,9 @@
 {
     platform::http_calls calls;
     calls.where = place{settings.host.place, settings.host.region};
-    calls.replace =
-        [&control](config_version version, const system_document& document)
+    calls.replace = [&control](const configuration_call& read)
     {
-        return replace(control, version, document);
+        return replace(control, read);
     };
     calls.evacuate = [&control, &settings](const place_id& where,
                                            bool evacuates,
--- a/packages/daemon/test/document_controller_test.cpp
+++ b/packages/daemon/test/document_controller_test.cpp
@@ -1,4 +1,5 @@
 #include "control/document_controller.hpp"
+#include "crowlink/document/document_writer.hpp"
 
 #include <filesystem>
 #include <gtest/gtest.h>
@@ -19,7 +20,11 @@
 class founded_folder : public testing::Test
 {
 protected:
-    founded_folder()
+    founded_folder() : founded_folder({{peer, disk_id(5)}}) {}
+
+    // With these voters beside the own one.
+    explicit founded_folder(
+        const std::vector<std::pair<host_id, disk_id>>& peers)
     {
         std::string pattern =
             (std::filesystem::temp_directory_path() / "crowlink.XXXXXX")
@@ -27,14 +32,16 @@
         m_folder = mkdtemp(pattern.data());
         const auto storage = storage_thread::open(m_folder, disk_id(1), m_wake);
         const disk_id disk = (*storage)->take_restored().disk;
+        std::vector<member> voters{{own, disk, member_role::voter}};
+        for (const auto& [host, its_disk] : peers)
+        {
+            voters.push_back(member{host, its_disk, member_role::voter});
+        }
         persist_request wanted;
         wanted.sequence = 1;
         wanted.state = hard_state{3, own, 1, cluster, own};
-        wanted.new_snapshot =
-            snapshot{1, 2,
-                     membership({{own, disk, member_role::voter},
-                                 {peer, disk_id(5), member_role::voter}}),
-                     cluster, std::make_shared<const std::string>()};
+        wanted.new_snapshot = snapshot{1, 2, membership(voters), cluster,
+                                       std::make_shared<const std::string>()};
         (*storage)->write(std::move(wanted));
         while (!(*storage)->next())
         {
@@ -73,7 +80,8 @@
     ASSERT_TRUE(links) << to_string(links.error());
     const auto storage = storage_thread::open(m_folder, disk_id(2), m_wake);
     ASSERT_TRUE(storage) << to_string(storage.error());
-    document_controller core(own_settings, **storage, **links, log,
+    document_thread reader(m_wake);
+    document_controller core(own_settings, **storage, reader, **links, log,
                              seeded_random(1), time_point());
     blackboard board;
     core.start(time_point(), board);
@@ -81,6 +89,111 @@
     EXPECT_FALSE((*links)->is_peer(own));
 }
 
+// A control host that is the only voter, and its operator.
+class one_voter : public founded_folder
+{
+protected:
+    one_voter()
+        : founded_folder({})
+        , m_settings(settings())
+        , m_links(*control_links::open(m_zmq, m_settings, identity(), nullptr))
+        , m_storage(*storage_thread::open(m_folder, disk_id(2), m_wake))
+        , m_core(m_settings, *m_storage, m_reader, *m_links, m_log,
+                 seeded_random(1), m_now)
+    {
+        m_core.start(m_now, m_board);
+        run_until([this] { return m_core.core().can_read(m_now); });
+    }
+
+    // One round of the control thread.
+    void step()
+    {
+        m_now += std::chrono::milliseconds(25);
+        m_core.advance(m_now, m_board);
+    }
+
+    template <class Condition>
+    void run_until(const Condition& holds)
+    {
+        while (!holds())
+        {
+            step();
+            std::this_thread::yield();
+        }
+    }
+
+    // Returns once it is acknowledged.
+    void send(std::uint64_t version)
+    {
+        system_document document;
+        document.places = {{place_id("p"), region_id("r")}};
+        document_change wanted;
+        wanted.operation = operation_id(std::to_string(version));
+        wanted.document = write_compact_document(document);
+        wanted.given = config_version(version);
+        bool is_done = false;
+        m_core.change(
+            m_now, wanted,
+            [&is_done](const change_outcome& got)
+            { is_done = got.result == change_result::applied; },
+            m_board);
+        run_until([&is_done] { return is_done; });
+    }
+
+    time_point m_now{std::chrono::hours(1)};
+    daemon_settings m_settings;
+    zmq::context_t m_zmq;
+    log_sink m_log{stdout, log_format::key_value, log_level::error, 16};
+    std::unique_ptr<control_links> m_links;
+    std::unique_ptr<storage_thread> m_storage;
+    document_thread m_reader{m_wake};
+    blackboard m_board;
+    document_controller m_core;
+};
+
+// Guards against leaders that are lost at each change of a large document: the
+// thread that sends heartbeats must not wait until it is read.
+TEST_F(one_voter, goes_on_while_a_document_is_read)
+{
+    document_turns::turn reading = m_reader.turns().wait();
+    send(4);
+    for (int round = 0; round < 400; ++round)
+    {
+        step();
+    }
+    EXPECT_EQ(m_core.core().store().current_version(), config_version(4));
+    EXPECT_EQ(m_board.document.get().version, config_version());
+    EXPECT_TRUE(m_core.core().can_read(m_now));
+    // Nodes that start must not be given an older one meanwhile.
+    EXPECT_GE(m_board.document_age.get(), std::chrono::seconds(9));
+    reading.unlock();
+    run_until([this]
+              { return m_board.document.get().version == config_version(4); });
+    EXPECT_LT(m_board.document_age.get(), std::chrono::seconds(1));
+}
+
+// Guards against reads that take the version before, and against one more
+// reading of the document for each caller.
+TEST_F(one_voter, answers_reads_with_the_newest_document_once_it_is_read)
+{
+    send(4);
+    run_until([this]
+              { return m_board.document.get().version == config_version(4); });
+    document_turns::turn reading = m_reader.turns().wait();
+    send(7);
+    config_version found;
+    m_core.newest_document(
+        m_now,
+        [&found](const result<applied_document>& got)
+        { found = got ? got->version : config_version(1); },
+        m_board);
+    step();
+    EXPECT_EQ(found, config_version());
+    reading.unlock();
+    run_until([&found] { return found != config_version(); });
+    EXPECT_EQ(found, config_version(7));
+}
+
 } // namespace
 
 } // namespace crowlink::internal
--- a/packages/document/src/strict_json.cpp
+++ b/packages/document/src/strict_json.cpp
@@ -4,8 +4,8 @@
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crowlink
@@ -21,10 +21,8 @@
 // The parser's position in one container.
 struct frame
 {
-    bool is_object = false;
-    std::size_t index = 0;
+    nlohmann::json* container = nullptr;
     std::string key;
-    std::set<std::string, std::less<>> keys;
 };
 
 // Replaces bytes other than printable ASCII, since the message quotes input
@@ -41,29 +39,30 @@
     return result;
 }
 
-// Checks a text without building its value, and stops at the first error. The
-// other public functions implement nlohmann's SAX interface.
-class json_inspector
+// Builds the value of a text, and stops at the first error. The other public
+// functions implement nlohmann's SAX interface.
+class json_builder
 {
 public:
     using json = nlohmann::json;
 
     const document_error& error() const { return m_error; }
+    json take_value() { return std::move(m_root); }
 
-    bool null() { return value(); }
-    bool boolean(bool /*unused*/) { return value(); }
-    bool number_integer(json::number_integer_t /*unused*/) { return value(); }
-    bool number_unsigned(json::number_unsigned_t /*unused*/) { return value(); }
-    bool number_float(json::number_float_t /*unused*/,
+    bool null() { return add(nullptr); }
+    bool boolean(bool given) { return add(given); }
+    bool number_integer(json::number_integer_t given) { return add(given); }
+    bool number_unsigned(json::number_unsigned_t given) { return add(given); }
+    bool number_float(json::number_float_t given,
                       const json::string_t& /*unused*/)
     {
-        return value();
+        return add(given);
     }
-    bool string(json::string_t& /*unused*/) { return value(); }
-    bool binary(json::binary_t& /*unused*/) { return value(); }
+    bool string(json::string_t& given) { return add(std::move(given)); }
+    bool binary(json::binary_t& given) { return add(std::move(given)); }
 
-    bool start_object(std::size_t /*unused*/) { return open(true); }
-    bool start_array(std::size_t /*unused*/) { return open(false); }
+    bool start_object(std::size_t /*unused*/) { return open(json::object()); }
+    bool start_array(std::size_t /*unused*/) { return open(json::array()); }
     bool end_object() { return close(); }
     bool end_array() { return close(); }
 
@@ -71,7 +70,7 @@
     {
         frame& top = m_frames.back();
         top.key = name;
-        if (top.keys.insert(name).second)
+        if (!top.container->contains(name))
         {
             return true;
         }
@@ -93,16 +92,30 @@
     }
 
 private:
-    bool value()
+    bool add(json value)
     {
-        if (!m_frames.empty() && !m_frames.back().is_object)
+        put(std::move(value));
+        return true;
+    }
+
+    // Puts a value where the parser is, and returns its place.
+    json& put(json value)
+    {
+        if (m_frames.empty())
         {
-            ++m_frames.back().index;
+            m_root = std::move(value);
+            return m_root;
         }
-        return true;
+        frame& top = m_frames.back();
+        if (top.container->is_object())
+        {
+            return (*top.container)[top.key] = std::move(value);
+        }
+        top.container->push_back(std::move(value));
+        return top.container->back();
     }
 
-    bool open(bool is_object)
+    bool open(json container)
     {
         if (m_frames.size() == max_depth)
         {
@@ -110,14 +123,15 @@
                        fmt::format("nested at most {} deep", max_depth)};
             return false;
         }
-        m_frames.push_back({is_object, 0, {}, {}});
+        json& placed = put(std::move(container));
+        m_frames.push_back({&placed, {}});
         return true;
     }
 
     bool close()
     {
         m_frames.pop_back();
-        return value();
+        return true;
     }
 
     std::string path() const
@@ -125,13 +139,24 @@
         std::string text;
         for (const auto& container : m_frames)
         {
-            text = child_path(text, container.is_object
-                                        ? container.key
-                                        : std::to_string(container.index));
+            const bool is_innermost = &container == &m_frames.back();
+            text = child_path(text, part_of(container, is_innermost));
         }
         return text;
     }
 
+    // The field, or the number of the value, at which the parser is. What is
+    // open inside an array is its last value already.
+    static std::string part_of(const frame& at, bool is_innermost)
+    {
+        if (at.container->is_object())
+        {
+            return at.key;
+        }
+        return std::to_string(at.container->size() - (is_innermost ? 0 : 1));
+    }
+
+    json m_root;
     std::vector<frame> m_frames;
     document_error m_error;
 };
@@ -142,16 +167,15 @@
 parse_strict_json(std::string_view text)
 {
     using nlohmann::json;
-    json_inspector inspector;
+    json_builder builder;
     constexpr bool strict = true;
     constexpr bool ignore_comments = true;
-    if (!json::sax_parse(text, &inspector, json::input_format_t::json, strict,
+    if (!json::sax_parse(text, &builder, json::input_format_t::json, strict,
                          ignore_comments))
     {
-        return tl::unexpected<document_error>(inspector.error());
+        return tl::unexpected<document_error>(builder.error());
     }
-    constexpr bool throw_on_error = false;
-    return json::parse(text, nullptr, throw_on_error, ignore_comments);
+    return builder.take_value();
 }
 
 } // namespace crowlink
--- a/packages/replication/include/crowlink/replication/document_change.hpp
+++ b/packages/replication/include/crowlink/replication/document_change.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/base/shared_text.hpp"
 
 #include <compare>
 #include <string>
@@ -18,7 +19,7 @@
     operation_id operation;
     std::string operator_name;
     // The document as opaque bytes.
-    std::string document;
+    shared_text document;
     // Explicit version number; 0 assigns the next number. The highest explicit
     // version is in force regardless of the order of arrival; a change with one
     // that is not higher than the current version has no effect.
--- a/packages/replication/include/crowlink/replication/document_version.hpp
+++ b/packages/replication/include/crowlink/replication/document_version.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/base/shared_text.hpp"
 
 #include <compare>
 #include <string>
@@ -15,7 +16,7 @@
     operation_id operation;
     std::string operator_name;
     // Empty if it is no longer kept.
-    std::string document;
+    shared_text document;
 
     friend auto operator<=>(const document_version&,
                             const document_version&) = default;
--- a/packages/replication/include/crowlink/replication/log_entry.hpp
+++ b/packages/replication/include/crowlink/replication/log_entry.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "crowlink/base/shared_text.hpp"
 #include "crowlink/replication/log_position.hpp"
 
 #include <compare>
 #include <cstdint>
-#include <string>
 
 namespace crowlink::replication
 {
@@ -25,7 +25,7 @@
     log_index index = 0;
     term_number term = 0;
     entry_kind kind = entry_kind::no_operation;
-    std::string payload;
+    shared_text payload;
 
     friend auto operator<=>(const log_entry&, const log_entry&) = default;
 };
--- a/packages/replication/include/crowlink/replication/replica_event.hpp
+++ b/packages/replication/include/crowlink/replication/replica_event.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "crowlink/base/error.hpp"
+#include "crowlink/base/shared_text.hpp"
 #include "crowlink/replication/member_change.hpp"
 #include "crowlink/replication/message.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -28,7 +30,7 @@
 struct propose
 {
     std::uint64_t request = 0;
-    std::string payload;
+    shared_text payload;
 };
 
 struct propose_membership
@@ -53,7 +55,7 @@
 struct snapshot_taken
 {
     log_index index = 0;
-    std::string data;
+    std::shared_ptr<const std::string> data;
 };
 
 using replica_event =
--- a/packages/replication/src/document_store.cpp
+++ b/packages/replication/src/document_store.cpp
@@ -14,7 +14,7 @@
 
 std::uint64_t hash_of(const document_change& change)
 {
-    return stable_hash(change.document, change.base.value());
+    return stable_hash(change.document.str(), change.base.value());
 }
 
 bool has_explicit_version(const document_change& change)
@@ -134,8 +134,7 @@
             return;
         }
         m_history_bytes -= one.document.size();
-        one.document.clear();
-        one.document.shrink_to_fit();
+        one.document = {};
     }
 }
 
@@ -166,7 +165,7 @@
         stored->set_version(one.version.value());
         stored->set_operation(one.operation.value());
         stored->set_operator_name(one.operator_name);
-        stored->set_document(one.document);
+        stored->set_document(one.document.str());
     }
     for (const operation_id& operation : m_answer_order)
     {
@@ -188,11 +187,11 @@
                     "its document store does not parse");
     }
     document_store loaded(m_limits, m_rules);
-    for (const auto& stored : in.history())
+    for (auto& stored : *in.mutable_history())
     {
         loaded.m_history.push_back(document_version{
             config_version(stored.version()), operation_id(stored.operation()),
-            stored.operator_name(), stored.document()});
+            stored.operator_name(), std::move(*stored.mutable_document())});
         loaded.m_history_bytes += size_of(loaded.m_history.back());
         loaded.m_current = loaded.m_history.back().version;
     }
--- a/packages/replication/src/log_payload.cpp
+++ b/packages/replication/src/log_payload.cpp
@@ -2,6 +2,8 @@
 
 #include "wire_convert.hpp"
 
+#include <utility>
+
 namespace crowlink::replication::internal
 {
 
@@ -14,7 +16,7 @@
     }
     if (!in.has_evacuation())
     {
-        return from_wire(in);
+        return from_wire(std::move(in));
     }
     const wire::EvacuationChange& order = in.evacuation();
     return evacuation_change{place_id(order.place()), order.evacuates(),
--- a/packages/replication/src/message_codec.cpp
+++ b/packages/replication/src/message_codec.cpp
@@ -3,6 +3,7 @@
 #include "wire_convert.hpp"
 
 #include <optional>
+#include <utility>
 
 namespace crowlink::replication
 {
@@ -102,32 +103,33 @@
     out.mutable_disk_answer()->set_blank(body.blank);
 }
 
-message_body get(const wire::AppendRequest& in)
+message_body get(wire::AppendRequest& in)
 {
     append_request body{in.previous_index(),
                         in.previous_term(),
                         in.commit(),
                         {},
                         static_cast<std::int64_t>(in.sent_at())};
-    for (const wire::LogEntry& entry : in.entries())
+    for (wire::LogEntry& entry : *in.mutable_entries())
     {
-        body.entries.push_back(from_wire(entry));
+        body.entries.push_back(from_wire(std::move(entry)));
     }
     return body;
 }
 
-message_body get(const wire::SnapshotChunk& in)
+message_body get(wire::SnapshotChunk& in)
 {
     return snapshot_chunk{in.index(),
                           in.term(),
                           from_wire(in.membership()),
                           in.offset(),
                           in.total(),
-                          in.data(),
+                          std::move(*in.mutable_data()),
                           static_cast<std::int64_t>(in.sent_at())};
 }
 
-std::optional<message_body> get_body(const wire::Envelope& in)
+// Takes the payloads out of the message.
+std::optional<message_body> get_body(wire::Envelope& in)
 {
     switch (in.body_case())
     {
@@ -141,21 +143,23 @@
         return vote_reply{in.vote_reply().pre_vote(), in.vote_reply().granted(),
                           in.vote_reply().term()};
     case wire::Envelope::kAppendRequest:
-        return get(in.append_request());
+        return get(*in.mutable_append_request());
     case wire::Envelope::kAppendReply:
         return append_reply{
             in.append_reply().accepted(), in.append_reply().match_index(),
             in.append_reply().next_index(),
             static_cast<std::int64_t>(in.append_reply().sent_at())};
     case wire::Envelope::kSnapshotChunk:
-        return get(in.snapshot_chunk());
+        return get(*in.mutable_snapshot_chunk());
     case wire::Envelope::kSnapshotReply:
         return snapshot_reply{
             in.snapshot_reply().index(), in.snapshot_reply().next_offset(),
             static_cast<std::int64_t>(in.snapshot_reply().sent_at())};
     case wire::Envelope::kForwardedChange:
-        return forwarded_change{in.forwarded_change().request(),
-                                from_wire(in.forwarded_change().change())};
+        return forwarded_change{
+            in.forwarded_change().request(),
+            from_wire(
+                std::move(*in.mutable_forwarded_change()->mutable_change()))};
     case wire::Envelope::kForwardedAnswer:
         return forwarded_answer{in.forwarded_answer().request(),
                                 operation_id(in.forwarded_answer().operation()),
--- a/packages/replication/src/record_codec.cpp
+++ b/packages/replication/src/record_codec.cpp
@@ -147,9 +147,9 @@
     persist_request request;
     request.discard_log = in.discard_log();
     request.state = from_wire(in.state());
-    for (const wire::LogEntry& entry : in.entries())
+    for (wire::LogEntry& entry : *in.mutable_entries())
     {
-        request.entries.push_back(from_wire(entry));
+        request.entries.push_back(from_wire(std::move(entry)));
     }
     return request;
 }
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -44,7 +44,8 @@
     {
         if (entry.kind == entry_kind::membership)
         {
-            m_memberships.append(entry.index, decode_membership(entry.payload));
+            m_memberships.append(entry.index,
+                                 decode_membership(entry.payload.str()));
         }
         m_log.append(std::move(entry));
     }
@@ -207,8 +208,7 @@
         return;
     }
     m_snapshot = snapshot{event.index, *term, m_memberships.at(event.index),
-                          m_state.cluster,
-                          std::make_shared<const std::string>(event.data)};
+                          m_state.cluster, event.data};
     m_queue.add_snapshot(*m_snapshot, false);
     m_applied_bytes = 0;
     // Keeps some entries for followers that lag slightly, but at most half of
@@ -287,7 +287,8 @@
     m_uncommitted_bytes += entry.payload.size();
     if (entry.kind == entry_kind::membership)
     {
-        m_memberships.append(entry.index, decode_membership(entry.payload));
+        m_memberships.append(entry.index,
+                             decode_membership(entry.payload.str()));
         erase_admitted_from_non_members();
     }
     m_log.append(std::move(entry));
--- a/packages/replication/src/replicated_document_effects.cpp
+++ b/packages/replication/src/replicated_document_effects.cpp
@@ -49,7 +49,7 @@
     {
         return outcome;
     }
-    const auto payload = internal::decode_payload(entry.payload);
+    const auto payload = internal::decode_payload(entry.payload.str());
     if (!payload)
     {
         return outcome;
@@ -88,8 +88,10 @@
 
 void replicated_document::handle_effect(const take_snapshot& effect)
 {
-    run_replica(
-        snapshot_taken{effect.index, m_store.save() + m_evacuations.save()});
+    std::string data = m_store.save();
+    data += m_evacuations.save();
+    run_replica(snapshot_taken{
+        effect.index, std::make_shared<const std::string>(std::move(data))});
 }
 
 void replicated_document::handle_effect(const proposal_appended& effect)
--- a/packages/replication/src/wire_convert.cpp
+++ b/packages/replication/src/wire_convert.cpp
@@ -68,14 +68,15 @@
     out.set_index(value.index);
     out.set_term(value.term);
     out.set_kind(static_cast<wire::EntryKind>(value.kind));
-    out.set_payload(value.payload);
+    out.set_payload(value.payload.str());
     return out;
 }
 
-log_entry from_wire(const wire::LogEntry& value)
+log_entry from_wire(wire::LogEntry&& value)
 {
     return log_entry{value.index(), value.term(),
-                     static_cast<entry_kind>(value.kind()), value.payload()};
+                     static_cast<entry_kind>(value.kind()),
+                     std::move(*value.mutable_payload())};
 }
 
 wire::HardState to_wire(const hard_state& value)
@@ -101,16 +102,17 @@
     out.set_base(value.base.value());
     out.set_operation(value.operation.value());
     out.set_operator_name(value.operator_name);
-    out.set_document(value.document);
+    out.set_document(value.document.str());
     out.set_given(value.given.value());
     return out;
 }
 
-document_change from_wire(const wire::DocumentChange& value)
+document_change from_wire(wire::DocumentChange&& value)
 {
     return document_change{
         config_version(value.base()), operation_id(value.operation()),
-        value.operator_name(), value.document(), config_version(value.given())};
+        value.operator_name(), std::move(*value.mutable_document()),
+        config_version(value.given())};
 }
 
 wire::ChangeOutcome to_wire(const change_outcome& value)
--- a/packages/replication/src/wire_convert.hpp
+++ b/packages/replication/src/wire_convert.hpp
@@ -21,13 +21,13 @@
 membership from_wire(const wire::Membership& value);
 
 wire::LogEntry to_wire(const log_entry& value);
-log_entry from_wire(const wire::LogEntry& value);
+log_entry from_wire(wire::LogEntry&& value);
 
 wire::HardState to_wire(const hard_state& value);
 hard_state from_wire(const wire::HardState& value);
 
 wire::DocumentChange to_wire(const document_change& value);
-document_change from_wire(const wire::DocumentChange& value);
+document_change from_wire(wire::DocumentChange&& value);
 
 wire::ChangeOutcome to_wire(const change_outcome& value);
 change_outcome from_wire(const wire::ChangeOutcome& value);
