--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -19,6 +19,9 @@
 // before the next one is decided.
 constexpr duration policy_interval = std::chrono::milliseconds(250);
 
+// Several times the time for which the control thread waits at the most.
+constexpr duration longest_usual_round = std::chrono::milliseconds(100);
+
 // Callers that wait for a document to be read.
 constexpr std::size_t most_waiting = 256;
 
@@ -116,6 +119,7 @@
 {
     m_now = now;
     take_writes(now, board);
+    note_pause(now, board);
     carry_out(m_core.handle(now, replication::tick{}), board);
     take_documents(board);
     const replication::replica_status status = m_core.status(now);
@@ -124,6 +128,20 @@
     keep_voters(now, status, board);
 }
 
+// What others sent while this thread did not run has been taken, or waits in
+// the sockets: the log must not take that time for their silence.
+void document_controller::note_pause(time_point now, blackboard& board)
+{
+    const duration round = now - m_last_round.value_or(now);
+    m_last_round = now;
+    if (round > longest_usual_round)
+    {
+        carry_out(m_core.handle(
+                      now, replication::held_up{round - longest_usual_round}),
+                  board);
+    }
+}
+
 // A version that is committed and not yet read may be newer than the one that
 // nodes are given, however lately that was confirmed.
 duration document_controller::document_age(time_point now,
--- a/packages/daemon/src/control/document_controller.hpp
+++ b/packages/daemon/src/control/document_controller.hpp
@@ -76,6 +76,7 @@
 
     void answer_waiting(config_version version,
                         const result<applied_document>& found);
+    void note_pause(time_point now, blackboard& board);
     void take_writes(time_point now, blackboard& board);
     void take_documents(blackboard& board);
     void note_write(duration took);
@@ -112,6 +113,7 @@
     config_version m_wanted_version;
     std::vector<waiting_caller> m_waiting;
     time_point m_now{};
+    std::optional<time_point> m_last_round;
     // Since when a committed version waits to be read; empty if none does.
     std::optional<time_point> m_unread_since;
     // Whether hellos may come from others than their senders: nobody else can
--- a/packages/replication/include/crowlink/replication/replica_event.hpp
+++ b/packages/replication/include/crowlink/replication/replica_event.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/base/error.hpp"
 #include "crowlink/base/shared_text.hpp"
+#include "crowlink/base/time.hpp"
 #include "crowlink/replication/member_change.hpp"
 #include "crowlink/replication/message.hpp"
 
@@ -26,6 +27,13 @@
 {
 };
 
+// This host did not run for so long, beyond the usual time between ticks. To be
+// given before the tick that follows.
+struct held_up
+{
+    duration length{};
+};
+
 // Bytes to append to the log. The caller chooses the request number.
 struct propose
 {
@@ -59,7 +67,7 @@
 };
 
 using replica_event =
-    std::variant<message_received, tick, propose, propose_membership,
+    std::variant<message_received, tick, held_up, propose, propose_membership,
                  storage_done, storage_failed, snapshot_taken>;
 
 } // namespace crowlink::replication
--- a/packages/replication/include/crowlink/replication/replicated_document.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document.hpp
@@ -90,6 +90,7 @@
     void handle_event(const propose_evacuation& event);
     void handle_event(const propose_membership& event);
     void handle_event(const message_received& event);
+    void handle_event(const held_up& event);
     void handle_event(const tick& event);
     void handle_event(const storage_done& event);
     void handle_event(const storage_failed& event);
--- a/packages/replication/include/crowlink/replication/replicated_document_event.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document_event.hpp
@@ -30,8 +30,9 @@
 
 // The inputs of a replicated document.
 using document_event =
-    std::variant<message_received, tick, propose_change, propose_evacuation,
-                 propose_membership, storage_done, storage_failed>;
+    std::variant<message_received, tick, held_up, propose_change,
+                 propose_evacuation, propose_membership, storage_done,
+                 storage_failed>;
 
 // The answer to propose_change or propose_evacuation; each gets exactly one.
 struct change_answered
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -15,6 +15,9 @@
 // unconfirmed document may be served.
 constexpr duration initial_document_age = std::chrono::hours(24);
 
+// Longer than any election timeout.
+constexpr duration remembered_pauses = std::chrono::seconds(10);
+
 } // namespace
 
 replica_core::replica_core(replica_settings settings, durable_state restored,
@@ -81,6 +84,28 @@
     return std::exchange(m_effects, {});
 }
 
+// While this host does not run it hears nobody, and what others sent meanwhile
+// is still to be handled: that time is not silence of theirs.
+void replica_core::handle_event(const held_up& event)
+{
+    m_election_deadline += event.length;
+    m_pauses.push_back(pause{m_now, event.length});
+    while (m_pauses.front().end < m_now - remembered_pauses)
+    {
+        m_pauses.pop_front();
+    }
+}
+
+duration replica_core::paused_since(time_point since) const
+{
+    duration total{};
+    for (const pause& each : m_pauses)
+    {
+        total += each.end > since ? each.length : duration::zero();
+    }
+    return total;
+}
+
 void replica_core::handle_event(const message_received& event)
 {
     const replica_message& message = event.message;
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -41,6 +41,13 @@
     replica_status status(time_point now) const;
 
 private:
+    // A time in which this host handled nothing.
+    struct pause
+    {
+        time_point end;
+        duration length{};
+    };
+
     // A host that sent hello.
     struct non_member
     {
@@ -69,6 +76,7 @@
     // replica_core.cpp: dispatch, persistence and functions common to all
     // roles.
     void handle_event(const message_received& event);
+    void handle_event(const held_up& event);
     void handle_event(const tick& event);
     void handle_event(const propose& event);
     void handle_event(const propose_membership& event);
@@ -77,6 +85,7 @@
     void handle_event(const snapshot_taken& event);
     bool is_addressed_here(const replica_message& message) const;
     void adopt_cluster(const replica_message& message);
+    duration paused_since(time_point since) const;
     void flush();
     void send(const host_id& to, disk_id to_disk, message_body body);
     void send_when_durable(const host_id& to, disk_id to_disk,
@@ -180,6 +189,8 @@
     // committed.
     time_point m_up_to_date_at;
     time_point m_election_deadline;
+    // How long this host did not run of late; oldest first.
+    std::deque<pause> m_pauses;
 
     log_buffer m_log;
     membership_history m_memberships;
--- a/packages/replication/src/replica_lead.cpp
+++ b/packages/replication/src/replica_lead.cpp
@@ -97,7 +97,7 @@
     const std::optional<time_point> contact = quorum_contact(m_now);
     const time_point heard =
         std::max(contact.value_or(m_leader_since), m_leader_since);
-    if (m_now - heard >= m_settings.election_timeout)
+    if (m_now - heard >= m_settings.election_timeout + paused_since(heard))
     {
         become_follower(m_state.term, host_id(),
                         "lost contact with the quorum");
--- a/packages/replication/src/replicated_document.cpp
+++ b/packages/replication/src/replicated_document.cpp
@@ -126,6 +126,11 @@
     run_replica(event);
 }
 
+void replicated_document::handle_event(const held_up& event)
+{
+    run_replica(event);
+}
+
 void replicated_document::handle_event(const tick& event)
 {
     run_replica(event);
--- a/packages/replication/test/replica_test.cpp
+++ b/packages/replication/test/replica_test.cpp
@@ -79,6 +79,7 @@
 
     void wait(duration time) { m_now += time; }
     replica_status status() const { return m_replica.status(m_now); }
+    bool can_read() const { return m_replica.can_read(m_now); }
     std::int64_t clock() const { return m_now.time_since_epoch().count(); }
 
     // Wins the pre-vote, and asks for votes.
@@ -300,6 +301,41 @@
     EXPECT_EQ(leader.status().role, replica_role::leader);
 }
 
+// Guards against hosts that take their own pause for their leader's silence:
+// what it sent meanwhile waits to be handled.
+TEST(replica, a_follower_does_not_campaign_for_a_pause_of_its_own)
+{
+    replica_driver follower(initial_state());
+    follower.receive(second, 3, append_request{2, 2, 2, {}, 0});
+    follower.complete_write();
+    follower.wait(std::chrono::seconds(3));
+    follower.handle_input(held_up{std::chrono::milliseconds(2900)});
+    follower.handle_input(tick{});
+    EXPECT_EQ(follower.status().role, replica_role::follower);
+    // Silence in which it runs counts as before.
+    follower.wait(std::chrono::milliseconds(1500));
+    follower.handle_input(tick{});
+    EXPECT_EQ(follower.status().role, replica_role::pre_candidate);
+}
+
+// The same of a leader that waits for the replies of others. It must not answer
+// reads meanwhile, since another host may lead.
+TEST(replica, a_leader_does_not_step_down_for_a_pause_of_its_own)
+{
+    replica_driver leader(initial_state());
+    leader.win_election();
+    leader.complete_write();
+    leader.receive(second, 3, append_reply{true, 3, 4, leader.clock()});
+    leader.wait(std::chrono::seconds(3));
+    leader.handle_input(held_up{std::chrono::milliseconds(2900)});
+    leader.handle_input(tick{});
+    EXPECT_EQ(leader.status().role, replica_role::leader);
+    EXPECT_FALSE(leader.can_read());
+    leader.wait(std::chrono::seconds(1));
+    leader.handle_input(tick{});
+    EXPECT_EQ(leader.status().role, replica_role::follower);
+}
+
 TEST(replica, drops_messages_of_another_log)
 {
     replica_driver voter(initial_state());
