--- a/packages/base/test/shared_text_test.cpp
+++ b/packages/base/test/shared_text_test.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/base/shared_text.hpp"
 
 #include <gtest/gtest.h>
+#include <vector>
 
 namespace crowlink
 {
@@ -21,8 +22,9 @@
 TEST(shared_text, is_shared_by_its_copies)
 {
     const shared_text one = "text";
-    const shared_text copy = one;
-    EXPECT_EQ(&one.str(), &copy.str());
+    const std::vector<shared_text> copies(2, one);
+    EXPECT_EQ(&one.str(), &copies[0].str());
+    EXPECT_EQ(&one.str(), &copies[1].str());
 }
 
 } // namespace
--- a/packages/daemon/src/control/blackboard.hpp
+++ b/packages/daemon/src/control/blackboard.hpp
@@ -65,6 +65,8 @@
     board_value<applied_document> document;
     board_value<applied_evacuations> evacuations;
     board_value<duration> document_age;
+    // For how long a committed version has waited to be read.
+    board_value<duration> document_lag;
     // All members of the replicated log, sorted.
     board_value<std::vector<host_id>> members;
     // Written by the control thread itself, from the settings: hosts to ask
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -123,7 +123,8 @@
     carry_out(m_core.handle(now, replication::tick{}), board);
     take_documents(board);
     const replication::replica_status status = m_core.status(now);
-    board.document_age.set(document_age(now, status.document_age));
+    board.document_age.set(status.document_age);
+    board.document_lag.set(document_lag(now));
     follow_members(status, board);
     keep_voters(now, status, board);
 }
@@ -142,13 +143,11 @@
     }
 }
 
-// A version that is committed and not yet read may be newer than the one that
-// nodes are given, however lately that was confirmed.
-duration document_controller::document_age(time_point now,
-                                           duration confirmed) const
+// A version that is committed and not yet read is newer than the one that nodes
+// are given, however lately that was confirmed.
+duration document_controller::document_lag(time_point now) const
 {
-    return m_unread_since ? std::max(confirmed, now - *m_unread_since)
-                          : confirmed;
+    return m_unread.empty() ? duration() : now - m_unread.front().since;
 }
 
 void document_controller::take_writes(time_point now, blackboard& board)
@@ -214,9 +213,9 @@
     while (auto read = m_reader.next())
     {
         const document_thread::committed_document& from = read->committed;
-        if (from.version == m_wanted_version)
+        while (!m_unread.empty() && m_unread.front().version <= from.version)
         {
-            m_unread_since.reset();
+            m_unread.pop_front();
         }
         if (read->applied.document == nullptr)
         {
@@ -447,7 +446,7 @@
         return;
     }
     m_wanted_version = current->version;
-    m_unread_since = m_unread_since.value_or(m_now);
+    m_unread.push_back(unread_version{current->version, m_now});
     m_reader.read(document_thread::committed_document{
         current->version, current->operation, current->operator_name,
         current->document});
--- a/packages/daemon/src/control/document_controller.hpp
+++ b/packages/daemon/src/control/document_controller.hpp
@@ -10,6 +10,7 @@
 #include "crowlink/replication/voter_policy.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -67,6 +68,13 @@
 private:
     using effects = std::vector<replication::document_effect>;
 
+    // A committed version, and since when it is.
+    struct unread_version
+    {
+        config_version version;
+        time_point since;
+    };
+
     // A caller that waits for a version to be read, or a later one.
     struct waiting_caller
     {
@@ -80,7 +88,7 @@
     void take_writes(time_point now, blackboard& board);
     void take_documents(blackboard& board);
     void note_write(duration took);
-    duration document_age(time_point now, duration confirmed) const;
+    duration document_lag(time_point now) const;
     void follow_members(const replication::replica_status& status,
                         blackboard& board);
     void keep_voters(time_point now, const replication::replica_status& status,
@@ -114,8 +122,9 @@
     std::vector<waiting_caller> m_waiting;
     time_point m_now{};
     std::optional<time_point> m_last_round;
-    // Since when a committed version waits to be read; empty if none does.
-    std::optional<time_point> m_unread_since;
+    // Committed versions that are newer than the last one that was read, oldest
+    // first.
+    std::deque<unread_version> m_unread;
     // Whether hellos may come from others than their senders: nobody else can
     // reach this network.
     bool m_takes_relayed = false;
--- a/packages/daemon/src/control/document_thread.cpp
+++ b/packages/daemon/src/control/document_thread.cpp
@@ -34,9 +34,9 @@
 document_thread::read_document
 document_thread::carry_out(committed_document wanted)
 {
-    const document_turns::turn turn = m_turns.wait();
     const steady_clock_source clock;
     const time_point begun = clock.now();
+    const document_turns::turn turn = m_turns.wait();
     read_document done;
     known_documents::document_pointer document = m_known.take(wanted.text);
     if (document == nullptr)
--- a/packages/daemon/src/control/membership_controller.cpp
+++ b/packages/daemon/src/control/membership_controller.cpp
@@ -140,6 +140,7 @@
         m_core.set_control_hosts(now, hosts);
     }
     m_core.set_document_age(board.document_age.get());
+    m_core.set_document_lag(board.document_lag.get());
     log_publishing(board);
     send(m_core.tick(now));
     log_expired();
--- a/packages/daemon/test/document_controller_test.cpp
+++ b/packages/daemon/test/document_controller_test.cpp
@@ -20,7 +20,11 @@
 class founded_folder : public testing::Test
 {
 protected:
-    founded_folder() : founded_folder({{peer, disk_id(5)}}) {}
+    founded_folder()
+        : founded_folder(
+              std::vector<std::pair<host_id, disk_id>>{{peer, disk_id(5)}})
+    {
+    }
 
     // With these voters beside the own one.
     explicit founded_folder(
@@ -94,7 +98,7 @@
 {
 protected:
     one_voter()
-        : founded_folder({})
+        : founded_folder(std::vector<std::pair<host_id, disk_id>>())
         , m_settings(settings())
         , m_links(*control_links::open(m_zmq, m_settings, identity(), nullptr))
         , m_storage(*storage_thread::open(m_folder, disk_id(2), m_wake))
@@ -165,11 +169,40 @@
     EXPECT_EQ(m_board.document.get().version, config_version());
     EXPECT_TRUE(m_core.core().can_read(m_now));
     // Nodes that start must not be given an older one meanwhile.
-    EXPECT_GE(m_board.document_age.get(), std::chrono::seconds(9));
+    EXPECT_GE(m_board.document_lag.get(), std::chrono::seconds(9));
+    EXPECT_LT(m_board.document_age.get(), std::chrono::seconds(1));
     reading.unlock();
     run_until([this]
               { return m_board.document.get().version == config_version(4); });
-    EXPECT_LT(m_board.document_age.get(), std::chrono::seconds(1));
+    EXPECT_EQ(m_board.document_lag.get(), duration());
+}
+
+// Guards against nodes that leave a host in a storm of changes, as if it were
+// cut off: each of its documents is read in time, and there is always a newer
+// one.
+TEST_F(one_voter, is_as_late_as_the_oldest_version_that_waits)
+{
+    document_turns::turn reading = m_reader.turns().wait();
+    send(4);
+    for (int round = 0; round < 40; ++round)
+    {
+        step();
+    }
+    send(7);
+    EXPECT_GE(m_board.document_lag.get(), std::chrono::seconds(1));
+    reading.unlock();
+    const auto is_read = [this](std::uint64_t version)
+    {
+        return m_board.document.get().version >= config_version(version);
+    };
+    while (!is_read(4))
+    {
+        // No time passes.
+        m_core.advance(m_now, m_board);
+    }
+    EXPECT_LT(m_board.document_lag.get(), std::chrono::milliseconds(900));
+    run_until([&is_read] { return is_read(7); });
+    EXPECT_EQ(m_board.document_lag.get(), duration());
 }
 
 // Guards against reads that take the version before, and against one more
--- a/packages/membership/include/crowlink/membership/membership_host.hpp
+++ b/packages/membership/include/crowlink/membership/membership_host.hpp
@@ -35,6 +35,7 @@
         m_publisher.document_changed(version, next);
     }
     void set_document_age(duration age) { m_publisher.set_document_age(age); }
+    void set_document_lag(duration lag) { m_publisher.set_document_lag(lag); }
     void evacuations_changed(std::uint64_t revision,
                              std::set<place_id> evacuated)
     {
--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -43,6 +43,9 @@
     // The possible age of the document and of the records of regions that are
     // cut off. Nodes are informed with the next digest.
     void set_document_age(duration age) { m_document_age = age; }
+    // For how long this host has known of a newer document that it can't
+    // publish yet. Attached nodes are not told: no other host would be sooner.
+    void set_document_lag(duration lag) { m_document_lag = lag; }
     void set_cut_regions(std::vector<region_age> ages);
 
     // Until it is ready, a publisher that has a document keeps the requests of
@@ -63,7 +66,8 @@
     // and its document was confirmed recently enough.
     bool may_serve_new_nodes() const
     {
-        return m_ready && m_document_age <= m_settings.stale_after;
+        return m_ready && m_document_age <= m_settings.stale_after &&
+               m_document_lag <= m_settings.stale_after;
     }
     // The published document and members.
     const internal::published_state& state() const { return m_state; }
@@ -116,6 +120,7 @@
     std::vector<host_id> m_control_hosts;
     std::vector<region_age> m_cut_regions;
     duration m_document_age{};
+    duration m_document_lag{};
     bool m_ready = false;
     seeded_random m_random;
 };
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -254,12 +254,12 @@
     }
     for (const auto& share : in.shares())
     {
-        auto read = read_share(share);
+        const auto read = read_share(share);
         if (!read)
         {
             return tl::unexpected<error>(read.error());
         }
-        out.shares.push_back(std::move(*read));
+        out.shares.push_back(*read);
     }
     out.limits.slots = in.slots();
     out.limits.connections = in.connections();
--- a/packages/membership/src/share_merge.cpp
+++ b/packages/membership/src/share_merge.cpp
@@ -20,34 +20,63 @@
     updates.erase(updates.begin(), kept.base());
 }
 
+// The share of an address, or null.
+template <class Shares>
+auto find_share(Shares& shares, const endpoint& address)
+{
+    const auto found =
+        std::lower_bound(shares.begin(), shares.end(), address,
+                         [](const address_share& held, const endpoint& wanted)
+                         { return held.address < wanted; });
+    const bool is_there = found != shares.end() && found->address == address;
+    return is_there ? &*found : nullptr;
+}
+
 } // namespace
 
-merged_shares merge_shares(const std::vector<address_share>& shares,
-                           std::vector<share_update> updates)
+bool update_terms(std::vector<address_share>& shares,
+                  const std::vector<share_update>& updates)
+{
+    const auto changes_more = [&shares](const share_update& update)
+    {
+        const address_share* held = find_share(shares, update.share.address);
+        return held == nullptr || update.removed ||
+               held->weight != update.share.weight;
+    };
+    if (std::any_of(updates.begin(), updates.end(), changes_more))
+    {
+        return false;
+    }
+    for (const share_update& update : updates)
+    {
+        find_share(shares, update.share.address)->terms = update.share.terms;
+    }
+    return true;
+}
+
+std::vector<address_share>
+merge_shares(const std::vector<address_share>& shares,
+             std::vector<share_update> updates)
 {
     sort_and_unite(updates);
-    merged_shares out;
-    out.shares.reserve(shares.size() + updates.size());
+    std::vector<address_share> out;
+    out.reserve(shares.size() + updates.size());
     auto held = shares.begin();
     for (const share_update& update : updates)
     {
         const endpoint& address = update.share.address;
         for (; held != shares.end() && held->address < address; ++held)
         {
-            out.shares.push_back(*held);
+            out.push_back(*held);
         }
-        const bool is_known = held != shares.end() && held->address == address;
-        const bool keeps_weight =
-            is_known && !update.removed && held->weight == update.share.weight;
-        const bool has_no_effect = !is_known && update.removed;
-        out.only_terms = out.only_terms && (keeps_weight || has_no_effect);
         if (!update.removed)
         {
-            out.shares.push_back(update.share);
+            out.push_back(update.share);
         }
+        const bool is_known = held != shares.end() && held->address == address;
         held += is_known ? 1 : 0;
     }
-    out.shares.insert(out.shares.end(), held, shares.end());
+    out.insert(out.end(), held, shares.end());
     return out;
 }
 
--- a/packages/membership/src/share_merge.hpp
+++ b/packages/membership/src/share_merge.hpp
@@ -7,17 +7,15 @@
 namespace crowlink::internal
 {
 
-// Shares with updates applied to them, and whether only terms of known shares
-// differ.
-struct merged_shares
-{
-    std::vector<address_share> shares;
-    bool only_terms = true;
-};
+// Applies updates that change the terms of known shares alone, in place. False,
+// without effect, if any changes more.
+bool update_terms(std::vector<address_share>& shares,
+                  const std::vector<share_update>& updates);
 
-// The shares are sorted by address; the updates need not be, and the last one
-// of an address counts.
-merged_shares merge_shares(const std::vector<address_share>& shares,
-                           std::vector<share_update> updates);
+// The shares with updates applied to them. The shares are sorted by address;
+// the updates need not be, and the last one of an address counts.
+std::vector<address_share>
+merge_shares(const std::vector<address_share>& shares,
+             std::vector<share_update> updates);
 
 } // namespace crowlink::internal
--- a/packages/membership/src/subscribed_services.cpp
+++ b/packages/membership/src/subscribed_services.cpp
@@ -90,18 +90,19 @@
         return share_outcome::other_base;
     }
     subscribed_service& held = found->second;
-    merged_shares merged =
-        merge_shares(held.declared.shares, std::move(updates));
-    held.version = version;
-    m_partial.insert(id);
-    if (merged.shares == held.declared.shares)
+    // Many parts with terms alone follow one another: each must cost no more
+    // than what it tells.
+    const bool only_terms = update_terms(held.declared.shares, updates);
+    if (!only_terms)
     {
-        return share_outcome::taken;
+        held.declared.shares =
+            merge_shares(held.declared.shares, std::move(updates));
     }
-    held.declared.shares = std::move(merged.shares);
+    held.version = version;
+    m_partial.insert(id);
     held.is_hash_stale = true;
     m_stale_hashes.insert(id);
-    const bool waits = merged.only_terms && are_terms_pending;
+    const bool waits = only_terms && are_terms_pending;
     (waits ? m_changed_terms : m_changed).insert(id);
     return share_outcome::taken;
 }
--- a/packages/membership/test/share_changes_test.cpp
+++ b/packages/membership/test/share_changes_test.cpp
@@ -480,9 +480,23 @@
     const auto merged = internal::merge_shares(
         held, {{{two, 5}, false}, {{three, 9}, false}, {{three, 0}, true}});
     const std::vector<address_share> expected{{one, 1}, {two, 5}};
-    EXPECT_EQ(merged.shares, expected);
-    EXPECT_FALSE(merged.only_terms);
-    EXPECT_TRUE(internal::merge_shares(held, {{{one, 1}, false}}).only_terms);
+    EXPECT_EQ(merged, expected);
+}
+
+TEST(share_merge, changes_terms_of_known_shares_in_place)
+{
+    const endpoint one = route_at(1, registre).address;
+    const endpoint two = route_at(2, registre).address;
+    const route_terms terms{request_class::download};
+    std::vector<address_share> held{{one, 1}};
+    EXPECT_TRUE(internal::update_terms(held, {{{one, 1, terms}, false}}));
+    EXPECT_EQ(held, (std::vector<address_share>{{one, 1, terms}}));
+    const std::vector<address_share> before = held;
+    EXPECT_FALSE(internal::update_terms(held, {{{one, 2}, false}}));
+    EXPECT_FALSE(internal::update_terms(held, {{{one, 1}, true}}));
+    EXPECT_FALSE(
+        internal::update_terms(held, {{{one, 1}, false}, {{two, 1}, false}}));
+    EXPECT_EQ(held, before);
 }
 
 } // namespace
--- a/packages/membership/test/waiting_test.cpp
+++ b/packages/membership/test/waiting_test.cpp
@@ -111,6 +111,22 @@
     EXPECT_EQ(core.waiting(), 2U);
 }
 
+// Guards against nodes that start with a document that this host knows to be
+// superseded, since it is still reading the next one.
+TEST_F(waiting_requests, wait_while_a_newer_document_is_read)
+{
+    publisher core(publisher_settings(), 1);
+    core.set_ready(true);
+    core.document_changed(config_version(7), one_service());
+    core.set_document_lag(std::chrono::hours(1));
+    core.handle(m_now, host_id("node"), attach_request());
+    EXPECT_EQ(core.waiting(), 1U);
+    EXPECT_EQ(core.nodes(), 0U);
+    core.set_document_lag(duration::zero());
+    core.tick(m_now);
+    EXPECT_EQ(core.nodes(), 1U);
+}
+
 // A host whose disk was lost gets the document later than other hosts may
 // serve.
 TEST_F(waiting_requests, request_is_refused_by_a_host_without_a_document)
