--- a/bench/power_losses/whole_day.py
+++ b/bench/power_losses/whole_day.py
@@ -384,19 +384,24 @@
             newest = self._operator.newest_acknowledged(begun)
             if newest is None:
                 continue
-            # All orders in turn, and always the newest one.
+            # All orders in turn, with one packet each, and always the newest one,
+            # with three.
             due = [e for e in due if e is not newest]
             first = turn % max(1, len(due))
             chosen = (due + due)[first : first + min(PROBED_AT_ONCE, len(due))]
             turn += PROBED_AT_ONCE
             await asyncio.gather(
-                *(self._probe_added(host, e, begun) for e in [newest, *chosen]),
-                *(self._probe_dropped(host, e, begun) for e in [newest, *chosen]),
+                self._probe_added(host, newest, begun, True),
+                self._probe_dropped(host, newest, begun, True),
+                *(self._probe_added(host, e, begun, False) for e in chosen),
+                *(self._probe_dropped(host, e, begun, False) for e in chosen),
             )
 
-    async def _probe_added(self, host: Host, order: Order, begun: float) -> None:
+    async def _probe_added(
+        self, host: Host, order: Order, begun: float, patient: bool
+    ) -> None:
         got = await self._callers.open(
-            host.address, address_of_added(order.added), patient=False
+            host.address, address_of_added(order.added), patient=patient
         )
         may_be_dropped = any(
             e.dropped is not None and e.dropped >= order.added
@@ -405,11 +410,13 @@
         if got == "reset" and not may_be_dropped:
             self._judge_late(host, order, begun, f"route of {order.version}: {got}")
 
-    async def _probe_dropped(self, host: Host, order: Order, begun: float) -> None:
+    async def _probe_dropped(
+        self, host: Host, order: Order, begun: float, patient: bool
+    ) -> None:
         if order.dropped is None:
             return
         got = await self._callers.open(
-            host.address, address_of_added(order.dropped), patient=False
+            host.address, address_of_added(order.dropped), patient=patient
         )
         if got.isdigit():
             self._judge_late(
