--- a/packages/daemon/test/document_controller_test.cpp
+++ b/packages/daemon/test/document_controller_test.cpp
@@ -3,6 +3,8 @@
 
 #include <filesystem>
 #include <gtest/gtest.h>
+#include <optional>
+#include <utility>
 
 namespace crowlink::internal
 {
@@ -109,24 +111,29 @@
         run_until([this] { return m_core.core().can_read(m_now); });
     }
 
-    // One round of the control thread.
-    void step()
+    // One round of the control thread after this time.
+    void step(duration passed = std::chrono::milliseconds(25))
     {
-        m_now += std::chrono::milliseconds(25);
+        m_now += passed;
         m_core.advance(m_now, m_board);
     }
 
+    // As much time passes as the threads of the storage and the reader take: a
+    // change is answered with "unknown" if the storage is not done in time.
     template <class Condition>
     void run_until(const Condition& holds)
     {
+        const steady_clock_source clock;
+        time_point last = clock.now();
         while (!holds())
         {
-            step();
+            const time_point now = clock.now();
+            step(now - std::exchange(last, now));
             std::this_thread::yield();
         }
     }
 
-    // Returns once it is acknowledged.
+    // Returns once it is answered; it must be acknowledged.
     void send(std::uint64_t version)
     {
         system_document document;
@@ -135,13 +142,13 @@
         wanted.operation = operation_id(std::to_string(version));
         wanted.document = write_compact_document(document);
         wanted.given = config_version(version);
-        bool is_done = false;
+        std::optional<change_result> answered;
         m_core.change(
             m_now, wanted,
-            [&is_done](const change_outcome& got)
-            { is_done = got.result == change_result::applied; },
+            [&answered](const change_outcome& got) { answered = got.result; },
             m_board);
-        run_until([&is_done] { return is_done; });
+        run_until([&answered] { return answered.has_value(); });
+        EXPECT_EQ(answered, change_result::applied);
     }
 
     time_point m_now{std::chrono::hours(1)};
