--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -229,14 +229,17 @@
             continue;
         }
         m_read_times.add(read->took);
-        const auto took =
-            std::chrono::duration_cast<std::chrono::milliseconds>(read->took);
+        using std::chrono::milliseconds;
+        const auto took = std::chrono::duration_cast<milliseconds>(read->took);
+        const auto waited =
+            std::chrono::duration_cast<milliseconds>(read->waited);
         m_log.write(
             log_line(log_level::info, "document_applied")
                 .field("version", from.version.value())
                 .field("operation", from.operation.value())
                 .field("operator", from.operator_name)
                 .field("read_ms", took.count())
+                .field("waited_ms", waited.count())
                 .field("routes", read->applied.document->routes.size())
                 .field("changed_shares",
                        read->applied.publication->changed_shares.size()));
--- a/packages/daemon/src/control/document_thread.cpp
+++ b/packages/daemon/src/control/document_thread.cpp
@@ -36,7 +36,8 @@
 {
     const steady_clock_source clock;
     const time_point begun = clock.now();
-    const document_turns::turn turn = m_turns.wait();
+    const document_turns::turn turn = m_turns.wait_first();
+    const time_point free = clock.now();
     read_document done;
     known_documents::document_pointer document = m_known.take(wanted.text);
     if (document == nullptr)
@@ -49,6 +50,7 @@
         done.applied = applied_document{wanted.version, document, m_last};
     }
     done.committed = std::move(wanted);
+    done.waited = free - begun;
     done.took = clock.now() - begun;
     return done;
 }
--- a/packages/daemon/src/control/document_thread.hpp
+++ b/packages/daemon/src/control/document_thread.hpp
@@ -34,6 +34,8 @@
         // Without a document if it can't be read.
         applied_document applied;
         std::string errors;
+        // For its turn, which is a part of the time that it took.
+        duration waited{};
         duration took{};
     };
 
--- a/packages/daemon/src/shared/document_turns.hpp
+++ b/packages/daemon/src/shared/document_turns.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <condition_variable>
+#include <cstddef>
 #include <mutex>
 
 namespace crowlink::internal
@@ -13,17 +15,58 @@
 class document_turns
 {
 public:
-    using turn = std::unique_lock<std::timed_mutex>;
+    using turn = std::unique_lock<document_turns>;
+
+    // Comes before all that wait otherwise: nodes wait for a committed
+    // document, and in a storm there is always one more caller.
+    turn wait_first()
+    {
+        std::unique_lock lock(m_mutex);
+        ++m_first;
+        m_freed.wait(lock, [this] { return !m_taken; });
+        --m_first;
+        return take();
+    }
+
+    turn wait()
+    {
+        std::unique_lock lock(m_mutex);
+        m_freed.wait(lock, [this] { return may_take(); });
+        return take();
+    }
 
-    turn wait() { return turn(m_taken); }
     // Owns nothing if there was no turn in time.
     turn wait_for(std::chrono::milliseconds patience)
     {
-        return {m_taken, patience};
+        std::unique_lock lock(m_mutex);
+        const bool is_free =
+            m_freed.wait_for(lock, patience, [this] { return may_take(); });
+        return is_free ? take() : turn();
+    }
+
+    // Ends a turn.
+    void unlock()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_taken = false;
+        }
+        m_freed.notify_all();
     }
 
 private:
-    std::timed_mutex m_taken;
+    bool may_take() const { return !m_taken && m_first == 0; }
+
+    turn take()
+    {
+        m_taken = true;
+        return {*this, std::adopt_lock};
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_freed;
+    bool m_taken = false;
+    std::size_t m_first = 0;
 };
 
 } // namespace crowlink::internal
--- a/packages/daemon/test/document_thread_test.cpp
+++ b/packages/daemon/test/document_thread_test.cpp
@@ -1,7 +1,10 @@
 #include "control/document_thread.hpp"
 #include "crowlink/document/document_writer.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <gtest/gtest.h>
+#include <thread>
 #include <vector>
 
 namespace crowlink::internal
@@ -103,6 +106,39 @@
     EXPECT_NE(wait_for_next().applied.document, known);
 }
 
+// Guards against routes that run on for seconds after they were dropped: the
+// reader waited for its turn while one caller after the other took one, and a
+// committed document was not in force.
+TEST_F(document_reading, comes_before_callers_that_wait)
+{
+    document_turns& turns = m_thread.turns();
+    document_turns::turn taken = turns.wait();
+    std::atomic<int> served = 0;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller)
+    {
+        callers.emplace_back(
+            [&]
+            {
+                const document_turns::turn turn = turns.wait();
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                ++served;
+            });
+    }
+    // Long enough for all of them, and then for the reader, to wait.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    m_thread.read(committed(1, write_compact_document(document_with(1))));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    taken.unlock();
+    EXPECT_EQ(wait_for_next().committed.version, config_version(1));
+    EXPECT_LE(served, 1);
+    for (std::thread& each : callers)
+    {
+        each.join();
+    }
+    EXPECT_EQ(served, 8);
+}
+
 TEST(known_documents, forgets_the_oldest)
 {
     known_documents known;
