--- a/packages/daemon/test/document_thread_test.cpp
+++ b/packages/daemon/test/document_thread_test.cpp
@@ -114,8 +114,10 @@
     document_turns& turns = m_thread.turns();
     document_turns::turn taken = turns.wait();
     std::atomic<int> served = 0;
+    constexpr int most_callers = 8;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 8; ++caller)
+    callers.reserve(most_callers);
+    for (int caller = 0; caller < most_callers; ++caller)
     {
         callers.emplace_back(
             [&]
@@ -136,7 +138,7 @@
     {
         each.join();
     }
-    EXPECT_EQ(served, 8);
+    EXPECT_EQ(served, most_callers);
 }
 
 TEST(known_documents, forgets_the_oldest)
