--- a/packages/agent/include/crowlink/agent/agent_counts.hpp
+++ b/packages/agent/include/crowlink/agent/agent_counts.hpp
@@ -31,6 +31,9 @@
     std::uint64_t returned = 0;
     std::uint64_t silent = 0;
     std::uint64_t unknown_flows = 0;
+    // Packets that were dropped, since their flow may be at services that they
+    // had no room to name.
+    std::uint64_t searches_incomplete = 0;
     // Packets that were not searched for because the search table was full.
     std::uint64_t searches_omitted = 0;
     std::uint64_t upstream_failed = 0;
--- a/packages/agent/src/agent_search.cpp
+++ b/packages/agent/src/agent_search.cpp
@@ -286,6 +286,13 @@
     {
         reset_silent(now, searched.header, searched.payload, unheard);
     }
+    else if (searched.header.omits_services)
+    {
+        // The caller's next packet names other services.
+        ++m_counts.searches_incomplete;
+        decide(flow_action::dropped, searched.header.flow,
+               searched.header.table, candidate(), "services_omitted");
+    }
     else
     {
         reset_unknown(searched.header, searched.payload);
--- a/packages/agent/test/other_service_test.cpp
+++ b/packages/agent/test/other_service_test.cpp
@@ -81,6 +81,7 @@
                 }
             }
         }
+        made.omits_services = omits_services;
         arrive(made.current[0].agent, made);
         pass(std::chrono::milliseconds(200));
     }
@@ -117,6 +118,8 @@
         }
     }
 
+    // Whether packets say that the flow may be at further services.
+    bool omits_services = false;
     std::size_t resets = 0;
     std::size_t forwards = 0;
     std::vector<std::size_t> delivered;
@@ -244,6 +247,22 @@
     }
 }
 
+// Guards against the reset of a flow of a service that its packet had no room
+// to name.
+TEST(other_service, caller_is_not_reset_while_services_are_omitted)
+{
+    for (std::size_t services = 1; services <= 4; ++services)
+    {
+        moved_flow flow(services);
+        flow.omits_services = true;
+        flow.send();
+        EXPECT_EQ(flow.resets, 0U) << services;
+        flow.omits_services = false;
+        flow.send();
+        EXPECT_EQ(flow.resets, 1U) << services;
+    }
+}
+
 // An agent that started after a member was replaced has never heard of its
 // former incarnation, which balancers may still name.
 TEST(other_service, former_incarnation_of_a_member_is_not_of_another_service)
--- a/packages/balancer/include/crowlink/balancer/traffic_path.hpp
+++ b/packages/balancer/include/crowlink/balancer/traffic_path.hpp
@@ -51,6 +51,9 @@
     datagram_codec m_codec;
     chain_cache m_chains;
     endpoint m_return_to;
+    // Counts packets that can't name all services, so that a caller's next one
+    // names others.
+    std::uint32_t m_turn = 0;
     traffic_counts m_counts;
 };
 
--- a/packages/balancer/src/traffic_path.cpp
+++ b/packages/balancer/src/traffic_path.cpp
@@ -66,7 +66,7 @@
 
 // The candidates, other than those of the current table, that may own an open
 // flow: those of the services that the flow was assigned to before the shares
-// changed, or else those of the previous table.
+// changed, and those of the previous table.
 template <class Chains>
 candidate_chain former_chain(const forwarding_set& set,
                              const flow_tables& tables, packet_role role,
@@ -78,7 +78,7 @@
     {
         add_chain(chains, chain_of(*each->current));
     }
-    if (tables.former.empty() && tables.chosen->previous != nullptr)
+    if (tables.chosen->previous != nullptr)
     {
         add_chain(chains,
                   omit_if_equal(chain_of(*tables.chosen->previous), current));
@@ -114,7 +114,8 @@
                     std::span<std::uint8_t> buffer)
 {
     const std::uint64_t hash = stable_hash(packet.flow);
-    const flow_tables found = set.tables_of(packet.flow, hash);
+    const flow_tables found = set.tables_of(packet.flow, hash, m_turn);
+    m_turn += found.has_more_former ? 1 : 0;
     const table_pair* const tables = found.chosen;
     if (tables == nullptr)
     {
@@ -128,6 +129,7 @@
                       .role = packet.role,
                       .current = m_chains.chain(*tables->current, hash),
                       .previous = candidate_chain(),
+                      .omits_services = found.has_more_former,
                       .return_to = m_return_to},
         packet.payload};
     packet_header& header = out.header;
--- a/packages/balancer/test/traffic_path_test.cpp
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <random>
+#include <set>
 
 namespace crowlink
 {
@@ -165,6 +166,56 @@
     }
 }
 
+// Guards against open flows that a balancer which has just started resets,
+// since only others saw their address lead elsewhere.
+TEST(traffic_path, names_the_former_services_that_control_publishes)
+{
+    test_balancer balancer;
+    balancer.apply(sharing_view(1, 1, false));
+    service_view changed = sharing_view(2, 1, true);
+    changed.declared.shares[0].former = {service_id(1)};
+    balancer.apply(changed);
+    for (std::uint32_t number = 0; number < 20; ++number)
+    {
+        const std::uint64_t hash = stable_hash(flow(number));
+        const packet_header sent = balancer.route(flow(number)).first;
+        EXPECT_EQ(sent.service, service_id(2));
+        EXPECT_EQ(sent.previous,
+                  balancer.set().find(service_id(1))->current->chain(hash));
+        EXPECT_FALSE(sent.omits_services);
+    }
+}
+
+// Guards against flows of a service that is one too many for a packet: each
+// packet names others, and says that it does not name all.
+TEST(traffic_path, names_all_of_many_former_services_in_turn)
+{
+    constexpr std::uint32_t services = 11;
+    test_balancer balancer;
+    service_view changed = sharing_view(1, 1, true);
+    for (std::uint32_t id = 2; id <= services; ++id)
+    {
+        service_view former = sharing_view(id, 1, false);
+        former.declared.addresses = {
+            parse_endpoint(fmt::format("192.0.2.{}:53", id))};
+        balancer.apply(former);
+        changed.declared.shares[0].former.push_back(service_id(id));
+    }
+    balancer.apply(changed);
+    std::set<endpoint> named;
+    for (std::uint32_t packet = 0; packet < services; ++packet)
+    {
+        const packet_header sent =
+            balancer.route(flow(1), packet_role::continues).first;
+        EXPECT_TRUE(sent.omits_services);
+        for (const candidate& each : sent.previous)
+        {
+            named.insert(each.agent);
+        }
+    }
+    EXPECT_EQ(named.size(), services - 1);
+}
+
 TEST(traffic_path, all_balancers_compute_the_same_chain_for_a_flow)
 {
     std::mt19937_64 random(seed);
--- a/packages/daemon/src/agent/agent_report.cpp
+++ b/packages/daemon/src/agent/agent_report.cpp
@@ -79,6 +79,7 @@
     add("packets_returned_total", counts.returned);
     add("flows_silent_total", counts.silent);
     add("flows_unknown_total", counts.unknown_flows);
+    add("searches_incomplete_total", counts.searches_incomplete);
     add("flows_upstream_failed_total", counts.upstream_failed);
     add("flows_upstream_silent_total", counts.upstream_silent);
     add("flows_duplicate_owner_total", counts.duplicate_owners);
--- a/packages/daemon/src/control/control_backend.cpp
+++ b/packages/daemon/src/control/control_backend.cpp
@@ -1,5 +1,6 @@
 #include "control/control_backend.hpp"
 
+#include "control/document_routes.hpp"
 #include "control/evacuation_order.hpp"
 #include "control/status_view.hpp"
 #include "crowlink/document/document_reader.hpp"
@@ -147,8 +148,12 @@
     const auto promised = std::make_shared<std::promise<outcome>>();
     std::future<outcome> reply = promised->get_future();
     replication::document_change wanted{
-        request.base, request.operation, request.author,
-        write_document(request.document), request.given};
+        request.base,
+        request.operation,
+        request.author,
+        write_document(request.document),
+        request.given,
+        replication::change_routing{routes_of(request.document)}};
     const bool posted = m_control.post(
         [promised, wanted](context& with)
         {
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -57,6 +57,16 @@
     return core;
 }
 
+replication::store_limits to_limits(const daemon_settings& settings)
+{
+    using seconds = std::chrono::duration<double>;
+    using milliseconds = std::chrono::milliseconds;
+    replication::store_limits limits;
+    limits.flow_life = std::chrono::duration_cast<milliseconds>(
+        seconds(settings.control->flow_seconds));
+    return limits;
+}
+
 } // namespace
 
 document_controller::document_controller(const daemon_settings& settings,
@@ -68,7 +78,8 @@
     , m_reader(reader)
     , m_links(links)
     , m_log(log)
-    , m_core(to_core(settings), storage.take_restored(), now, random)
+    , m_core(to_core(settings), storage.take_restored(), now, random,
+             to_limits(settings))
     , m_slow_write(std::chrono::milliseconds(settings.control->election_ms))
     , m_takes_relayed(settings.is_network_trusted && settings.seeds)
 {
@@ -452,7 +463,7 @@
     m_unread.push_back(unread_version{current->version, m_now});
     m_reader.read(document_thread::committed_document{
         current->version, current->operation, current->operator_name,
-        current->document});
+        current->document, m_core.store().routing().former()});
 }
 
 } // namespace crowlink::internal
--- a/packages/daemon/src/control/document_thread.cpp
+++ b/packages/daemon/src/control/document_thread.cpp
@@ -1,5 +1,6 @@
 #include "control/document_thread.hpp"
 
+#include "control/document_routes.hpp"
 #include "crowlink/document/document_reader.hpp"
 
 #include <utility>
@@ -46,7 +47,8 @@
     }
     if (document != nullptr)
     {
-        m_last = make_publication(wanted.version, *document, m_last.get());
+        m_last = make_publication(wanted.version, *document, m_last.get(),
+                                  to_former_services(wanted.former));
         done.applied = applied_document{wanted.version, document, m_last};
     }
     done.committed = std::move(wanted);
--- a/packages/daemon/src/control/document_thread.hpp
+++ b/packages/daemon/src/control/document_thread.hpp
@@ -4,6 +4,7 @@
 #include "control/known_documents.hpp"
 #include "crowlink/base/shared_text.hpp"
 #include "crowlink/base/time.hpp"
+#include "crowlink/replication/route_history.hpp"
 #include "shared/document_turns.hpp"
 #include "shared/worker_thread.hpp"
 
@@ -26,6 +27,8 @@
         operation_id operation;
         std::string operator_name;
         shared_text text;
+        // Where its addresses led before.
+        replication::route_history::former_routes former{};
     };
 
     struct read_document
--- a/packages/daemon/src/process/platform_calls.cpp
+++ b/packages/daemon/src/process/platform_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent_role.hpp"
 #include "control/control_thread.hpp"
+#include "control/document_routes.hpp"
 #include "control/evacuation_order.hpp"
 #include "crowlink/document/document_reader.hpp"
 #include "crowlink/document/document_writer.hpp"
@@ -128,6 +129,7 @@
     wanted.operator_name = "platform";
     wanted.document = std::move(*text);
     wanted.given = given->version;
+    wanted.routing = replication::change_routing{routes_of(given->document)};
     return wanted;
 }
 
--- a/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/address_shares.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace crowlink::internal
 {
@@ -29,12 +30,21 @@
 
 // The services that a flow may have been assigned to before; as many as a chain
 // has candidates.
-using former_services =
-    boost::container::static_vector<service_id, candidate_chain::capacity>;
+struct former_services
+{
+    boost::container::static_vector<service_id, candidate_chain::capacity>
+        services;
+    // Whether there are more than these.
+    bool has_more = false;
+};
 
 // The current and former shares of an address. The service of a flow is
 // selected by weighted rendezvous hashing (see forwarding_table), so that a
 // change of weights moves the least possible number of flows.
+//
+// The former services that control publishes are complete for as long as an
+// open flow may live. What this host has seen itself only orders them, and
+// stands in for control hosts of earlier releases.
 class address_shares
 {
 public:
@@ -63,6 +73,9 @@
     const route_terms* terms() const { return m_terms ? &*m_terms : nullptr; }
     void set_terms(const route_terms& terms) { m_terms = terms; }
 
+    // Adds services that control publishes as former ones of the address.
+    void add_former(const std::vector<service_id>& services);
+
     // Copies the history of the preceding state of the address, and adds that
     // state to it.
     void inherit_history(const address_shares& before);
@@ -70,8 +83,10 @@
     // The service of a new flow; zero if the address has no service.
     service_id choose(std::uint64_t flow_hash) const;
     // The services other than the current one that former states select for
-    // the flow, or may have selected for it; most recent first.
-    former_services choose_former(std::uint64_t flow_hash) const;
+    // the flow, or may have selected for it; those that this host saw last come
+    // first. Of more than there is room for, each turn gives others.
+    former_services choose_former(std::uint64_t flow_hash,
+                                  std::uint32_t turn) const;
 
 private:
     void add_older(const share_list& shares);
@@ -81,6 +96,8 @@
     boost::container::small_vector<share_list, 0> m_former;
     // The services of states before those, most recent first.
     boost::container::small_vector<service_id, 0> m_older;
+    // Published by control.
+    boost::container::small_vector<service_id, 0> m_published;
     std::uint32_t m_absent_updates = 0;
     std::optional<route_terms> m_terms;
 };
--- a/packages/forwarding/include/crowlink/forwarding/flow_tables.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/flow_tables.hpp
@@ -22,6 +22,8 @@
     boost::container::static_vector<const table_pair*,
                                     candidate_chain::capacity>
         former;
+    // Whether the flow may be at more services than `former` has room for.
+    bool has_more_former = false;
     // What the callers of the address need; null if no view has told it.
     const route_terms* terms = nullptr;
 };
--- a/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/forwarding_set.hpp
@@ -47,8 +47,10 @@
     const table_pair* tables_at(transport protocol,
                                 const endpoint& address) const;
     // The tables for one flow, selected by its hash, since services may share
-    // an address. Does not allocate.
-    flow_tables tables_of(const flow_key& flow, std::uint64_t flow_hash) const;
+    // an address. Each turn gives other former services, if there is no room
+    // for all. Does not allocate unless there are very many of them.
+    flow_tables tables_of(const flow_key& flow, std::uint64_t flow_hash,
+                          std::uint32_t turn = 0) const;
     // Services that no address leads to, at most as many as a chain has
     // candidates: open flows may still be there, of any address, since a node
     // that started after a change does not know what led there before.
--- a/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
+++ b/packages/forwarding/include/crowlink/forwarding/packet_header.hpp
@@ -79,6 +79,9 @@
     candidate_chain current;
     // The chain of the previous table; empty if equal to the current one.
     candidate_chain previous;
+    // Whether the flow may be at services that the chains have no room for, so
+    // that a search among those that they name shows nothing.
+    bool omits_services = false;
     // The address to which agents send answers for the caller.
     endpoint return_to;
 
--- a/packages/forwarding/src/address_shares.cpp
+++ b/packages/forwarding/src/address_shares.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// More of them are rare and take a heap allocation.
+constexpr std::size_t usual_former = 16;
+
 // Maps a hash to the open interval (0, 1). A double holds the upper 53 bits.
 double uniform(std::uint64_t hash)
 {
@@ -55,6 +58,18 @@
     m_current.insert(position, added);
 }
 
+void address_shares::add_former(const std::vector<service_id>& services)
+{
+    for (const service_id each : services)
+    {
+        if (std::find(m_published.begin(), m_published.end(), each) ==
+            m_published.end())
+        {
+            m_published.push_back(each);
+        }
+    }
+}
+
 void address_shares::inherit_history(const address_shares& before)
 {
     m_former = before.m_former;
@@ -95,31 +110,38 @@
     return select_service(m_current, flow_hash);
 }
 
-former_services address_shares::choose_former(std::uint64_t flow_hash) const
+former_services address_shares::choose_former(std::uint64_t flow_hash,
+                                              std::uint32_t turn) const
 {
     former_services found;
-    if (m_former.empty())
+    if (m_former.empty() && m_published.empty())
     {
         return found;
     }
+    boost::container::small_vector<service_id, usual_former> all;
     const service_id current = choose(flow_hash);
-    const auto add = [&found, current](service_id former)
+    const auto add = [&all, current](service_id former)
     {
         const bool is_known =
             former == current ||
-            std::find(found.begin(), found.end(), former) != found.end();
-        if (!is_known && found.size() < found.capacity())
+            std::find(all.begin(), all.end(), former) != all.end();
+        if (!is_known)
         {
-            found.push_back(former);
+            all.push_back(former);
         }
     };
     for (const share_list& shares : m_former)
     {
         add(select_service(shares, flow_hash));
     }
-    for (const service_id older : m_older)
+    std::for_each(m_older.begin(), m_older.end(), add);
+    std::for_each(m_published.begin(), m_published.end(), add);
+    const std::size_t room = found.services.capacity();
+    found.has_more = all.size() > room;
+    const std::size_t first = found.has_more ? turn * room : 0;
+    for (std::size_t at = 0; at < std::min(room, all.size()); ++at)
     {
-        add(older);
+        found.services.push_back(all[(first + at) % all.size()]);
     }
     return found;
 }
--- a/packages/forwarding/src/forwarding_set.cpp
+++ b/packages/forwarding/src/forwarding_set.cpp
@@ -225,7 +225,8 @@
                           return one.id == two.id &&
                                  one.protocol == two.protocol &&
                                  one.addresses == two.addresses &&
-                                 one.shares == two.shares;
+                                 one.shares == two.shares &&
+                                 one.former == two.former;
                       });
 }
 
@@ -265,12 +266,18 @@
     for (const auto& tables : m_services)
     {
         const service& declared = tables->view->declared;
+        for (const former_address& each : declared.former)
+        {
+            (*index)[internal::service_address{each.address, declared.protocol}]
+                .add_former(each.services);
+        }
         for (const address_share& share : declared.shares)
         {
             const internal::service_address key{share.address,
                                                 declared.protocol};
             internal::address_shares& shares = (*index)[key];
             shares.add(internal::weighted_service{declared.id, share.weight});
+            shares.add_former(share.former);
             if (!share.terms)
             {
                 continue;
@@ -309,7 +316,8 @@
 }
 
 flow_tables forwarding_set::tables_of(const flow_key& flow,
-                                      std::uint64_t flow_hash) const
+                                      std::uint64_t flow_hash,
+                                      std::uint32_t turn) const
 {
     const auto found =
         m_index->find(internal::service_address{flow.service, flow.protocol});
@@ -317,9 +325,14 @@
     {
         return {};
     }
-    flow_tables tables{
-        tables_of(found->second.choose(flow_hash)), {}, found->second.terms()};
-    for (const service_id former : found->second.choose_former(flow_hash))
+    const internal::address_shares& shares = found->second;
+    const internal::former_services former_ones =
+        shares.choose_former(flow_hash, turn);
+    flow_tables tables{tables_of(shares.choose(flow_hash)),
+                       {},
+                       former_ones.has_more,
+                       shares.terms()};
+    for (const service_id former : former_ones.services)
     {
         const table_pair* const known = tables_of(former);
         if (known != nullptr)
--- a/packages/membership/include/crowlink/membership/declaration.hpp
+++ b/packages/membership/include/crowlink/membership/declaration.hpp
@@ -17,8 +17,8 @@
     // Of the whole content, and of the content without the shares.
     std::uint64_t hash = 0;
     std::uint64_t fixed_hash = 0;
-    // For each share the version in which its terms alone changed last; 0 if
-    // they never did.
+    // For each share the version in which its terms alone changed last, or in
+    // which former services were forgotten; 0 if there was none.
     std::vector<std::uint64_t> terms_changed;
 };
 
--- a/packages/membership/include/crowlink/membership/document_publication.hpp
+++ b/packages/membership/include/crowlink/membership/document_publication.hpp
@@ -27,18 +27,20 @@
     // Services that were added or differ, and services that were removed.
     std::vector<service_id> changed;
     std::vector<service_id> removed;
-    // Shares that were added, removed or got another weight, of services that
-    // differ in nothing else.
+    // Shares that were added, removed, got another weight or other former
+    // services, of services that differ in nothing else.
     std::vector<share_key> changed_shares;
-    // The last version in which terms alone changed.
+    // The last version in which terms alone changed, or in which former
+    // services were forgotten.
     std::uint64_t terms_version = 0;
 };
 
 using publication_pointer = std::shared_ptr<const document_publication>;
 
-// `before` may be null.
-publication_pointer make_publication(config_version version,
-                                     const system_document& document,
-                                     const document_publication* before);
+// `before` may be null. `former` must be sorted.
+publication_pointer
+make_publication(config_version version, const system_document& document,
+                 const document_publication* before,
+                 const std::vector<former_service>& former = {});
 
 } // namespace crowlink
--- a/packages/membership/src/document_publication.cpp
+++ b/packages/membership/src/document_publication.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/membership/document_publication.hpp"
 
 #include "member_codec.hpp"
+#include "share_merge.hpp"
 
 #include <utility>
 
@@ -66,11 +67,11 @@
         const address_share& before = m_before.declared.shares[old_at];
         const address_share& next = m_next.declared.shares[at];
         m_next.terms_changed[at] = m_before.terms_changed[old_at];
-        if (before.weight != next.weight)
+        if (internal::differs_at_once(before, next))
         {
             note(next.address);
         }
-        else if (before.terms != next.terms)
+        else if (before.terms != next.terms || before.former != next.former)
         {
             m_next.terms_changed[at] = m_out.version.value();
             m_out.terms_version = m_out.version.value();
@@ -118,7 +119,8 @@
 
 publication_pointer make_publication(config_version version,
                                      const system_document& document,
-                                     const document_publication* before)
+                                     const document_publication* before,
+                                     const std::vector<former_service>& former)
 {
     const auto made = std::make_shared<document_publication>();
     made->version = version;
@@ -128,7 +130,7 @@
         made->base = before->version;
         made->terms_version = before->terms_version;
     }
-    for (service& each : with_shares(document))
+    for (service& each : with_shares(document, former))
     {
         const service_id id = each.id;
         made->services[id] = make_declaration(
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -179,6 +179,17 @@
                        terms.priority()};
 }
 
+std::vector<service_id>
+read_services(const google::protobuf::RepeatedField<std::uint32_t>& in)
+{
+    std::vector<service_id> services;
+    for (const std::uint32_t each : in)
+    {
+        services.emplace_back(each);
+    }
+    return services;
+}
+
 void write_share(const address_share& share, wire::shared_address& out)
 {
     write_address(share.address.address, *out.mutable_address());
@@ -188,6 +199,10 @@
     {
         write_terms(*share.terms, *out.mutable_terms());
     }
+    for (const service_id former : share.former)
+    {
+        out.add_former(former.value());
+    }
 }
 
 result<address_share> read_share(const wire::shared_address& in)
@@ -197,7 +212,18 @@
     {
         return tl::unexpected<error>(address.error());
     }
-    return address_share{*address, in.weight(), read_terms(in)};
+    return address_share{*address, in.weight(), read_terms(in),
+                         read_services(in.former())};
+}
+
+void write_former(const former_address& former, wire::former_address& out)
+{
+    write_address(former.address.address, *out.mutable_address());
+    out.set_port(former.address.port);
+    for (const service_id service : former.services)
+    {
+        out.add_services(service.value());
+    }
 }
 
 void write_service(const service& declared, wire::service_declaration& out)
@@ -215,6 +241,10 @@
     {
         write_share(share, *out.add_shares());
     }
+    for (const former_address& former : declared.former)
+    {
+        write_former(former, *out.add_former());
+    }
     out.set_slots(declared.limits.slots);
     out.set_connections(declared.limits.connections);
     out.set_cold_flows_per_second(declared.limits.cold_flows_per_second);
@@ -261,6 +291,16 @@
         }
         out.shares.push_back(*read);
     }
+    for (const auto& former : in.former())
+    {
+        const auto read = read_endpoint(former.address(), former.port());
+        if (!read)
+        {
+            return tl::unexpected<error>(read.error());
+        }
+        out.former.push_back(
+            former_address{*read, read_services(former.services())});
+    }
     out.limits.slots = in.slots();
     out.limits.connections = in.connections();
     out.limits.cold_flows_per_second = in.cold_flows_per_second();
--- a/packages/membership/src/share_merge.cpp
+++ b/packages/membership/src/share_merge.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+bool differs_at_once(const address_share& before, const address_share& next)
+{
+    return before.weight != next.weight ||
+           !std::includes(before.former.begin(), before.former.end(),
+                          next.former.begin(), next.former.end());
+}
+
 bool update_terms(std::vector<address_share>& shares,
                   const std::vector<share_update>& updates)
 {
@@ -41,7 +48,7 @@
     {
         const address_share* held = find_share(shares, update.share.address);
         return held == nullptr || update.removed ||
-               held->weight != update.share.weight;
+               differs_at_once(*held, update.share);
     };
     if (std::any_of(updates.begin(), updates.end(), changes_more))
     {
@@ -49,7 +56,9 @@
     }
     for (const share_update& update : updates)
     {
-        find_share(shares, update.share.address)->terms = update.share.terms;
+        address_share& held = *find_share(shares, update.share.address);
+        held.terms = update.share.terms;
+        held.former = update.share.former;
     }
     return true;
 }
--- a/packages/membership/test/share_changes_test.cpp
+++ b/packages/membership/test/share_changes_test.cpp
@@ -489,6 +489,26 @@
     EXPECT_EQ(merged, expected);
 }
 
+// Guards against a version whose size grows with what earlier ones moved: nodes
+// forget former services when there is time, like changed terms.
+TEST(publication, tells_new_former_services_with_the_version)
+{
+    const system_document document = document_of(2);
+    const auto& routes = document.routes;
+    const std::vector<former_service> moved{
+        {routes[0].address, transport::udp, service_id(bibliotheque)}};
+    const auto before = make_publication(config_version(1), document, nullptr);
+    const auto told =
+        make_publication(config_version(2), document, before.get(), moved);
+    ASSERT_EQ(told->changed_shares.size(), 1U);
+    EXPECT_EQ(told->changed_shares[0].address, routes[0].address);
+    EXPECT_EQ(told->terms_version, 0U);
+    const auto forgotten =
+        make_publication(config_version(3), document, told.get());
+    EXPECT_TRUE(forgotten->changed_shares.empty());
+    EXPECT_EQ(forgotten->terms_version, 3U);
+}
+
 TEST(share_merge, changes_terms_of_known_shares_in_place)
 {
     const endpoint one = route_at(1, registre).address;
--- a/packages/model/include/crowlink/model/address_share.hpp
+++ b/packages/model/include/crowlink/model/address_share.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "crowlink/base/endpoint.hpp"
+#include "crowlink/base/ids.hpp"
 #include "crowlink/model/route_terms.hpp"
 
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace crowlink
 {
@@ -18,6 +20,9 @@
     std::uint32_t weight = 1;
     // Absent where a control host of an earlier release does not send them.
     std::optional<route_terms> terms{};
+    // Other services where open flows of the address may still be, since it led
+    // there before or with another weight; sorted.
+    std::vector<service_id> former{};
 
     friend auto operator<=>(const address_share&,
                             const address_share&) = default;
--- a/packages/model/include/crowlink/model/service.hpp
+++ b/packages/model/include/crowlink/model/service.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/base/flow_key.hpp"
 #include "crowlink/base/ids.hpp"
 #include "crowlink/model/address_share.hpp"
+#include "crowlink/model/former_address.hpp"
 #include "crowlink/model/request_kind.hpp"
 #include "crowlink/model/sharing_policy.hpp"
 #include "crowlink/model/target_limits.hpp"
@@ -25,6 +26,8 @@
     std::vector<endpoint> addresses;
     // The addresses of routes that lead here, sorted; see with_shares.
     std::vector<address_share> shares;
+    // Of those of `addresses` that led to other services before; sorted.
+    std::vector<former_address> former{};
     target_limits limits;
     sharing_policy sharing;
     // Empty for a service whose flows are not requests.
--- a/packages/model/include/crowlink/model/system_document.hpp
+++ b/packages/model/include/crowlink/model/system_document.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowlink/base/ids.hpp"
+#include "crowlink/model/former_service.hpp"
 #include "crowlink/model/place.hpp"
 #include "crowlink/model/route.hpp"
 #include "crowlink/model/service.hpp"
@@ -33,6 +34,9 @@
 
 // The services with the shares that the routes give them.
 std::vector<service> with_shares(const system_document& document);
+// The same, with what `former` says of their addresses; it must be sorted.
+std::vector<service> with_shares(const system_document& document,
+                                 const std::vector<former_service>& former);
 
 // The number of a service that is known by its name alone: the same on every
 // host, without agreement. Two names may have one number; whoever makes a
--- a/packages/replication/include/crowlink/replication/document_change.hpp
+++ b/packages/replication/include/crowlink/replication/document_change.hpp
@@ -2,8 +2,10 @@
 
 #include "crowlink/base/ids.hpp"
 #include "crowlink/base/shared_text.hpp"
+#include "crowlink/replication/change_routing.hpp"
 
 #include <compare>
+#include <optional>
 #include <string>
 
 namespace crowlink::replication
@@ -24,6 +26,8 @@
     // version is in force regardless of the order of arrival; a change with one
     // that is not higher than the current version has no effect.
     config_version given{};
+    // Absent in changes of earlier releases.
+    std::optional<change_routing> routing{};
 
     friend auto operator<=>(const document_change&,
                             const document_change&) = default;
--- a/packages/replication/include/crowlink/replication/document_store.hpp
+++ b/packages/replication/include/crowlink/replication/document_store.hpp
@@ -4,6 +4,7 @@
 #include "crowlink/replication/change_outcome.hpp"
 #include "crowlink/replication/document_change.hpp"
 #include "crowlink/replication/document_version.hpp"
+#include "crowlink/replication/route_history.hpp"
 #include "crowlink/replication/store_limits.hpp"
 
 #include <cstddef>
@@ -42,6 +43,9 @@
     // may have been dropped; their operation and operator name are kept.
     const std::deque<document_version>& history() const { return m_history; }
 
+    // Where the addresses of the version in force lead and led before.
+    const route_history& routing() const { return m_routing; }
+
     // The recorded answer to this change's operation, if it is still kept.
     std::optional<change_outcome>
     find_answer(const document_change& change) const;
@@ -68,6 +72,7 @@
     config_version m_current;
     std::deque<document_version> m_history;
     std::size_t m_history_bytes = 0;
+    route_history m_routing;
     std::unordered_map<operation_id, answer> m_answers;
     // In the order in which they were answered, oldest first.
     std::deque<operation_id> m_answer_order;
--- a/packages/replication/include/crowlink/replication/replicated_document.hpp
+++ b/packages/replication/include/crowlink/replication/replicated_document.hpp
@@ -98,6 +98,7 @@
                              const forwarded_change& forwarded);
     void on_forwarded_answer(const forwarded_answer& received);
 
+    document_change stamped(document_change change) const;
     // Proposes the change on this host or forwards it to the leader.
     void route(std::uint64_t proposal);
     void forward_to(pending_operation& pending, std::uint64_t proposal,
@@ -130,6 +131,8 @@
     std::optional<std::uint64_t> m_membership_proposal;
     std::uint64_t m_membership_request = 0;
     time_point m_now;
+    // When this host applied the version in force, or started after that.
+    time_point m_applied_at;
     std::vector<document_effect> m_effects;
 };
 
--- a/packages/replication/include/crowlink/replication/store_limits.hpp
+++ b/packages/replication/include/crowlink/replication/store_limits.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstddef>
 
@@ -19,6 +20,9 @@
     // versions only increase.
     std::size_t remembered_answers = 4096;
     std::size_t max_operation_bytes = 128;
+    // How long an open flow may live: for so long the store keeps where an
+    // address led before. The leader's value applies.
+    std::chrono::milliseconds flow_life = std::chrono::hours(1);
 
     friend auto operator<=>(const store_limits&, const store_limits&) = default;
 };
--- a/packages/replication/src/document_store.cpp
+++ b/packages/replication/src/document_store.cpp
@@ -1,5 +1,6 @@
 #include "crowlink/replication/document_store.hpp"
 
+#include "route_codec.hpp"
 #include "wire_convert.hpp"
 
 #include "crowlink/base/hash.hpp"
@@ -101,6 +102,10 @@
         m_current, change.operation, change.operator_name, change.document});
     m_history_bytes += size_of(m_history.back());
     trim_history();
+    if (change.routing)
+    {
+        m_routing.advance(*change.routing);
+    }
 }
 
 void document_store::record_answer(const document_change& change,
@@ -175,6 +180,7 @@
         stored->set_change_hash(known.change_hash);
         *stored->mutable_outcome() = internal::to_wire(known.outcome);
     }
+    internal::write_history(m_routing, *out.mutable_routing());
     return out.SerializeAsString();
 }
 
@@ -204,6 +210,7 @@
             answer{stored.change_hash(), internal::from_wire(stored.outcome())};
         loaded.m_answer_order.push_back(operation);
     }
+    loaded.m_routing = internal::read_history(in.routing());
     *this = std::move(loaded);
     return {};
 }
--- a/packages/replication/src/replicated_document.cpp
+++ b/packages/replication/src/replicated_document.cpp
@@ -23,6 +23,7 @@
     , m_evacuations(store)
     , m_limits(limits)
     , m_now(now)
+    , m_applied_at(now)
 {
 }
 
@@ -219,6 +220,19 @@
                  : received.outcome);
 }
 
+// Adds what the leader knows of the time to a change that it proposes.
+document_change replicated_document::stamped(document_change change) const
+{
+    if (change.routing)
+    {
+        change.routing->proposed_at =
+            m_store.routing().time() +
+            std::chrono::floor<std::chrono::milliseconds>(m_now - m_applied_at);
+        change.routing->flow_life = m_limits.flow_life;
+    }
+    return change;
+}
+
 void replicated_document::route(std::uint64_t proposal)
 {
     pending_operation& pending = m_pending.at(proposal);
@@ -226,7 +240,7 @@
     const bool leads = state.role == replica_role::leader;
     if (leads)
     {
-        run_replica(propose{proposal, encode_change(pending.change)});
+        run_replica(propose{proposal, encode_change(stamped(pending.change))});
         return;
     }
     const bool first = pending.attempts == 0;
--- a/packages/replication/src/replicated_document_effects.cpp
+++ b/packages/replication/src/replicated_document_effects.cpp
@@ -64,6 +64,7 @@
     outcome = m_store.apply(std::get<document_change>(*payload));
     if (m_store.current_version() != before)
     {
+        m_applied_at = m_now;
         m_effects.emplace_back(version_applied{m_store.current_version()});
     }
     return outcome;
@@ -81,6 +82,7 @@
         run_replica(storage_failed{loaded.error()});
         return;
     }
+    m_applied_at = m_now;
     complete_covered(effect.taken.index);
     m_effects.emplace_back(version_applied{m_store.current_version()});
     m_effects.emplace_back(evacuations_applied{m_evacuations.revision()});
--- a/packages/replication/src/wire_convert.cpp
+++ b/packages/replication/src/wire_convert.cpp
@@ -1,5 +1,7 @@
 #include "wire_convert.hpp"
 
+#include "route_codec.hpp"
+
 #include <utility>
 #include <vector>
 
@@ -104,15 +106,31 @@
     out.set_operator_name(value.operator_name);
     out.set_document(value.document.str());
     out.set_given(value.given.value());
+    if (value.routing)
+    {
+        wire::ChangeRouting& routing = *out.mutable_routing();
+        routing.set_routes(encode_routes(value.routing->routes));
+        routing.set_proposed_at_ms(value.routing->proposed_at.count());
+        routing.set_flow_life_ms(value.routing->flow_life.count());
+    }
     return out;
 }
 
 document_change from_wire(wire::DocumentChange&& value)
 {
-    return document_change{
+    document_change change{
         config_version(value.base()), operation_id(value.operation()),
         value.operator_name(), std::move(*value.mutable_document()),
         config_version(value.given())};
+    if (value.has_routing())
+    {
+        using std::chrono::milliseconds;
+        const wire::ChangeRouting& routing = value.routing();
+        change.routing = change_routing{decode_routes(routing.routes()),
+                                        milliseconds(routing.proposed_at_ms()),
+                                        milliseconds(routing.flow_life_ms())};
+    }
+    return change;
 }
 
 wire::ChangeOutcome to_wire(const change_outcome& value)
--- a/packages/settings/include/crowlink/settings/control_role_settings.hpp
+++ b/packages/settings/include/crowlink/settings/control_role_settings.hpp
@@ -30,6 +30,9 @@
     // A leader that was not heard for so long is replaced, within one and a
     // half times this. Equal on all control hosts.
     std::uint32_t election_ms = 1000;
+    // How long an open flow may live: for so long control remembers where an
+    // address led before. Equal on all control hosts.
+    double flow_seconds = 3600;
     // Whether this host may found the log with the others. To be false on a
     // host that is started in place of another one.
     bool may_found = true;
--- a/packages/settings/src/sections.cpp
+++ b/packages/settings/src/sections.cpp
@@ -22,6 +22,8 @@
 // Below, a sync of a slow disk would look like a lost leader.
 constexpr std::uint32_t least_election_ms = 100;
 constexpr std::uint32_t most_election_ms = 60'000;
+constexpr double least_flow_seconds = 1;
+constexpr double most_flow_seconds = 604'800;
 // Five voters bear two losses.
 constexpr std::uint32_t most_losses_borne = 2;
 constexpr double least_link_mbps = 0.1;
@@ -185,6 +187,11 @@
     }
     control.election_ms = reader.number("election_ms", least_election_ms,
                                         most_election_ms, control.election_ms);
+    control.flow_seconds =
+        reader
+            .optional_decimal("flow_seconds", least_flow_seconds,
+                              most_flow_seconds)
+            .value_or(control.flow_seconds);
     control.may_found = reader.flag("may_found", control.may_found);
     if (reader.has("platform_listen"))
     {
--- a/packages/wire/src/datagram_decode.cpp
+++ b/packages/wire/src/datagram_decode.cpp
@@ -93,6 +93,9 @@
     case tags::best_load:
         header.best_load = in.varint();
         break;
+    case tags::omits_services:
+        header.omits_services = in.varint() != 0;
+        break;
     case internal::payload_tag:
         value.payload = in.bytes();
         break;
--- a/packages/wire/src/datagram_encode.cpp
+++ b/packages/wire/src/datagram_encode.cpp
@@ -115,6 +115,10 @@
         out.put_varint(tags::best, header.best + 1U);
     }
     out.put_varint(tags::best_load, header.best_load);
+    if (header.omits_services)
+    {
+        out.put_varint(tags::omits_services, 1);
+    }
 }
 
 void put(message_writer& out, const answer_datagram& value)
--- a/packages/wire/src/packet_fields.hpp
+++ b/packages/wire/src/packet_fields.hpp
@@ -74,6 +74,7 @@
 constexpr auto return_to = tag(10, wire_type::bytes);
 constexpr auto best = tag(11, wire_type::varint);
 constexpr auto best_load = tag(12, wire_type::varint);
+constexpr auto omits_services = tag(13, wire_type::varint);
 } // namespace forward_tag
 
 namespace answer_tag
--- a/packages/wire/test/datagram_codec_test.cpp
+++ b/packages/wire/test/datagram_codec_test.cpp
@@ -81,6 +81,7 @@
     {
         header.best = static_cast<std::uint8_t>(random() % current);
         header.best_load = static_cast<std::uint32_t>(random());
+        header.omits_services = random() % 2 == 0;
     }
     header.return_to = random_endpoint(random);
     value.payload = payload;
