--- a/packages/membership/include/crowlink/membership/change_log.hpp
+++ b/packages/membership/include/crowlink/membership/change_log.hpp
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <utility>
 
 namespace crowlink::internal
 {
@@ -27,16 +29,23 @@
 public:
     explicit change_log(std::size_t capacity) : m_capacity(capacity) {}
 
-    void add(Change change)
+    // Returns the entry that was dropped, if any.
+    std::optional<Change> add(Change change)
     {
         m_entries.push_back(std::move(change));
-        if (m_entries.size() > m_capacity)
+        if (m_entries.size() <= m_capacity)
         {
-            m_entries.pop_front();
-            ++m_first;
+            return std::nullopt;
         }
+        std::optional<Change> dropped(std::move(m_entries.front()));
+        m_entries.pop_front();
+        ++m_first;
+        return dropped;
     }
 
+    // The position of the oldest entry.
+    std::uint64_t begin() const { return m_first; }
+
     // The position after the newest entry.
     std::uint64_t end() const { return m_first + m_entries.size(); }
 
--- a/packages/membership/include/crowlink/membership/declaration.hpp
+++ b/packages/membership/include/crowlink/membership/declaration.hpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/model/service.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -17,6 +18,8 @@
     // Of the whole content, and of the content without the shares.
     std::uint64_t hash = 0;
     std::uint64_t fixed_hash = 0;
+    // As it is sent to nodes.
+    std::size_t bytes = 0;
     // For each share the version in which its terms alone changed last, or in
     // which former services were forgotten; 0 if there was none.
     std::vector<std::uint64_t> terms_changed;
--- a/packages/membership/include/crowlink/membership/published_state.hpp
+++ b/packages/membership/include/crowlink/membership/published_state.hpp
@@ -39,15 +39,17 @@
     std::uint64_t hash() const { return removed() ? 0 : held->hash; }
 };
 
-// The state that a publisher distributes, with the latest changes in two logs.
-// Urgent changes (declarations, drains, members that leave) are sent first.
+// The state that a publisher distributes, with the latest changes in three
+// logs. Urgent changes (declarations, drains, members that leave) are sent
+// first, then changed shares.
 class published_state
 {
 public:
     using record_changes = change_log<logged_change>;
     using share_changes = change_log<share_key>;
 
-    published_state(std::size_t change_capacity, duration tombstone_life);
+    published_state(std::size_t change_capacity,
+                    std::size_t share_change_capacity, duration tombstone_life);
 
     // Ignores a version that is not newer.
     void set_publication(publication_pointer next);
@@ -69,6 +71,11 @@
     const record_changes& urgent() const { return m_urgent; }
     const record_changes& ordinary() const { return m_ordinary; }
     const share_changes& shares() const { return m_shares; }
+    // Whether no later entry is about the same share.
+    bool is_latest_share(std::uint64_t position) const
+    {
+        return m_latest_shares.at(m_shares.at(position)) == position;
+    }
     // The last version in which the terms of known shares changed.
     std::uint64_t terms_version() const
     {
@@ -89,6 +96,7 @@
                  bool are_shares_told);
     void undeclare(service_id id, published_service& held);
     void drain(const std::set<upstream_id>& drains);
+    void log_share(const share_key& key);
     void log(const record_key& key, std::uint64_t& change, bool is_urgent);
 
     duration m_tombstone_life;
@@ -101,6 +109,8 @@
     record_changes m_urgent;
     record_changes m_ordinary;
     share_changes m_shares;
+    // The position of the latest entry of each share that is in the log.
+    std::map<share_key, std::uint64_t> m_latest_shares;
     digest_table m_digests;
     std::deque<tombstone> m_tombstones;
 };
--- a/packages/membership/include/crowlink/membership/publisher.hpp
+++ b/packages/membership/include/crowlink/membership/publisher.hpp
@@ -97,6 +97,11 @@
     bool serve(time_point now, const host_id& node,
                internal::publisher_session& session,
                std::vector<membership_send>& out);
+    void set_pace(time_point now, internal::publisher_session& session) const;
+    void set_usual_pace(time_point now,
+                        internal::publisher_session& session) const;
+    double version_rate(time_point now,
+                        const internal::version_pace& pace) const;
     bool send_part(time_point now, const host_id& node,
                    internal::publisher_session& session,
                    std::vector<membership_send>& out);
--- a/packages/membership/include/crowlink/membership/publisher_session.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_session.hpp
@@ -7,7 +7,9 @@
 #include "crowlink/membership/token_bucket.hpp"
 
 #include <bitset>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 
 namespace crowlink::internal
@@ -25,17 +27,31 @@
     service_id next(service_id from) const;
 };
 
-// The progress of a snapshot. It walks the services in order, each one's
-// declaration first, and reads the state that is current when it gets there.
+// The progress of a snapshot. It walks all declarations first and then all
+// members, in the order of services, and reads the state that is current when
+// it gets there.
 struct snapshot_cursor
 {
     bool active = false;
     std::bitset<digest_table::bucket_count> covered;
     bool declarations_done = false;
-    // The first item that was not sent yet.
+    // The first service whose declaration was not sent yet.
+    service_id next_declared;
+    // The first member that was not sent yet.
     record_key next;
 };
 
+// How fast declarations and shares are sent while the node lacks some.
+struct version_pace
+{
+    // The version up to which `bytes` reckons.
+    std::uint64_t version = 0;
+    // Since when the node lacks something.
+    time_point begun{};
+    // About what is still to be sent.
+    std::size_t bytes = 0;
+};
+
 // Sends the terms that changed after a version, in the order of services and
 // addresses. Changes that fall behind the walk wait for the next one.
 struct terms_cursor
@@ -64,8 +80,12 @@
     std::uint64_t shares = 0;
     terms_cursor terms;
     snapshot_cursor snapshot;
-    // The version that was reported to the node as complete.
+    // The version that was reported to the node as complete, and the one whose
+    // declarations and shares were.
     std::uint64_t complete_version = 0;
+    std::uint64_t declared_version = 0;
+    // Set while declared_version is behind.
+    std::optional<version_pace> pace;
     bool places_due = true;
     bool evacuations_due = true;
     bool hosts_due = true;
--- a/packages/membership/include/crowlink/membership/publisher_settings.hpp
+++ b/packages/membership/include/crowlink/membership/publisher_settings.hpp
@@ -32,9 +32,20 @@
     duration waiting_timeout = std::chrono::milliseconds(2500);
     // A node that was not heard for this long is removed.
     duration node_timeout = std::chrono::seconds(30);
+    // A version is put in force at a node when all of it is there, so the rate
+    // rises as far as needed for a version to be sent within version_time.
+    duration version_time = std::chrono::milliseconds(750);
+    // The most for that, shared among all nodes. It does not apply any longer
+    // once a version has taken version_limit, less than half of the 7 s within
+    // which a change must be in force.
+    double version_bytes_per_second = 16e6;
+    duration version_limit = std::chrono::seconds(3);
     // The number of changes kept for nodes that lag. A node that lags further
     // is told to attach again and gets a snapshot of the differences.
     std::size_t change_capacity = 8192;
+    // The same for changed shares, of which one version may have two for each
+    // address.
+    std::size_t share_change_capacity = 65536;
     // How long gone records are kept, so that nodes that come back learn of
     // them.
     duration tombstone_life = std::chrono::hours(3);
--- a/packages/membership/include/crowlink/membership/subscribed_state.hpp
+++ b/packages/membership/include/crowlink/membership/subscribed_state.hpp
@@ -5,9 +5,11 @@
 #include "crowlink/membership/lost_member.hpp"
 #include "crowlink/membership/record_key.hpp"
 #include "crowlink/membership/returned_member.hpp"
+#include "crowlink/membership/share_context.hpp"
 #include "crowlink/membership/share_update.hpp"
 #include "crowlink/model/service_view.hpp"
 
+#include <algorithm>
 #include <bitset>
 #include <cstdint>
 #include <map>
@@ -56,18 +58,33 @@
     std::uint32_t older_stream = 0;
 };
 
+// What a version that is not in force yet says of a service.
+struct staged_service
+{
+    service declared;
+    bool removed = false;
+    std::uint64_t version = 0;
+    // Not set if only shares of the declaration in force change.
+    std::optional<std::uint32_t> generation;
+};
+
 // The state held by a node. Nothing in it is replaced by an older version.
+// Declarations and shares are staged until all of their version have come, and
+// put in force together. Until then views show the version before: else some
+// flows would be led by the new version and later ones by the old one.
 class subscribed_state
 {
 public:
-    // Each returns whether the views of this node change.
+    // Returns whether the views of this node change.
     bool take_record(time_point now, const upstream_record& record,
                      bool drained, std::uint64_t version,
                      std::uint32_t generation);
-    bool take_service(const service& declared, bool removed,
+    // Stages a declaration. Ignores what is older than the version in force.
+    void take_service(const service& declared, bool removed,
                       std::uint64_t version, std::uint32_t generation);
-    // Changes some shares of one service. The views of terms that changed
-    // alone can be held back until more have come.
+    // Stages some shares of one service. Terms that change alone with a version
+    // that is complete need no stage; their views can be held back until more
+    // have come.
     enum class share_outcome : std::uint8_t
     {
         taken,
@@ -77,8 +94,15 @@
         other_base,
     };
     share_outcome take_shares(service_id id, std::vector<share_update> updates,
-                              std::uint64_t version, std::uint32_t stream,
-                              bool are_terms_pending);
+                              const share_context& context);
+    // Stages the removal of the services in the covered buckets that the
+    // snapshot did not contain.
+    void sweep_services(std::uint64_t version, std::uint32_t generation,
+                        const std::bitset<digest_table::bucket_count>& covered);
+    // Puts all that is staged in force. Returns whether there was anything.
+    bool put_in_force(std::uint64_t version);
+    // Forgets what is staged, since the rest of it does not come.
+    void drop_staged() { m_staged.clear(); }
     // Makes changed the views that were held back.
     void release_terms();
     bool set_lost_places(std::set<place_id> lost);
@@ -89,16 +113,14 @@
     // Ignores a revision that is lower than the one held.
     bool set_evacuated(std::uint64_t revision, std::set<place_id> evacuated);
 
-    // Sets the version of the document that is completely applied. Content of
-    // older documents is ignored from then on. False, without effect, where a
-    // service has a part of a later version: what an older one says of it is
-    // not taken, so that the older one is not completely applied either.
-    bool set_complete_version(std::uint64_t version);
+    // Sets the version of the document that is completely applied, drain marks
+    // included. Drain marks of older documents are ignored from then on.
+    void set_complete_version(std::uint64_t version);
 
-    // Handles the items in the covered buckets that the snapshot did not
+    // Handles the members in the covered buckets that the snapshot did not
     // contain.
-    void sweep(time_point now, std::uint64_t version, std::uint32_t generation,
-               const std::bitset<digest_table::bucket_count>& covered);
+    void sweep_members(time_point now, std::uint32_t generation,
+                       const std::bitset<digest_table::bucket_count>& covered);
 
     // Drops gone records older than the given life, and removed services that
     // have no members.
@@ -156,8 +178,14 @@
     bool is_living(const upstream_record& balancer) const;
     bool replace_places(std::set<place_id>& held, std::set<place_id> next);
     void replace_hash(const record_key& key, subscribed_record& held);
-    bool is_older(service_id id, std::uint64_t version) const;
+    bool is_older(std::uint64_t version) const
+    {
+        return version < std::max(m_version_in_force, m_complete_version);
+    }
     void note_older(service_id id, std::uint32_t stream);
+    void stage_shares(service_id id, std::vector<share_update> updates,
+                      std::uint64_t version);
+    void put_in_force(service_id id, staged_service next);
     void refresh_hash(service_id id, subscribed_service& held);
     void mark_changed(service_id service);
     void mark_undeclared();
@@ -180,14 +208,14 @@
     // Services of which only terms changed and more are to come.
     std::set<service_id> m_changed_terms;
     std::set<service_id> m_stale_hashes;
-    // Services of whose version some shares may still be to come.
-    std::set<service_id> m_partial;
+    std::map<service_id, staged_service> m_staged;
     bool m_lists_balancers = true;
     std::uint64_t m_balancers_revision = 0;
     std::vector<lost_member> m_lost;
     std::vector<returned_member> m_returned;
     digest_table m_digests;
     std::size_t m_living = 0;
+    std::uint64_t m_version_in_force = 0;
     std::uint64_t m_complete_version = 0;
 };
 
--- a/packages/membership/include/crowlink/membership/subscriber.hpp
+++ b/packages/membership/include/crowlink/membership/subscriber.hpp
@@ -111,6 +111,7 @@
     void take_control_hosts(const Names& names);
     void handle_digest(time_point now, const wire::stream_digest& in);
     void note_version(time_point now, std::uint64_t version);
+    bool lacks_members(service_id service) const;
     void collect_changes(subscriber_output& out);
     void attach(time_point now, subscriber_output& out);
     void reattach(time_point now);
@@ -152,6 +153,8 @@
     std::uint32_t m_stream = 0;
     std::uint32_t m_sequence = 0;
     std::uint32_t m_incomplete_service = 0;
+    // Whether the last part put a version in force.
+    bool m_has_new_version = false;
     config_version m_applied;
     // The highest version seen, applied or not.
     std::uint64_t m_highest = 0;
--- a/packages/membership/include/crowlink/membership/token_bucket.hpp
+++ b/packages/membership/include/crowlink/membership/token_bucket.hpp
@@ -28,6 +28,15 @@
         return m_tokens;
     }
 
+    // Keeps the bytes that may be sent now, as far as the new burst allows.
+    void set_rate(double rate, double burst, time_point now)
+    {
+        available(now);
+        m_rate = rate;
+        m_burst = burst;
+        m_tokens = std::min(m_burst, m_tokens);
+    }
+
     void take(std::size_t bytes) { m_tokens -= static_cast<double>(bytes); }
 
 private:
--- a/packages/membership/src/document_publication.cpp
+++ b/packages/membership/src/document_publication.cpp
@@ -105,6 +105,7 @@
     const auto made = std::make_shared<declaration>();
     made->declared = std::move(declared);
     made->hash = internal::content_hash(made->declared);
+    made->bytes = internal::encoded_size(made->declared);
     made->fixed_hash = fixed_hash_of(made->declared);
     made->terms_changed.resize(made->declared.shares.size());
     out.changed.push_back(made->declared.id);
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -333,6 +333,13 @@
     return combine_hash(hash, drained ? 1 : 0) | 1U;
 }
 
+std::size_t encoded_size(const service& declared)
+{
+    wire::service_declaration message;
+    write_service(declared, message);
+    return message.ByteSizeLong();
+}
+
 std::uint64_t content_hash(const service& declared)
 {
     wire::service_declaration message;
--- a/packages/membership/src/member_codec.hpp
+++ b/packages/membership/src/member_codec.hpp
@@ -37,6 +37,9 @@
 // The hash of a record's content without its sequence; zero for a gone one.
 std::uint64_t content_hash(const upstream_record& record, bool drained);
 
+// The bytes that a declaration takes in a message.
+std::size_t encoded_size(const service& declared);
+
 // The hash of a declaration's content, never zero.
 std::uint64_t content_hash(const service& declared);
 
--- a/packages/membership/src/part_builder.cpp
+++ b/packages/membership/src/part_builder.cpp
@@ -2,6 +2,7 @@
 
 #include "crowlink/membership/balancer_record.hpp"
 #include "member_codec.hpp"
+#include "version_bytes.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -42,9 +43,13 @@
     {
         add_share_changes(part);
     }
-    if (m_session.snapshot.active && !full())
+    if (m_session.snapshot.active && !m_session.snapshot.declarations_done)
     {
-        add_snapshot(part);
+        add_snapshot_declarations(part);
+    }
+    if (m_session.snapshot.active && m_session.snapshot.declarations_done)
+    {
+        add_snapshot_members(part);
     }
     if (!m_session.snapshot.active)
     {
@@ -70,25 +75,17 @@
     }
 }
 
-bool part_builder::is_latest(const published_service& held,
-                             const logged_change& change) const
-{
-    const std::uint64_t latest =
-        m_session.takes_share_changes ? held.fixed_change : held.change;
-    return latest == change.number;
-}
-
 // Adds the current state of an item, unless a later log entry covers it.
 void part_builder::add_change(const logged_change& change,
                               wire::stream_part& part)
 {
     if (change.key.id.value().empty())
     {
-        const auto found = m_state.services().find(change.key.service);
-        if (found != m_state.services().end() &&
-            is_latest(found->second, change))
+        const published_service* due =
+            due_declaration(m_state, m_session, change);
+        if (due != nullptr)
         {
-            add_declaration(found->first, found->second, part);
+            add_declaration(change.key.service, *due, part);
         }
         return;
     }
@@ -107,6 +104,7 @@
     {
         const share_key& key = log.at(m_session.shares);
         if (m_session.wants.contains(key.service) &&
+            m_state.is_latest_share(m_session.shares) &&
             !comes_with_snapshot(key.service))
         {
             add_share_change(key, part);
@@ -119,8 +117,7 @@
 {
     const snapshot_cursor& cursor = m_session.snapshot;
     const bool is_passed =
-        cursor.next.service > service ||
-        (cursor.next.service == service && cursor.declarations_done);
+        cursor.declarations_done || cursor.next_declared > service;
     return cursor.active && !is_passed &&
            cursor.covered[bucket_of(service, upstream_id())];
 }
@@ -221,89 +218,76 @@
     cursor.next = share_key{service_id(id.value() + 1), endpoint()};
 }
 
-// Walks declarations and records in one order: for each service its
-// declaration, then its members.
-void part_builder::add_snapshot(wire::stream_part& part)
+// The declarations come first, so that the version can be put in force before
+// the members have come, which may be many and are sent at the usual rate.
+void part_builder::add_snapshot_declarations(wire::stream_part& part)
 {
     snapshot_cursor& cursor = m_session.snapshot;
     while (!full())
     {
-        if (!cursor.declarations_done)
+        const auto held =
+            next_declaration(m_state, m_session, cursor.next_declared);
+        if (held == m_state.services().end())
         {
-            service_id found;
-            if (!next_service(cursor.next.service, found))
-            {
-                end_snapshot(part);
-                return;
-            }
-            cursor.next = record_key{found, upstream_id()};
-            const auto declared = m_state.services().find(found);
-            if (declared != m_state.services().end() &&
-                cursor.covered[bucket_of(found, upstream_id())])
-            {
-                add_declaration(found, declared->second, part);
-            }
             cursor.declarations_done = true;
+            part.set_declarations_end(true);
+            add_covered(part);
+            m_added = true;
+            return;
         }
-        add_members(part);
+        add_declaration(held->first, held->second, part);
+        cursor.next_declared = service_id(held->first.value() + 1);
     }
-    part.set_filling(cursor.next.service.value());
 }
 
-// Adds the members of the service at the cursor. After the last one the cursor
-// moves to the next service.
-void part_builder::add_members(wire::stream_part& part)
+void part_builder::add_snapshot_members(wire::stream_part& part)
 {
     snapshot_cursor& cursor = m_session.snapshot;
-    auto record = m_state.records().lower_bound(cursor.next);
-    const service_id service = cursor.next.service;
-    for (;
-         record != m_state.records().end() && record->first.service == service;
-         ++record)
+    const auto& records = m_state.records();
+    auto record = next_member(cursor.next);
+    while (record != records.end())
     {
+        const record_key& key = record->first;
         if (full())
         {
-            cursor.next = record->first;
+            cursor.next = key;
+            part.set_filling(key.service.value());
             return;
         }
         // Digests leave out gone records. Expired ones are always sent, since a
         // node that starts would otherwise not learn of members that may still
         // be alive.
-        if (cursor.covered[bucket_of(service, record->first.id)] ||
+        if (cursor.covered[bucket_of(key.service, key.id)] ||
             record->second.record.expired)
         {
             add_record(record->second, part);
         }
+        ++record;
+        if (record != records.end() &&
+            !m_session.wants.contains(record->first.service))
+        {
+            record = next_member(record->first);
+        }
     }
-    cursor.declarations_done = false;
-    cursor.next = record_key{service_id(service.value() + 1), upstream_id()};
+    end_snapshot(part);
 }
 
-// The first service at or after an id that is subscribed to and known.
-bool part_builder::next_service(service_id from, service_id& found) const
+// The first member at or after a key that is subscribed to.
+std::map<record_key, published_record>::const_iterator
+part_builder::next_member(const record_key& from) const
 {
-    const auto& services = m_state.services();
     const auto& records = m_state.records();
-    while (true)
+    auto record = records.lower_bound(from);
+    while (record != records.end() &&
+           !m_session.wants.contains(record->first.service))
     {
-        const service_id wanted = m_session.wants.next(from);
-        const auto declared = services.lower_bound(wanted);
-        const auto record =
-            records.lower_bound(record_key{wanted, upstream_id()});
-        if (declared == services.end() && record == records.end())
-        {
-            return false;
-        }
-        const bool by_record = declared == services.end() ||
-                               (record != records.end() &&
-                                record->first.service < declared->first);
-        found = by_record ? record->first.service : declared->first;
-        if (m_session.wants.contains(found))
-        {
-            return true;
-        }
-        from = found;
+        const service_id passed = record->first.service;
+        const service_id next = m_session.wants.next(passed);
+        record = next == passed
+                     ? records.end()
+                     : records.lower_bound(record_key{next, upstream_id()});
     }
+    return record;
 }
 
 void part_builder::add_declaration(service_id id, const published_service& held,
@@ -337,6 +321,16 @@
 {
     m_session.snapshot.active = false;
     part.set_snapshot_end(true);
+    add_covered(part);
+    m_added = true;
+}
+
+void part_builder::add_covered(wire::stream_part& part)
+{
+    if (part.covered_size() > 0)
+    {
+        return;
+    }
     for (std::size_t bucket = 0; bucket < digest_table::bucket_count; ++bucket)
     {
         if (m_session.snapshot.covered[bucket])
@@ -344,7 +338,6 @@
             part.add_covered(static_cast<std::uint32_t>(bucket));
         }
     }
-    m_added = true;
 }
 
 } // namespace crowlink::internal
--- a/packages/membership/src/part_builder.hpp
+++ b/packages/membership/src/part_builder.hpp
@@ -6,12 +6,14 @@
 #include <membership.pb.h>
 
 #include <cstddef>
+#include <map>
 
 namespace crowlink::internal
 {
 
 // Fills one part of a stream up to a number of bytes, in order of priority:
-// urgent changes, changed shares, the snapshot, other changes, changed terms.
+// urgent changes, changed shares, the snapshot's declarations and then its
+// members, other changes, changed terms.
 class part_builder
 {
 public:
@@ -25,9 +27,6 @@
     bool fill(wire::stream_part& part);
 
 private:
-    // Whether an item's latest change is the one that was logged.
-    bool is_latest(const published_service& held,
-                   const logged_change& change) const;
     bool full() const { return m_size >= m_limit; }
     void add_changes(const published_state::record_changes& log,
                      std::uint64_t& position, wire::stream_part& part);
@@ -40,13 +39,15 @@
                       wire::stream_part& part);
     void add_share(service_id service, const address_share& share,
                    wire::stream_part& part);
-    void add_snapshot(wire::stream_part& part);
-    bool next_service(service_id from, service_id& found) const;
+    void add_snapshot_declarations(wire::stream_part& part);
+    void add_snapshot_members(wire::stream_part& part);
+    void add_covered(wire::stream_part& part);
+    std::map<record_key, published_record>::const_iterator
+    next_member(const record_key& from) const;
     void add_declaration(service_id id, const published_service& held,
                          wire::stream_part& part);
     void add_record(const published_record& held, wire::stream_part& part);
     void end_snapshot(wire::stream_part& part);
-    void add_members(wire::stream_part& part);
 
     const published_state& m_state;
     publisher_session& m_session;
--- a/packages/membership/src/published_state.cpp
+++ b/packages/membership/src/published_state.cpp
@@ -8,11 +8,12 @@
 {
 
 published_state::published_state(std::size_t change_capacity,
+                                 std::size_t share_change_capacity,
                                  duration tombstone_life)
     : m_tombstone_life(tombstone_life)
     , m_urgent(change_capacity)
     , m_ordinary(change_capacity)
-    , m_shares(change_capacity)
+    , m_shares(share_change_capacity)
 {
 }
 
@@ -52,7 +53,22 @@
     }
     for (const share_key& each : next.changed_shares)
     {
-        m_shares.add(each);
+        log_share(each);
+    }
+}
+
+void published_state::log_share(const share_key& key)
+{
+    m_latest_shares[key] = m_shares.end();
+    const std::optional<share_key> dropped = m_shares.add(key);
+    if (!dropped)
+    {
+        return;
+    }
+    const auto latest = m_latest_shares.find(*dropped);
+    if (latest != m_latest_shares.end() && latest->second < m_shares.begin())
+    {
+        m_latest_shares.erase(latest);
     }
 }
 
--- a/packages/membership/src/publisher.cpp
+++ b/packages/membership/src/publisher.cpp
@@ -74,7 +74,8 @@
 
 publisher::publisher(publisher_settings settings, std::uint64_t seed)
     : m_settings(settings)
-    , m_state(settings.change_capacity, settings.tombstone_life)
+    , m_state(settings.change_capacity, settings.share_change_capacity,
+              settings.tombstone_life)
     , m_random(seed)
 {
 }
@@ -297,6 +298,7 @@
     serve_waiting(now);
     for (auto each = m_sessions.begin(); each != m_sessions.end();)
     {
+        set_pace(now, each->second);
         const bool kept = serve(now, each->first, each->second, out);
         each = kept ? std::next(each) : m_sessions.erase(each);
     }
--- a/packages/membership/src/publisher_stream.cpp
+++ b/packages/membership/src/publisher_stream.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/membership/publisher.hpp"
 
 #include "part_builder.hpp"
+#include "version_bytes.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -22,6 +23,11 @@
 // share of the framing low.
 constexpr double min_part_bytes = 768;
 
+// The time between two calls of tick, and how much of what is sent in a second
+// may be saved up between them.
+constexpr std::chrono::duration<double> tick_interval(0.1);
+constexpr double burst_seconds = 0.25;
+
 std::uint32_t whole_seconds(duration time)
 {
     const auto seconds =
@@ -116,6 +122,62 @@
                 m_settings.ordinary_messages_per_second));
 }
 
+// Raises the rate while the node lacks declarations or shares, so that it has
+// the whole version in time.
+void publisher::set_pace(time_point now, publisher_session& session) const
+{
+    const std::uint64_t version = m_state.version().value();
+    if (session.declared_version >= version)
+    {
+        set_usual_pace(now, session);
+        return;
+    }
+    if (!session.pace)
+    {
+        session.pace.emplace();
+        session.pace->begun = now;
+    }
+    internal::version_pace& pace = *session.pace;
+    if (pace.version != version)
+    {
+        pace.version = version;
+        pace.bytes = internal::version_bytes(m_state, session);
+    }
+    const double usual = m_settings.bytes_per_second;
+    const double rate = std::max(usual, version_rate(now, pace));
+    const double burst =
+        std::max<double>(m_settings.burst_bytes, rate * burst_seconds);
+    session.rate_limit.set_rate(rate, burst, now);
+}
+
+void publisher::set_usual_pace(time_point now, publisher_session& session) const
+{
+    if (session.pace)
+    {
+        session.pace.reset();
+        session.rate_limit.set_rate(m_settings.bytes_per_second,
+                                    m_settings.burst_bytes, now);
+    }
+}
+
+double publisher::version_rate(time_point now,
+                               const internal::version_pace& pace) const
+{
+    using seconds = std::chrono::duration<double>;
+    const duration waited = now - pace.begun;
+    const seconds left = m_settings.version_time - waited;
+    const std::size_t bytes = std::max(pace.bytes, m_settings.part_bytes);
+    const double wanted =
+        static_cast<double>(bytes) / std::max(left, tick_interval).count();
+    if (waited >= m_settings.version_limit)
+    {
+        return wanted;
+    }
+    const double share = m_settings.version_bytes_per_second /
+                         static_cast<double>(m_sessions.size());
+    return std::min(wanted, share);
+}
+
 // Data centres are sent first, since one entry covers many upstreams. Returns
 // whether anything was added.
 bool publisher::add_places(publisher_session& session,
@@ -170,15 +232,20 @@
     const std::uint64_t version = m_state.version().value();
     const bool has_all_shares = !session.takes_share_changes ||
                                 session.shares == m_state.shares().end();
-    const bool complete = !session.snapshot.active &&
-                          session.urgent == m_state.urgent().end() &&
-                          has_all_shares;
+    const bool is_declared =
+        !session.snapshot.active || session.snapshot.declarations_done;
+    const bool declared = is_declared && has_all_shares &&
+                          session.urgent == m_state.urgent().end();
+    const bool complete = declared && !session.snapshot.active;
+    part.set_declarations_complete(declared);
     part.set_document_complete(complete);
-    added = added || (complete && session.complete_version < version);
+    added = added || (declared && session.declared_version < version) ||
+            (complete && session.complete_version < version);
     if (!added)
     {
         return false;
     }
+    session.declared_version = declared ? version : session.declared_version;
     session.complete_version = complete ? version : session.complete_version;
     part.set_version(version);
     part.set_stream(session.stream);
@@ -186,6 +253,10 @@
     const std::size_t size = wire_size(message);
     session.rate_limit.take(size);
     session.bytes += size;
+    if (session.pace)
+    {
+        session.pace->bytes -= std::min(session.pace->bytes, size);
+    }
     session.next_digest = now + m_settings.digest_interval;
     if (session.ordinary >= m_state.ordinary().end())
     {
--- a/packages/membership/src/subscribed_state.cpp
+++ b/packages/membership/src/subscribed_state.cpp
@@ -174,24 +174,14 @@
     return true;
 }
 
-bool subscribed_state::set_complete_version(std::uint64_t version)
+void subscribed_state::set_complete_version(std::uint64_t version)
 {
-    const bool is_beyond =
-        std::any_of(m_partial.begin(), m_partial.end(),
-                    [this, version](service_id id)
-                    { return m_services.at(id).version > version; });
-    if (is_beyond)
-    {
-        return false;
-    }
-    m_partial.clear();
     const bool is_first = m_complete_version == 0 && version > 0;
     m_complete_version = version;
     if (is_first)
     {
         mark_undeclared();
     }
-    return true;
 }
 
 // Marks the services that have records and no declaration.
@@ -207,21 +197,10 @@
     }
 }
 
-void subscribed_state::sweep(
-    time_point now, std::uint64_t version, std::uint32_t generation,
+void subscribed_state::sweep_members(
+    time_point now, std::uint32_t generation,
     const std::bitset<digest_table::bucket_count>& covered)
 {
-    for (auto& each : m_services)
-    {
-        subscribed_service& held = each.second;
-        const bool named = held.generation == generation ||
-                           !covered[bucket_of(each.first, upstream_id())];
-        if (!named && !held.removed && version >= held.version)
-        {
-            const service declared = held.declared;
-            take_service(declared, true, version, generation);
-        }
-    }
     const std::size_t absent = count_absent(generation, covered);
     const bool mass =
         absent > mass_absent_minimum && absent * mass_absent_divisor > m_living;
@@ -281,10 +260,6 @@
         const bool old = each->second.removed &&
                          each->second.version <= m_complete_version &&
                          !has_members(each->first);
-        if (old)
-        {
-            m_partial.erase(each->first);
-        }
         each = old ? m_services.erase(each) : std::next(each);
     }
 }
--- a/packages/membership/src/subscriber.cpp
+++ b/packages/membership/src/subscriber.cpp
@@ -22,6 +22,22 @@
 constexpr double min_jitter = 0.5;
 constexpr duration purge_every = std::chrono::seconds(60);
 
+// Whether all declarations and shares of the version have come.
+bool is_version_complete(const wire::stream_part& in)
+{
+    return in.declarations_complete() || in.document_complete();
+}
+
+std::bitset<digest_table::bucket_count> covered_by(const wire::stream_part& in)
+{
+    std::bitset<digest_table::bucket_count> covered;
+    for (const std::uint32_t bucket : in.covered())
+    {
+        covered.set(bucket % digest_table::bucket_count);
+    }
+    return covered;
+}
+
 } // namespace
 
 subscriber::subscriber(subscriber_settings settings, std::uint64_t seed,
@@ -210,6 +226,12 @@
         reattach(now);
         return;
     }
+    if (in.declarations_end() || in.snapshot_end())
+    {
+        m_state.sweep_services(in.version(), m_stream, covered_by(in));
+    }
+    m_has_new_version =
+        is_version_complete(in) && m_state.put_in_force(in.version());
     for (const wire::member& each : in.members())
     {
         const auto record = internal::read_member(each, in.places());
@@ -222,20 +244,13 @@
     m_incomplete_service = in.filling();
     if (in.snapshot_end())
     {
-        std::bitset<digest_table::bucket_count> covered;
-        for (const std::uint32_t bucket : in.covered())
-        {
-            covered.set(bucket % digest_table::bucket_count);
-        }
-        m_state.sweep(now, in.version(), m_stream, covered);
+        m_state.sweep_members(now, m_stream, covered_by(in));
         ++m_snapshots;
     }
     if (in.document_complete())
     {
-        const config_version next =
-            std::max(m_applied, config_version(in.version()));
-        m_applied =
-            m_state.set_complete_version(next.value()) ? next : m_applied;
+        m_applied = std::max(m_applied, config_version(in.version()));
+        m_state.set_complete_version(m_applied.value());
     }
 }
 
@@ -253,12 +268,13 @@
                 internal::share_update{*share, each.removed()});
         }
     }
+    const internal::share_context context{
+        in.version(), m_stream, is_version_complete(in), in.terms_pending()};
     bool fits = true;
     for (auto& [service, changed] : updates)
     {
         const auto outcome =
-            m_state.take_shares(service, std::move(changed), in.version(),
-                                m_stream, in.terms_pending());
+            m_state.take_shares(service, std::move(changed), context);
         fits = fits && outcome != share_outcome::other_base;
     }
     if (!in.terms_pending())
@@ -332,7 +348,22 @@
     return out;
 }
 
-// Adds the views that changed, except for the service whose members are still
+// Whether a view waits for members that are still to come. One that was given
+// out does not delay a version: all its views change together.
+bool subscriber::lacks_members(service_id service) const
+{
+    if (m_incomplete_service == 0)
+    {
+        return false;
+    }
+    if (m_viewed.count(service) == 0)
+    {
+        return service.value() >= m_incomplete_service;
+    }
+    return service.value() == m_incomplete_service && !m_has_new_version;
+}
+
+// Adds the views that changed, except for services whose members are still
 // being received.
 void subscriber::collect_changes(subscriber_output& out)
 {
@@ -341,7 +372,7 @@
     m_pending.insert(changed.begin(), changed.end());
     for (auto each = m_pending.begin(); each != m_pending.end();)
     {
-        if (m_incomplete_service != 0 && each->value() == m_incomplete_service)
+        if (lacks_members(*each))
         {
             ++each;
             continue;
@@ -423,6 +454,7 @@
 {
     m_phase = phase::waiting;
     m_incomplete_service = 0;
+    m_state.drop_staged();
     m_state.release_terms();
     back_off(now);
 }
--- a/packages/membership/test/balancer_weight_test.cpp
+++ b/packages/membership/test/balancer_weight_test.cpp
@@ -98,6 +98,7 @@
     internal::subscribed_state state;
     state.set_lists_balancers(false);
     state.take_service(declared_service(), false, 1, 1);
+    state.put_in_force(1);
     state.take_changed();
     const std::uint64_t before = state.balancers_revision();
     const upstream_record record = balancer("b0", "p", 5, "10.0.0.1:1");
@@ -115,6 +116,7 @@
 {
     internal::subscribed_state state;
     state.take_service(declared_service(), false, 1, 1);
+    state.put_in_force(1);
     state.take_changed();
     const upstream_record record = balancer("b0", "p", 5, "10.0.0.1:1");
     state.take_record(time_point(), record, false, 1, 1);
--- a/packages/membership/test/subscriber_test.cpp
+++ b/packages/membership/test/subscriber_test.cpp
@@ -368,6 +368,7 @@
 {
     wire::stream_part newer = part(2, 7);
     add_service(newer, 70);
+    newer.set_declarations_complete(true);
     take(newer);
     EXPECT_EQ(slots(), 70U);
     // Version 7 is not complete here, so only the version of the declaration
@@ -375,10 +376,51 @@
     EXPECT_EQ(m_core.applied_version(), config_version(5));
     wire::stream_part older = part(3, 6);
     add_service(older, 60);
+    older.set_declarations_complete(true);
     take(older);
     EXPECT_EQ(slots(), 70U);
 }
 
+// Guards against a version that is in force in part.
+TEST_F(subscriber_stream, shows_a_declaration_when_its_version_is_complete)
+{
+    wire::stream_part begun = part(2, 7);
+    add_service(begun, 70);
+    EXPECT_TRUE(take(begun).changed.empty());
+    EXPECT_EQ(slots(), 4U);
+    wire::stream_part rest = part(3, 7);
+    rest.set_declarations_complete(true);
+    EXPECT_EQ(take(rest).changed.size(), 1U);
+    EXPECT_EQ(slots(), 70U);
+}
+
+// Guards against an end of one stream that completes what another one began.
+TEST_F(subscriber_stream, forgets_a_version_whose_stream_breaks)
+{
+    wire::stream_part begun = part(2, 7);
+    add_service(begun, 70);
+    take(begun);
+    take(part(9, 7));
+    attach();
+    wire::stream_part other = part(1, 6);
+    other.set_document_complete(true);
+    take(other);
+    EXPECT_EQ(slots(), 4U);
+    EXPECT_EQ(m_core.applied_version(), config_version(6));
+}
+
+// Guards against records that wait for a version: a member that leaves must get
+// no flows.
+TEST_F(subscriber_stream, takes_members_while_a_version_is_incomplete)
+{
+    wire::stream_part begun = part(2, 7);
+    add_service(begun, 70);
+    add_member(begun, 8, 2);
+    take(begun);
+    EXPECT_EQ(members(), 0U);
+    EXPECT_EQ(slots(), 4U);
+}
+
 TEST_F(subscriber_stream, attaches_again_after_a_gap_in_the_sequence)
 {
     wire::stream_part late = part(3, 8);
