--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -117,7 +117,7 @@
     }
     if (settings.operator_relay)
     {
-        m_relay.emplace(*m_links, m_log);
+        m_relay.emplace(settings.host.name, *m_links, m_log);
     }
 }
 
--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -25,6 +25,23 @@
 // Callers that wait for a document to be read.
 constexpr std::size_t most_waiting = 256;
 
+// Where seeds name the control hosts, some of them may have no disk.
+replication::founding_settings to_founding(const control_role_settings& control,
+                                           const seed_settings& seeds)
+{
+    replication::founding_settings founding;
+    for (const endpoint& seed : seeds.hosts)
+    {
+        founding.seeds.emplace_back(seed.address.to_string());
+    }
+    const auto voters = static_cast<std::size_t>(
+        std::count_if(control.peers.begin(), control.peers.end(),
+                      [](const control_peer& peer) { return peer.voter; }));
+    founding.least_voters = 2 * control.losses_borne.value_or(0) + 1;
+    founding.wanted_voters = std::max(founding.least_voters, voters);
+    return founding;
+}
+
 replication::replica_settings to_core(const daemon_settings& settings)
 {
     replication::replica_settings core;
@@ -49,11 +66,15 @@
         {
             core.peers.push_back(peer.host);
         }
-        if (peer.voter && settings.control->may_found)
+        if (peer.voter && settings.control->may_found && !settings.seeds)
         {
             core.founding_voters.push_back(peer.host);
         }
     }
+    if (settings.control->may_found && settings.seeds)
+    {
+        core.founding = to_founding(*settings.control, *settings.seeds);
+    }
     return core;
 }
 
--- a/packages/daemon/src/control/relay_controller.cpp
+++ b/packages/daemon/src/control/relay_controller.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-relay_controller::relay_controller(control_links& links, log_sink& log)
-    : m_links(links), m_log(log)
+relay_controller::relay_controller(host_id self, control_links& links,
+                                   log_sink& log)
+    : m_self(std::move(self)), m_links(links), m_log(log)
 {
 }
 
@@ -33,7 +34,7 @@
     }
     else if (message.channel == message_channel::replication)
     {
-        pass_on(message, node);
+        take_part(message, node);
     }
 }
 
@@ -69,24 +70,65 @@
     (void)m_links.send_to_node(to, told.SerializeAsString());
 }
 
-void relay_controller::pass_on(const inbound_message& message,
-                               node_controller& node)
+void relay_controller::take_part(const inbound_message& message,
+                                 node_controller& node)
 {
     auto decoded = replication::decode_message(message.bytes);
-    const bool is_hello =
-        decoded && decoded->from == message.sender &&
-        std::holds_alternative<replication::hello>(decoded->body);
-    if (!is_hello)
+    if (!decoded || decoded->from != message.sender)
+    {
+        return;
+    }
+    if (const auto* request =
+            std::get_if<replication::founding_request>(&decoded->body))
+    {
+        answer_founder(*decoded, *request);
+    }
+    else if (const auto* hello =
+                 std::get_if<replication::hello>(&decoded->body))
+    {
+        m_knows_of_a_log = m_knows_of_a_log || !hello->blank;
+        pass_on(*std::move(decoded), node);
+    }
+}
+
+// A host that has no state left must not agree to other voters than those that
+// have founded a log.
+void relay_controller::answer_founder(
+    const replication::replica_message& message,
+    const replication::founding_request& request)
+{
+    if (request.phase == replication::founding_phase::decided ||
+        (m_knows_of_a_log && !m_acceptor.has_accepted()))
     {
         return;
     }
+    replication::replica_message answer;
+    answer.from = m_self;
+    answer.to = message.from;
+    answer.to_disk = message.from_disk;
+    answer.body = m_acceptor.handle(request);
+    send(answer);
+}
+
+// What is not queued is lost: requests and hellos are sent again.
+void relay_controller::send(const replication::replica_message& message)
+{
+    m_links.reach_peer(message.to);
+    (void)m_links.send_to_peer(message.to, message_channel::replication,
+                               replication::encode_message(message));
+}
+
+void relay_controller::pass_on(replication::replica_message hello,
+                               node_controller& node)
+{
+    const host_id sender = hello.from;
     const bool is_new = m_introduced.size() < most_introduced &&
-                        m_introduced.insert(message.sender).second;
+                        m_introduced.insert(sender).second;
     if (is_new)
     {
         m_log.write(log_line(log_level::info, "control_host_introduced")
-                        .field("host", message.sender.value()));
-        node.introduce(message.sender);
+                        .field("host", sender.value()));
+        node.introduce(sender);
         for (const host_id& waiting : std::exchange(m_waiting, {}))
         {
             name_control_hosts(waiting, node, false);
@@ -94,13 +136,10 @@
     }
     for (const host_id& host : known(node))
     {
-        if (host != message.sender)
+        if (host != sender)
         {
-            decoded->to = host;
-            m_links.reach_peer(host);
-            // What is not queued is lost: the next hello comes in a second.
-            (void)m_links.send_to_peer(host, message_channel::replication,
-                                       replication::encode_message(*decoded));
+            hello.to = host;
+            send(hello);
         }
     }
 }
--- a/packages/replication/include/crowlink/replication/message.hpp
+++ b/packages/replication/include/crowlink/replication/message.hpp
@@ -2,6 +2,8 @@
 
 #include "crowlink/replication/change_outcome.hpp"
 #include "crowlink/replication/document_change.hpp"
+#include "crowlink/replication/founding_reply.hpp"
+#include "crowlink/replication/founding_request.hpp"
 #include "crowlink/replication/log_entry.hpp"
 #include "crowlink/replication/member.hpp"
 #include "crowlink/replication/membership.hpp"
@@ -23,6 +25,8 @@
 struct hello
 {
     bool blank = false;
+    // It takes part in the first start of all hosts.
+    bool may_found = false;
 
     friend auto operator<=>(const hello&, const hello&) = default;
 };
@@ -137,7 +141,8 @@
 using message_body =
     std::variant<hello, vote_request, vote_reply, append_request, append_reply,
                  snapshot_chunk, snapshot_reply, forwarded_change,
-                 forwarded_answer, disk_question, disk_answer>;
+                 forwarded_answer, disk_question, disk_answer, founding_request,
+                 founding_reply>;
 
 // One message between two control hosts.
 struct replica_message
--- a/packages/replication/include/crowlink/replication/replica_settings.hpp
+++ b/packages/replication/include/crowlink/replication/replica_settings.hpp
@@ -2,10 +2,12 @@
 
 #include "crowlink/base/ids.hpp"
 #include "crowlink/base/time.hpp"
+#include "crowlink/replication/founding_settings.hpp"
 
 #include <chrono>
 #include <compare>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace crowlink::replication
@@ -21,6 +23,9 @@
     // The initial voters: 1, 3 or 5 hosts, the same list on all of them. Used
     // only to bootstrap the log.
     std::vector<host_id> founding_voters;
+    // Set in place of these where seeds choose the initial voters, and only on
+    // hosts that take part in the first start.
+    std::optional<founding_settings> founding;
 
     // Whether the leader admits peers that send hello with an empty disk, and
     // have never been members, as observers.
--- a/packages/replication/src/message_codec.cpp
+++ b/packages/replication/src/message_codec.cpp
@@ -16,6 +16,7 @@
 void put(const hello& body, wire::Envelope& out)
 {
     out.mutable_hello()->set_blank(body.blank);
+    out.mutable_hello()->set_may_found(body.may_found);
 }
 
 void put(const vote_request& body, wire::Envelope& out)
@@ -103,6 +104,49 @@
     out.mutable_disk_answer()->set_blank(body.blank);
 }
 
+void put(const founding_ballot& ballot, wire::FoundingBallot& out)
+{
+    out.set_round(ballot.round);
+    out.set_proposer(ballot.proposer.value());
+    out.set_life(ballot.life);
+}
+
+founding_ballot get(const wire::FoundingBallot& in)
+{
+    return founding_ballot{in.round(), host_id(in.proposer()), in.life()};
+}
+
+void put(const founding_request& body, wire::Envelope& out)
+{
+    wire::FoundingRequest* to = out.mutable_founding_request();
+    to->set_phase(static_cast<wire::FoundingPhase>(body.phase));
+    put(body.ballot, *to->mutable_ballot());
+    *to->mutable_voters() = to_wire(body.voters);
+}
+
+void put(const founding_reply& body, wire::Envelope& out)
+{
+    wire::FoundingReply* to = out.mutable_founding_reply();
+    to->set_phase(static_cast<wire::FoundingPhase>(body.phase));
+    put(body.ballot, *to->mutable_ballot());
+    put(body.promised, *to->mutable_promised());
+    put(body.accepted, *to->mutable_accepted());
+    *to->mutable_voters() = to_wire(body.voters);
+}
+
+message_body get(const wire::FoundingRequest& in)
+{
+    return founding_request{static_cast<founding_phase>(in.phase()),
+                            get(in.ballot()), from_wire(in.voters())};
+}
+
+message_body get(const wire::FoundingReply& in)
+{
+    return founding_reply{static_cast<founding_phase>(in.phase()),
+                          get(in.ballot()), get(in.promised()),
+                          get(in.accepted()), from_wire(in.voters())};
+}
+
 message_body get(wire::AppendRequest& in)
 {
     append_request body{in.previous_index(),
@@ -134,7 +178,7 @@
     switch (in.body_case())
     {
     case wire::Envelope::kHello:
-        return hello{in.hello().blank()};
+        return hello{in.hello().blank(), in.hello().may_found()};
     case wire::Envelope::kVoteRequest:
         return vote_request{
             in.vote_request().pre_vote(), in.vote_request().last_index(),
@@ -168,6 +212,10 @@
         return disk_question{in.disk_question().number()};
     case wire::Envelope::kDiskAnswer:
         return disk_answer{in.disk_answer().number(), in.disk_answer().blank()};
+    case wire::Envelope::kFoundingRequest:
+        return get(in.founding_request());
+    case wire::Envelope::kFoundingReply:
+        return get(in.founding_reply());
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/packages/replication/src/replica_core.cpp
+++ b/packages/replication/src/replica_core.cpp
@@ -150,6 +150,7 @@
     }
     send_hello();
     bootstrap_log();
+    propose_voters();
     send_disk_question();
     if (m_leader.value().empty() && members().contains(m_settings.self, m_disk))
     {
--- a/packages/replication/src/replica_core.hpp
+++ b/packages/replication/src/replica_core.hpp
@@ -7,6 +7,8 @@
 
 #include "crowlink/base/random.hpp"
 #include "crowlink/replication/durable_state.hpp"
+#include "crowlink/replication/founding_acceptor.hpp"
+#include "crowlink/replication/founding_proposer.hpp"
 #include "crowlink/replication/replica_effect.hpp"
 #include "crowlink/replication/replica_event.hpp"
 #include "crowlink/replication/replica_rules.hpp"
@@ -53,6 +55,7 @@
     {
         disk_id disk;
         bool blank = false;
+        bool may_found = false;
         time_point seen;
     };
 
@@ -160,6 +163,8 @@
     void on(const replica_message& message, const hello& body);
     void on(const replica_message& message, const forwarded_change& body);
     void on(const replica_message& message, const forwarded_answer& body);
+    bool is_recent(const non_member& seen) const;
+    hello own_hello() const;
     void send_hello();
     void send_hello_to_non_members();
     void bootstrap_log();
@@ -173,6 +178,17 @@
     void update_peers();
     bool can_change_membership() const;
 
+    // replica_founding.cpp: the choice of the initial voters by the seeds.
+    void on(const replica_message& message, const founding_request& body);
+    void on(const replica_message& message, const founding_reply& body);
+    std::vector<member> founding_candidates() const;
+    bool knows_of_a_log() const;
+    void propose_voters();
+    void ask_seeds(const founding_request& request);
+    void tell_voters(const membership& voters);
+    void found_with(const membership& voters);
+    void write_first_entry(const membership& voters, std::uint64_t cluster);
+
     replica_settings m_settings;
     replica_rules m_rules;
     seeded_random m_random;
@@ -229,6 +245,8 @@
     std::optional<pending_question> m_pending_question;
 
     std::map<host_id, non_member> m_non_members;
+    founding_acceptor m_acceptor;
+    std::optional<founding_proposer> m_proposer;
     std::optional<time_point> m_hello_sent;
     std::vector<replica_effect> m_effects;
 };
--- a/packages/replication/src/replica_follow.cpp
+++ b/packages/replication/src/replica_follow.cpp
@@ -32,7 +32,7 @@
         // The leader expects the disk that this host had before. The hello is
         // sent to it directly, because the settings need not name the leader
         // and no other host forwards a hello.
-        send(message.from, message.from_disk, hello{is_blank()});
+        send(message.from, message.from_disk, own_hello());
         return false;
     }
     if (message.term < m_state.term)
--- a/packages/replication/src/replica_members.cpp
+++ b/packages/replication/src/replica_members.cpp
@@ -18,14 +18,13 @@
 constexpr std::size_t max_members = 32;
 // Five voters, and one more while a host is being replaced.
 constexpr std::size_t max_voters = 6;
-constexpr term_number bootstrap_term = 1;
 
 } // namespace
 
 void replica_core::on(const replica_message& message, const hello& body)
 {
     m_non_members[message.from] =
-        non_member{message.from_disk, body.blank, m_now};
+        non_member{message.from_disk, body.blank, body.may_found, m_now};
     if (m_non_members.size() <= max_non_members)
     {
         return;
@@ -41,6 +40,16 @@
 void replica_core::on(const replica_message&, const forwarded_change&) {}
 void replica_core::on(const replica_message&, const forwarded_answer&) {}
 
+bool replica_core::is_recent(const non_member& seen) const
+{
+    return m_now - seen.seen <= hello_lifetime;
+}
+
+hello replica_core::own_hello() const
+{
+    return hello{is_blank(), m_settings.founding.has_value()};
+}
+
 void replica_core::send_hello()
 {
     // A host that was removed while it was down still is a member by its own
@@ -56,7 +65,7 @@
     m_hello_sent = m_now;
     for (const host_id& peer : m_settings.peers)
     {
-        send(peer, disk_id(), hello{is_blank()});
+        send(peer, disk_id(), own_hello());
     }
 }
 
@@ -99,17 +108,13 @@
         // with state shows that the log has been bootstrapped before.
         const auto seen = m_non_members.find(host);
         if (seen == m_non_members.end() || !seen->second.blank ||
-            m_now - seen->second.seen > hello_lifetime)
+            !is_recent(seen->second))
         {
             return;
         }
         voters.push_back(member{host, seen->second.disk, member_role::voter});
     }
-    m_state.term = bootstrap_term;
-    m_state.cluster = m_disk.value();
-    m_queue.set_state(m_state);
-    append_entry(log_entry{1, bootstrap_term, entry_kind::membership,
-                           encode_membership(membership(std::move(voters)))});
+    write_first_entry(membership(std::move(voters)), m_disk.value());
 }
 
 // Does not admit a removed host, which sends hello with a log, or a host that
@@ -124,7 +129,7 @@
     {
         const auto seen = m_non_members.find(host);
         const bool waits = seen != m_non_members.end() && seen->second.blank &&
-                           m_now - seen->second.seen <= hello_lifetime &&
+                           is_recent(seen->second) &&
                            members().find(host) == nullptr;
         if (waits && members().members().size() < max_members)
         {
--- a/packages/replication/test/document_store_test.cpp
+++ b/packages/replication/test/document_store_test.cpp
@@ -152,7 +152,7 @@
          member{host_id("b"), disk_id(2), member_role::joining}});
     const log_entry entry{4, 2, entry_kind::payload, std::string("\0x", 2)};
     const std::vector<message_body> bodies{
-        hello{true},
+        hello{true, true},
         vote_request{true, 3, 2, 5},
         vote_reply{true, true, 5},
         append_request{3, 2, 1, {entry, entry}, -9},
@@ -160,9 +160,15 @@
         snapshot_chunk{9, 2, members, 10, 20, "bytes", 3},
         snapshot_reply{9, 10, 3},
         forwarded_change{1, change(7, "op")},
-        forwarded_answer{1, operation_id("op"),
-                         change_outcome{change_result::conflict,
-                                        config_version(8), "late"}}};
+        forwarded_answer{
+            1, operation_id("op"),
+            change_outcome{change_result::conflict, config_version(8), "late"}},
+        founding_request{founding_phase::accept,
+                         founding_ballot{2, host_id("a"), 9}, members},
+        founding_reply{founding_phase::accept,
+                       founding_ballot{2, host_id("a"), 9},
+                       founding_ballot{3, host_id("b"), 8},
+                       founding_ballot{1, host_id("c"), 7}, members}};
     for (const message_body& body : bodies)
     {
         const replica_message message{
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -46,6 +46,19 @@
     , m_settings(test_settings(voters, voters + spares))
     , m_hosts(voters + spares)
 {
+    if (!m_rules.seeds.empty())
+    {
+        m_settings.founding_voters.clear();
+        m_settings.peers.clear();
+        founding_settings& founding = m_settings.founding.emplace();
+        founding.wanted_voters = voters;
+        founding.least_voters = voters;
+        for (const std::size_t at : m_rules.seeds)
+        {
+            founding.seeds.push_back(name(at));
+            m_settings.peers.push_back(name(at));
+        }
+    }
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
     {
         m_hosts[i].clock_rate =
@@ -71,6 +84,7 @@
     {
         write(i);
         event(i, tick{});
+        follow_members(i);
         apply_voter_policy(i);
     }
     check();
@@ -128,10 +142,72 @@
     std::shuffle(due.begin(), due.end(), m_random);
     for (const replica_message& one : due)
     {
-        event(index_of(one.to), message_received{one});
+        const std::size_t to = index_of(one.to);
+        relay(to, one);
+        event(to, message_received{one});
     }
 }
 
+// What a control process without a disk does.
+void fake_cluster::relay(std::size_t host, const replica_message& message)
+{
+    if (!m_hosts[host].relay)
+    {
+        return;
+    }
+    fake_relay& at = *m_hosts[host].relay;
+    if (const auto* request = std::get_if<founding_request>(&message.body))
+    {
+        const bool may_answer =
+            !at.knows_of_a_log || at.acceptor.has_accepted();
+        if (may_answer && request->phase != founding_phase::decided)
+        {
+            transmit(replica_message{name(host), disk_id(), message.from,
+                                     message.from_disk, 0, 0,
+                                     at.acceptor.handle(*request)},
+                     name(host));
+        }
+        return;
+    }
+    const auto* said = std::get_if<hello>(&message.body);
+    if (said == nullptr)
+    {
+        return;
+    }
+    at.knows_of_a_log = at.knows_of_a_log || !said->blank;
+    at.introduced.insert(message.from);
+    for (const host_id& known : at.introduced)
+    {
+        if (known != message.from)
+        {
+            replica_message passed = message;
+            passed.to = known;
+            transmit(passed, name(host));
+        }
+    }
+}
+
+// With seeds a host learns of the others.
+void fake_cluster::follow_members(std::size_t host)
+{
+    if (m_rules.seeds.empty() || !up(host))
+    {
+        return;
+    }
+    const replica_status status = this->status(host);
+    std::set<host_id> all(m_settings.peers.begin(), m_settings.peers.end());
+    for (const member_status& one : status.members)
+    {
+        all.insert(one.who.host);
+    }
+    for (const non_member_status& one : status.non_members)
+    {
+        all.insert(one.host);
+    }
+    all.erase(name(host));
+    m_hosts[host].document->set_peers({all.begin(), all.end()});
+}
+
 void fake_cluster::write(std::size_t host)
 {
     fake_host& at = m_hosts[host];
@@ -172,7 +248,7 @@
     {
         if (const auto* sent = std::get_if<send_message>(&effect))
         {
-            transmit(sent->message);
+            transmit(sent->message, sent->message.from);
         }
         else if (const auto* kept = std::get_if<persist>(&effect))
         {
@@ -201,9 +277,10 @@
     }
 }
 
-void fake_cluster::transmit(const replica_message& message)
+void fake_cluster::transmit(const replica_message& message,
+                            const host_id& sender)
 {
-    const std::pair way(index_of(message.from), index_of(message.to));
+    const std::pair way(index_of(sender), index_of(message.to));
     if (m_blocked.count(way) != 0 || m_random() % 100 < m_loss)
     {
         return;
@@ -333,6 +410,7 @@
 {
     fake_host& at = m_hosts[host];
     at.document.reset();
+    at.relay.reset();
     at.storage.reset();
     at.writes.clear();
     if (loses_power)
@@ -350,6 +428,11 @@
     {
         return;
     }
+    if (m_rules.relays.count(host) != 0)
+    {
+        at.relay.emplace();
+        return;
+    }
     storage_settings storage;
     storage.segment_bytes = 600;
     storage.sync = m_rules.sync;
@@ -372,7 +455,10 @@
     settings.admit_observers = m_rules.admit_observers;
     const auto self =
         std::find(settings.peers.begin(), settings.peers.end(), settings.self);
-    settings.peers.erase(self);
+    if (self != settings.peers.end())
+    {
+        settings.peers.erase(self);
+    }
     store_limits limits;
     limits.history_versions = 100000;
     at.document.emplace(settings, at.storage->take_restored(), now(at),
--- a/packages/replication/test/fake_cluster.hpp
+++ b/packages/replication/test/fake_cluster.hpp
@@ -3,6 +3,7 @@
 #include "fake_disk.hpp"
 #include "history_checker.hpp"
 
+#include "crowlink/replication/founding_acceptor.hpp"
 #include "crowlink/replication/log_storage.hpp"
 #include "crowlink/replication/replicated_document.hpp"
 #include "crowlink/replication/voter_policy.hpp"
@@ -32,6 +33,11 @@
     bool admit_observers = false;
     // Settings of the voter policy; empty if members change only by request.
     std::optional<voter_policy_settings> voters{};
+    // Hosts without a disk, which pass on hellos.
+    std::set<std::size_t> relays{};
+    // The hosts that all settings name. If there are any, they choose the
+    // initial voters, and hosts learn of others by their hellos.
+    std::vector<std::size_t> seeds{};
 };
 
 // Control hosts with a simulated network, simulated disks and clocks of
@@ -42,7 +48,7 @@
     static constexpr duration step_length = std::chrono::milliseconds(10);
 
     // The first `voters` hosts bootstrap the log; `spares` more may be
-    // admitted.
+    // admitted. With seeds they choose that many voters.
     fake_cluster(std::size_t voters, std::size_t spares, std::uint64_t seed,
                  cluster_rules rules = {});
 
@@ -104,11 +110,18 @@
     static std::size_t index_of(const host_id& host);
 
 private:
+    struct fake_relay
+    {
+        founding_acceptor acceptor;
+        std::set<host_id> introduced;
+        bool knows_of_a_log = false;
+    };
     struct fake_host
     {
         fake_disk disk;
         std::optional<log_storage<fake_disk>> storage;
         std::optional<replicated_document> document;
+        std::optional<fake_relay> relay;
         // Pending writes with the steps at which they are carried out.
         std::deque<std::pair<std::uint64_t, persist_request>> writes;
         std::uint64_t disk_delay = 0;
@@ -125,10 +138,13 @@
     void write(std::size_t host);
     void end_process(std::size_t host, bool loses_power);
     void apply_voter_policy(std::size_t host);
+    void follow_members(std::size_t host);
+    void relay(std::size_t host, const replica_message& message);
     void perform_effects(std::size_t host,
                          const std::vector<document_effect>& effects);
     void event(std::size_t host, const document_event& one);
-    void transmit(const replica_message& message);
+    // A relay sends hellos of others.
+    void transmit(const replica_message& message, const host_id& sender);
     void check();
 
     cluster_rules m_rules;
