--- a/packages/balancer/test/traffic_path_test.cpp
+++ b/packages/balancer/test/traffic_path_test.cpp
@@ -199,7 +199,7 @@
         former.declared.addresses = {
             parse_endpoint(fmt::format("192.0.2.{}:53", id))};
         balancer.apply(former);
-        changed.declared.shares[0].former.push_back(service_id(id));
+        changed.declared.shares[0].former.emplace_back(id);
     }
     balancer.apply(changed);
     std::set<endpoint> named;
--- a/packages/replication/test/fake_cluster.cpp
+++ b/packages/replication/test/fake_cluster.cpp
@@ -1,6 +1,7 @@
 #include "fake_cluster.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace crowlink::replication
 {
@@ -41,7 +42,7 @@
 
 fake_cluster::fake_cluster(std::size_t voters, std::size_t spares,
                            std::uint64_t seed, cluster_rules rules)
-    : m_rules(rules)
+    : m_rules(std::move(rules))
     , m_random(seed)
     , m_settings(test_settings(voters, voters + spares))
     , m_hosts(voters + spares)
--- a/packages/replication/test/fake_cluster.hpp
+++ b/packages/replication/test/fake_cluster.hpp
@@ -40,6 +40,14 @@
     std::vector<std::size_t> seeds{};
 };
 
+// A control process without a disk.
+struct fake_relay
+{
+    founding_acceptor acceptor;
+    std::set<host_id> introduced;
+    bool knows_of_a_log = false;
+};
+
 // Control hosts with a simulated network, simulated disks and clocks of
 // different rates. The seed determines all random choices.
 class fake_cluster
@@ -110,12 +118,6 @@
     static std::size_t index_of(const host_id& host);
 
 private:
-    struct fake_relay
-    {
-        founding_acceptor acceptor;
-        std::set<host_id> introduced;
-        bool knows_of_a_log = false;
-    };
     struct fake_host
     {
         fake_disk disk;
--- a/packages/replication/test/founding_test.cpp
+++ b/packages/replication/test/founding_test.cpp
@@ -157,7 +157,7 @@
         for (std::size_t at = 0; at < count; ++at)
         {
             m_settings.seeds.push_back(seed_name(at));
-            m_hosts.push_back(host_id("h" + std::to_string(at)));
+            m_hosts.emplace_back("h" + std::to_string(at));
             restart_proposer(at);
         }
     }
