--- a/packages/daemon/src/control/document_controller.cpp
+++ b/packages/daemon/src/control/document_controller.cpp
@@ -37,8 +37,11 @@
     const auto voters = static_cast<std::size_t>(
         std::count_if(control.peers.begin(), control.peers.end(),
                       [](const control_peer& peer) { return peer.voter; }));
-    founding.least_voters = 2 * control.losses_borne.value_or(0) + 1;
-    founding.wanted_voters = std::max(founding.least_voters, voters);
+    // More voters than seeds would be waited for in vain where there are fewer
+    // disks; those that the losses ask for are added once the log is there.
+    founding.wanted_voters = voters;
+    founding.least_voters =
+        std::min<std::size_t>(voters, 2 * control.losses_borne.value_or(0) + 1);
     return founding;
 }
 
--- a/packages/replication/include/crowlink/replication/founding_proposer.hpp
+++ b/packages/replication/include/crowlink/replication/founding_proposer.hpp
@@ -35,8 +35,9 @@
 
 private:
     std::size_t voters_needed(time_point now) const;
-    bool may_begin(time_point now, const std::vector<member>& candidates);
-    void begin(time_point now, const std::vector<member>& candidates);
+    bool may_vote(time_point now, const member& candidate) const;
+    bool may_begin(time_point now, const std::vector<member>& eligible);
+    void begin(time_point now, const std::vector<member>& eligible);
     bool have_all_replied() const;
 
     founding_settings m_settings;
--- a/packages/replication/include/crowlink/replication/founding_settings.hpp
+++ b/packages/replication/include/crowlink/replication/founding_settings.hpp
@@ -21,6 +21,9 @@
     // the deployment must bear are not borne.
     std::size_t wanted_voters = 3;
     std::size_t least_voters = 3;
+    // From when on hosts that are no seeds may vote: seeds are chosen for the
+    // whole deployment, and one that has a disk may still be starting.
+    duration seeds_patience = std::chrono::milliseconds(1500);
     // From when on the least are enough, and from when on any number is: a
     // deployment may have fewer hosts with a disk than it asks for.
     duration wanted_patience = std::chrono::seconds(2);
--- a/packages/replication/src/founding_proposer.cpp
+++ b/packages/replication/src/founding_proposer.cpp
@@ -1,6 +1,7 @@
 #include "crowlink/replication/founding_proposer.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crowlink::replication
@@ -9,26 +10,28 @@
 namespace
 {
 
-// Seeds come first, since others look for control there; the rest by name. An
-// even number of voters bears no more losses than one voter fewer.
-membership choose_voters(std::vector<member> candidates,
+bool is_seed(const founding_settings& settings, const host_id& host)
+{
+    return std::find(settings.seeds.begin(), settings.seeds.end(), host) !=
+           settings.seeds.end();
+}
+
+// Seeds come first, the rest by name. An even number of voters bears no more
+// losses than one voter fewer.
+membership choose_voters(std::vector<member> eligible,
                          const founding_settings& settings)
 {
-    const auto is_seed = [&settings](const member& one)
+    const auto rank = [&settings](const member& one)
     {
-        return std::find(settings.seeds.begin(), settings.seeds.end(),
-                         one.host) != settings.seeds.end();
+        return std::pair(!is_seed(settings, one.host), one.host);
     };
-    std::sort(candidates.begin(), candidates.end(),
-              [&is_seed](const member& one, const member& other)
-              {
-                  return std::pair(!is_seed(one), one.host) <
-                         std::pair(!is_seed(other), other.host);
-              });
-    std::size_t count = std::min(candidates.size(), settings.wanted_voters);
+    std::sort(eligible.begin(), eligible.end(),
+              [&rank](const member& one, const member& other)
+              { return rank(one) < rank(other); });
+    std::size_t count = std::min(eligible.size(), settings.wanted_voters);
     count -= count % 2 == 0 ? 1 : 0;
-    candidates.resize(count);
-    return membership(std::move(candidates));
+    eligible.resize(count);
+    return membership(std::move(eligible));
 }
 
 } // namespace
@@ -52,30 +55,39 @@
     return waited < m_settings.least_patience ? m_settings.least_voters : 1;
 }
 
+bool founding_proposer::may_vote(time_point now, const member& candidate) const
+{
+    return now - m_started >= m_settings.seeds_patience ||
+           is_seed(m_settings, candidate.host);
+}
+
 // Several hosts that propose at once would refuse each other's ballots. The
 // first by name begins at once, the others only if it does not get there.
 bool founding_proposer::may_begin(time_point now,
-                                  const std::vector<member>& candidates)
+                                  const std::vector<member>& eligible)
 {
-    if (candidates.empty() || candidates.size() < voters_needed(now))
+    const bool is_eligible =
+        std::any_of(eligible.begin(), eligible.end(),
+                    [this](const member& one) { return one.host == m_self; });
+    if (!is_eligible || eligible.size() < voters_needed(now))
     {
         m_waiting_since.reset();
         return false;
     }
     m_waiting_since = m_waiting_since.value_or(now);
     const auto rank =
-        std::count_if(candidates.begin(), candidates.end(),
+        std::count_if(eligible.begin(), eligible.end(),
                       [this](const member& one) { return one.host < m_self; });
     return now - *m_waiting_since >= m_settings.turn * rank;
 }
 
 void founding_proposer::begin(time_point now,
-                              const std::vector<member>& candidates)
+                              const std::vector<member>& eligible)
 {
     m_request =
         founding_request{founding_phase::prepare,
                          founding_ballot{++m_highest_round, m_self, m_life},
-                         choose_voters(candidates, m_settings)};
+                         choose_voters(eligible, m_settings)};
     m_replies.clear();
     m_waiting_since = now;
     m_next_send = now;
@@ -88,9 +100,13 @@
     {
         return std::nullopt;
     }
-    if (!m_request && may_begin(now, candidates))
+    std::vector<member> eligible;
+    std::copy_if(candidates.begin(), candidates.end(),
+                 std::back_inserter(eligible),
+                 [this, now](const member& one) { return may_vote(now, one); });
+    if (!m_request && may_begin(now, eligible))
     {
-        begin(now, candidates);
+        begin(now, eligible);
     }
     if (!m_request || now < m_next_send)
     {
--- a/packages/replication/test/founding_test.cpp
+++ b/packages/replication/test/founding_test.cpp
@@ -72,6 +72,25 @@
     }
 }
 
+// Guards against voters that happen to be heard first: the seeds are spread
+// over the deployment.
+TEST(first_start, makes_the_seeds_voters_where_all_have_a_disk)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        cluster_rules rules = rules_of({1, 3, 5}, {});
+        rules.voters.reset();
+        fake_cluster cluster(3, 3, seed, rules);
+        const std::size_t leader = wait_for_leader(cluster);
+        for (const member_status& one : cluster.status(leader).members)
+        {
+            const std::size_t host = fake_cluster::index_of(one.who.host);
+            EXPECT_EQ(one.who.role == member_role::voter, host % 2 == 1)
+                << "seed " << seed;
+        }
+    }
+}
+
 // Guards against a deployment that waits for more hosts with a disk than it
 // has.
 TEST(first_start, founds_a_log_with_fewer_disks_than_are_wanted)
